--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Commands of the README. `make install` needs root on Debian 12.
+PACKAGES = g++ cmake ninja-build ccache pkg-config clang-format clang-tidy libtbb-dev libboost1.81-dev libzmq3-dev \
+	cppzmq-dev libprotobuf-dev libcli11-dev liblog4cplus-dev catch2 libtrompeloeil-cpp-dev librapidcheck-dev \
+	libxxhash-dev
+BUILD = build/release
+
+.PHONY: install build test demo
+
+install:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES) >/dev/null)
+
+build: install
+	@cmake --preset release >/dev/null
+	@cmake --build --preset release
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	@$(BUILD)/demo --bin $(BUILD)
--- /dev/null
+++ b/cmake/embed_charts.cmake
@@ -0,0 +1,10 @@
+# Writes a C++ file that holds the text of each chart.
+set(TEXT "#include \"statechart.h\"\n\nnamespace briarvane\n{\nconst std::vector<EmbeddedChart> &embeddedCharts()\n{\n")
+string(APPEND TEXT "    static const std::vector<EmbeddedChart> charts = {\n")
+foreach(CHART ${CHARTS})
+    get_filename_component(NAME ${CHART} NAME_WE)
+    file(READ ${CHART} CONTENT)
+    string(APPEND TEXT "        {\"${NAME}\", R\"scxml(${CONTENT})scxml\"},\n")
+endforeach()
+string(APPEND TEXT "    };\n    return charts;\n}\n}\n")
+file(WRITE ${OUTPUT} "${TEXT}")
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/platform.h
@@ -0,0 +1,130 @@
+#pragma once
+
+// The platform's services behind one concept. The wire form of the platform stays in the adapter (platform.cpp).
+//
+// Index
+// [1] Calls
+// [2] The Platform concept
+// [3] HTTP/JSON adapter
+// [4] In-process store
+
+#include "membership.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace briarvane
+{
+
+// [1] Calls -----------------------------------------------------------------------------------------------------------
+
+/// Completion of a call, on the I/O thread, never from inside the call itself.
+/// Errors: Unavailable (did not take effect), Unknown (may have taken effect), Conflict, NotFound.
+template<class T>
+using Done = std::function<void(Result<T>)>;
+
+struct WatchBatch
+{
+    std::uint64_t version = 0;       // watch again from here
+    std::vector<StoreValue> values;  // changed values; version 0 and an empty value: deleted
+};
+
+struct SwapRequest
+{
+    std::string key;
+    std::uint64_t expected = 0;  // version that must be current; 0: the key must not exist
+    std::string value;           // at most 1 MB
+    std::string lease;           // empty: the value stays until it is replaced
+};
+
+// [2] The Platform concept --------------------------------------------------------------------------------------------
+
+template<class P>
+concept Platform = requires(P platform, const std::string &text, const SwapRequest &swap, std::uint64_t version,
+                            Duration time, const InstanceId &instance, Done<StoreValue> value,
+                            Done<std::vector<StoreValue>> values, Done<std::uint64_t> number, Done<WatchBatch> batch,
+                            Done<std::string> name, Done<std::vector<InstanceRecord>> records, Done<bool> flag)
+{
+    platform.read(text, value);            // a missing key answers version 0
+    platform.list(text, values);           // all keys with this prefix
+    platform.swap(swap, number);           // the new version
+    platform.remove(text, version, flag);  // compare-and-delete
+    platform.watch(text, version, batch);  // waits for a change of a key with this prefix after the version
+    platform.grantLease(time, name);
+    platform.renewLease(text, flag);  // false: the lease has lapsed
+    platform.instances(records);
+    platform.reboot(instance, flag);
+};
+
+// [3] HTTP/JSON adapter -----------------------------------------------------------------------------------------------
+
+struct PlatformSettings
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    Duration callTimeout{1'000'000};
+    Duration watchTimeout{30'000'000};
+};
+
+class HttpPlatform
+{
+public:
+    HttpPlatform(boost::asio::io_context &io, PlatformSettings settings);
+    ~HttpPlatform();
+
+    void read(const std::string &key, Done<StoreValue> done);
+    void list(const std::string &prefix, Done<std::vector<StoreValue>> done);
+    void swap(const SwapRequest &request, Done<std::uint64_t> done);
+    void remove(const std::string &key, std::uint64_t expected, Done<bool> done);
+    void watch(const std::string &prefix, std::uint64_t after, Done<WatchBatch> done);
+    void grantLease(Duration ttl, Done<std::string> done);
+    void renewLease(const std::string &lease, Done<bool> done);
+    void instances(Done<std::vector<InstanceRecord>> done);
+    void reboot(const InstanceId &instance, Done<bool> done);
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+// [4] In-process store ------------------------------------------------------------------------------------------------
+
+/// Faults that tests switch on; the default is none.
+struct EmbeddedFaults
+{
+    bool down = false;       // every call answers Unavailable
+    int loseAnswers = 0;     // the next writes take effect and answer Unknown
+    int failWrites = 0;      // the next writes answer Unavailable without effect
+    bool holdCalls = false;  // calls are kept until it is cleared and release() is called
+};
+
+/// Keeps everything in memory of this process: for `--platform embedded` and as the fake in tests.
+class EmbeddedPlatform
+{
+public:
+    explicit EmbeddedPlatform(boost::asio::io_context &io);
+
+    void read(const std::string &key, Done<StoreValue> done);
+    void list(const std::string &prefix, Done<std::vector<StoreValue>> done);
+    void swap(const SwapRequest &request, Done<std::uint64_t> done);
+    void remove(const std::string &key, std::uint64_t expected, Done<bool> done);
+    void watch(const std::string &prefix, std::uint64_t after, Done<WatchBatch> done);
+    void grantLease(Duration ttl, Done<std::string> done);
+    void renewLease(const std::string &lease, Done<bool> done);
+    void instances(Done<std::vector<InstanceRecord>> done);
+    void reboot(const InstanceId &instance, Done<bool> done);
+
+    EmbeddedFaults faults;
+    std::vector<InstanceRecord> records;  // what instances() answers
+    std::size_t writes = 0;               // calls that changed or tried to change a value
+    std::size_t reads = 0;
+    void release();  // runs held calls
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/src/types.h
@@ -0,0 +1,185 @@
+#pragma once
+
+// Shared vocabulary: ids, time, errors, enumerations with names, request descriptors.
+//
+// Index
+// [1] Time
+// [2] Ids
+// [3] Errors and results
+// [4] Names of enumerators
+// [5] Requests and outcomes
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+
+#include <array>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace briarvane
+{
+
+// [1] Time ------------------------------------------------------------------------------------------------------------
+
+using Duration = std::chrono::microseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;  // for decisions; passed as an argument
+using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;   // for maintenance windows and records
+
+// [2] Ids -------------------------------------------------------------------------------------------------------------
+
+/// A string id that cannot be mixed up with one of another kind.
+template<class Tag>
+struct Id
+{
+    std::string value;
+
+    bool empty() const
+    {
+        return value.empty();
+    }
+    auto operator<=>(const Id &) const = default;
+};
+
+using InstanceId = Id<struct InstanceTag>;
+using PoolId = Id<struct PoolTag>;
+using ServiceId = Id<struct ServiceTag>;
+using EntryId = Id<struct EntryTag>;
+using TenantId = Id<struct TenantTag>;
+
+// [3] Errors and results ----------------------------------------------------------------------------------------------
+
+enum class ErrorCode {
+    Invalid,      // the input is malformed or out of range
+    NotFound,     // no such key, instance, pool or wave
+    Conflict,     // the value changed since it was read, or another change is in progress
+    Unavailable,  // the store, a peer or the view is not usable now
+    Refused,      // a budget, quota or policy forbids it
+    Unknown,      // the call may or may not have taken effect
+};
+
+/// An expected failure. `message` is one sentence for an operator, without a trailing period.
+struct Error
+{
+    ErrorCode code = ErrorCode::Invalid;
+    std::string message;
+};
+
+/// A value or an Error. Reading the wrong one is a broken invariant and terminates.
+template<class T>
+using Result = boost::outcome_v2::basic_result<T, Error, boost::outcome_v2::policy::terminate>;
+
+// [4] Names of enumerators --------------------------------------------------------------------------------------------
+
+/// Specialized for each enumeration that is parsed or printed: `static constexpr std::array names` of (enumerator,
+/// name).
+template<class E>
+struct EnumNames;
+
+template<class E>
+using EnumName = std::pair<E, std::string_view>;
+
+template<class E>
+constexpr std::string_view toString(E value)
+{
+    for (const auto &[enumerator, name] : EnumNames<E>::names) {
+        if (enumerator == value) {
+            return name;
+        }
+    }
+    return "?";
+}
+
+template<class E>
+constexpr std::optional<E> parseEnum(std::string_view text)
+{
+    for (const auto &[enumerator, name] : EnumNames<E>::names) {
+        if (name == text) {
+            return enumerator;
+        }
+    }
+    return std::nullopt;
+}
+
+/// The accepted names, separated by ", ", for error messages.
+template<class E>
+std::string acceptedNames()
+{
+    std::string text;
+    for (const auto &[enumerator, name] : EnumNames<E>::names) {
+        text += text.empty() ? "" : ", ";
+        text += name;
+    }
+    return text;
+}
+
+template<>
+struct EnumNames<ErrorCode>
+{
+    static constexpr std::array<EnumName<ErrorCode>, 6> names = {{{ErrorCode::Invalid, "invalid"},
+                                                                  {ErrorCode::NotFound, "not-found"},
+                                                                  {ErrorCode::Conflict, "conflict"},
+                                                                  {ErrorCode::Unavailable, "unavailable"},
+                                                                  {ErrorCode::Refused, "refused"},
+                                                                  {ErrorCode::Unknown, "unknown"}}};
+};
+
+// [5] Requests and outcomes -------------------------------------------------------------------------------------------
+
+enum class RequestClass { Urgent, Short, Long };
+
+template<>
+struct EnumNames<RequestClass>
+{
+    static constexpr std::array<EnumName<RequestClass>, 3> names
+        = {{{RequestClass::Urgent, "urgent"}, {RequestClass::Short, "short"}, {RequestClass::Long, "long"}}};
+};
+
+/// What the caller is told about its request.
+enum class Outcome {
+    Answered,     // the upstream's whole answer
+    NotRun,       // no byte of the request reached an upstream
+    Unknown,      // it may have run
+    InProgress,   // the same idempotency key is running
+    KeyConflict,  // the same idempotency key came with another body
+};
+
+template<>
+struct EnumNames<Outcome>
+{
+    static constexpr std::array<EnumName<Outcome>, 5> names = {{{Outcome::Answered, "answered"},
+                                                                {Outcome::NotRun, "not-run"},
+                                                                {Outcome::Unknown, "unknown"},
+                                                                {Outcome::InProgress, "in-progress"},
+                                                                {Outcome::KeyConflict, "key-conflict"}}};
+};
+
+/// What the router knows of a request before it is sent; bodies never leave the entry that read them.
+struct RequestInfo
+{
+    std::uint64_t id = 0;  // unique within the asking entry's process
+    ServiceId service;
+    std::string route;  // learned sizes are kept per service and route
+    TenantId tenant;
+    RequestClass requestClass = RequestClass::Short;
+    bool idempotent = false;
+    TimePoint arrived;
+    TimePoint deadline;
+};
+
+}
+
+template<class Tag>
+struct std::hash<briarvane::Id<Tag>>
+{
+    std::size_t operator()(const briarvane::Id<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>{}(id.value);
+    }
+};
--- /dev/null
+++ b/tests/core_types.cpp
@@ -0,0 +1,20 @@
+#include "types.h"
+
+#include <catch2/catch.hpp>
+
+using namespace briarvane;
+
+TEST_CASE("Enumerators have names", "[types]")
+{
+    SECTION("each name parses back to its enumerator, so that no value is lost between two entries")
+    {
+        for (const auto &[value, name] : EnumNames<Outcome>::names) {
+            CHECK(parseEnum<Outcome>(name) == value);
+            CHECK(toString(value) == name);
+        }
+    }
+    SECTION("an unknown name is refused")
+    {
+        CHECK_FALSE(parseEnum<Outcome>("maybe").has_value());
+    }
+}
