Compile Boost.JSON in one file of the core library

Cause: Debian's libboost1.81-dev brings Boost.JSON as headers; the linked library is a separate package. Ruled out: including the sources in every file (slow builds). Result: one object, 1 file of 2 lines.

--- /dev/null
+++ b/src/json.cpp
@@ -0,0 +1,2 @@
+// The one translation unit that compiles the header-only Boost.JSON.
+#include <boost/json/src.hpp>
