--- /dev/null
+++ b/src/fleet.cpp
@@ -0,0 +1,769 @@
+#include "fleet.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace briarvane
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+enum class InstanceEvent { Drain, Released, Reboot, Back, Verified, VerifyFailed, Moved, Recover, Undrain };
+
+/// The transition table of charts/instance.scxml.
+std::optional<InstanceState> nextState(InstanceState state, InstanceEvent event)
+{
+    using S = InstanceState;
+    using E = InstanceEvent;
+    struct Transition
+    {
+        S from;
+        E event;
+        S to;
+    };
+    static constexpr Transition transitions[] = {
+        {S::Active, E::Drain, S::Draining},         {S::Draining, E::Released, S::Drained},
+        {S::Draining, E::Undrain, S::Active},       {S::Drained, E::Undrain, S::Active},
+        {S::Drained, E::Moved, S::Active},          {S::Drained, E::Reboot, S::Rebooting},
+        {S::Rebooting, E::Back, S::Verifying},      {S::Verifying, E::Verified, S::Active},
+        {S::Verifying, E::VerifyFailed, S::Failed}, {S::Rebooting, E::VerifyFailed, S::Failed},
+        {S::Failed, E::Recover, S::Active},
+    };
+    for (const Transition &transition : transitions) {
+        if (transition.from == state && transition.event == event) {
+            return transition.to;
+        }
+    }
+    return std::nullopt;
+}
+
+bool apply(FleetInstance &instance, InstanceEvent event, std::int64_t nowMs)
+{
+    const auto next = nextState(instance.state, event);
+    if (!next) {
+        return false;
+    }
+    instance.state = *next;
+    instance.sinceMs = nowMs;
+    if (*next == InstanceState::Active) {
+        instance.purpose = Purpose::None;
+        instance.target = {};
+        instance.wave.clear();
+    }
+    return true;
+}
+
+const InstanceRecord *findRecord(const std::vector<InstanceRecord> &records, const InstanceId &id)
+{
+    const auto it
+        = std::find_if(records.begin(), records.end(), [&](const InstanceRecord &record) { return record.id == id; });
+    return it == records.end() ? nullptr : &*it;
+}
+
+bool isLive(const std::vector<InstanceRecord> &records, const InstanceId &id)
+{
+    const InstanceRecord *record = findRecord(records, id);
+    return record != nullptr && record->presence == Presence::Live;
+}
+
+int poolSize(const Fleet &fleet, const PoolId &pool)
+{
+    return static_cast<int>(std::count_if(fleet.instances.begin(), fleet.instances.end(),
+                                          [&](const auto &item) { return item.second.pool == pool; }));
+}
+
+const PoolSpec *findPool(const Sheet &sheet, const PoolId &pool)
+{
+    const auto it
+        = std::find_if(sheet.pools.begin(), sheet.pools.end(), [&](const PoolSpec &spec) { return spec.id == pool; });
+    return it == sheet.pools.end() ? nullptr : &*it;
+}
+
+std::string describeBudget(const Fleet &fleet, const PoolId &pool, const Sheet &sheet,
+                           const std::vector<InstanceRecord> &records)
+{
+    return std::to_string(disrupted(fleet, pool, records)) + " of at most "
+        + std::to_string(disruptionLimit(fleet, pool, sheet)) + " instances of pool " + pool.value + " are disrupted";
+}
+
+bool budgetAllows(const Fleet &fleet, const PoolId &pool, const Sheet &sheet,
+                  const std::vector<InstanceRecord> &records)
+{
+    return disrupted(fleet, pool, records) < disruptionLimit(fleet, pool, sheet);
+}
+
+/// A move also shrinks the pool, so the budget must hold for the smaller size, without the instance that left.
+bool moveAllowed(const Fleet &fleet, const PoolId &from, const Sheet &sheet, const std::vector<InstanceRecord> &records)
+{
+    if (!budgetAllows(fleet, from, sheet, records)) {
+        return false;
+    }
+    const PoolSpec *spec = findPool(sheet, from);
+    const int leaving
+        = static_cast<int>(std::count_if(fleet.instances.begin(), fleet.instances.end(), [&](const auto &item) {
+              const Purpose purpose = item.second.purpose;
+              return item.second.pool == from && (purpose == Purpose::Move || purpose == Purpose::Remove);
+          }));
+    return spec == nullptr || poolSize(fleet, from) - leaving - 1 >= spec->minInstances;
+}
+
+void beginDrain(FleetInstance &instance, Purpose purpose, const PoolId &target, std::int64_t nowMs)
+{
+    apply(instance, InstanceEvent::Drain, nowMs);
+    instance.purpose = purpose;
+    instance.target = target;
+}
+
+Result<Wave *> findWave(Fleet &fleet, const std::string &id)
+{
+    const auto it = fleet.waves.find(id);
+    if (it == fleet.waves.end()) {
+        return Error{ErrorCode::NotFound, "no wave is named " + id};
+    }
+    return &it->second;
+}
+
+bool isOver(const Wave &wave)
+{
+    return wave.state == WaveState::Done || wave.state == WaveState::Aborted;
+}
+
+/// Takes the racks in turn, so that the first instances lie in different racks and no rack is emptied at once.
+std::vector<InstanceId> interleaveRacks(const std::vector<InstanceId> &ids, const std::vector<InstanceRecord> &records)
+{
+    std::map<std::string, std::vector<InstanceId>> racks;
+    for (const InstanceId &id : ids) {
+        const InstanceRecord *record = findRecord(records, id);
+        racks[record == nullptr ? "" : record->dataCentre + "/" + record->rack].push_back(id);
+    }
+    std::vector<InstanceId> order;
+    for (std::size_t turn = 0; order.size() < ids.size(); ++turn) {
+        for (const auto &[rack, members] : racks) {
+            if (turn < members.size()) {
+                order.push_back(members[turn]);
+            }
+        }
+    }
+    return order;
+}
+
+void eraseId(std::vector<InstanceId> &ids, const InstanceId &id)
+{
+    ids.erase(std::remove(ids.begin(), ids.end(), id), ids.end());
+}
+
+/// State of one call of stepFleet.
+struct Stepper
+{
+    Fleet &fleet;
+    const Sheet &sheet;
+    const FleetObservation &seen;
+    std::int64_t nowMs;
+    std::vector<std::string> &notices;
+
+    void takeOverSheet(const std::string &digest);
+    void intendMoves(const MoveSpec &move);
+    void advanceInstances();
+    void advanceInstance(const InstanceId &id, FleetInstance &instance);
+    void finishWaveInstance(const std::string &waveId, const InstanceId &id, bool succeeded);
+    void startIntendedMoves();
+    void advanceWaves();
+    void judgeWave(const std::string &id, Wave &wave);
+    void startWaveInstances(const std::string &id, Wave &wave);
+    bool windowAllows(const PoolId &pool) const;
+};
+
+void Stepper::takeOverSheet(const std::string &digest)
+{
+    if (sheet.pools.empty() || digest.empty() || fleet.sheetDigest == digest) {
+        return;
+    }
+    fleet.sheetDigest = digest;
+    fleet.intended.clear();
+    std::set<InstanceId> named;
+    for (const InstanceSpec &spec : sheet.instances) {
+        named.insert(spec.id);
+        const auto [it, isNew]
+            = fleet.instances.try_emplace(spec.id, FleetInstance{.pool = spec.pool, .sinceMs = nowMs});
+        if (!isNew && it->second.pool != spec.pool) {
+            fleet.intended[spec.id] = spec.pool;
+        }
+    }
+    for (const auto &[id, instance] : fleet.instances) {
+        if (named.count(id) == 0) {
+            fleet.intended[id] = {};
+        }
+    }
+    for (const MoveSpec &move : sheet.moves) {
+        intendMoves(move);
+    }
+    notices.push_back("the fleet follows sheet " + digest + " with " + std::to_string(fleet.intended.size())
+                      + " instances to move or remove");
+}
+
+void Stepper::intendMoves(const MoveSpec &move)
+{
+    int left = move.count;
+    for (const auto &[id, instance] : fleet.instances) {
+        if (left > 0 && instance.pool == move.from && fleet.intended.count(id) == 0) {
+            fleet.intended[id] = move.to;
+            --left;
+        }
+    }
+}
+
+void Stepper::advanceInstances()
+{
+    std::vector<InstanceId> removed;
+    for (auto &[id, instance] : fleet.instances) {
+        advanceInstance(id, instance);
+        if (instance.state == InstanceState::Drained && instance.purpose == Purpose::Remove) {
+            removed.push_back(id);
+        }
+    }
+    for (const InstanceId &id : removed) {
+        fleet.instances.erase(id);
+        fleet.intended.erase(id);
+        notices.push_back("instance " + id.value + " was removed");
+    }
+}
+
+void Stepper::advanceInstance(const InstanceId &id, FleetInstance &instance)
+{
+    if (instance.state == InstanceState::Draining && seen.released.count(id) != 0) {
+        apply(instance, InstanceEvent::Released, nowMs);
+    }
+    if (instance.state == InstanceState::Drained && instance.purpose == Purpose::Move) {
+        const PoolId target = instance.target;
+        notices.push_back("instance " + id.value + " moved from " + instance.pool.value + " to " + target.value);
+        apply(instance, InstanceEvent::Moved, nowMs);
+        instance.pool = target;
+        const auto intended = fleet.intended.find(id);
+        if (intended != fleet.intended.end() && intended->second == target) {
+            fleet.intended.erase(intended);
+        }
+    }
+    if (instance.state == InstanceState::Drained && instance.purpose == Purpose::Reboot) {
+        apply(instance, InstanceEvent::Reboot, nowMs);
+    } else if (instance.state == InstanceState::Rebooting && seen.rebooted.count(id) != 0) {
+        apply(instance, InstanceEvent::Back, nowMs);
+    }
+    const auto verified = seen.verified.find(id);
+    if (verified == seen.verified.end()) {
+        return;
+    }
+    const std::string wave = instance.wave;
+    if (instance.state == InstanceState::Failed && verified->second) {
+        apply(instance, InstanceEvent::Recover, nowMs);
+        notices.push_back("instance " + id.value + " serves again");
+    } else if (instance.state == InstanceState::Verifying
+               || (instance.state == InstanceState::Rebooting && !verified->second)) {
+        apply(instance, verified->second ? InstanceEvent::Verified : InstanceEvent::VerifyFailed, nowMs);
+        finishWaveInstance(wave, id, verified->second);
+    }
+}
+
+void Stepper::finishWaveInstance(const std::string &waveId, const InstanceId &id, bool succeeded)
+{
+    const auto it = fleet.waves.find(waveId);
+    if (it == fleet.waves.end()) {
+        return;
+    }
+    eraseId(it->second.running, id);
+    it->second.finished.push_back({id, succeeded});
+    notices.push_back("wave " + waveId + ": instance " + id.value
+                      + (succeeded ? " serves again" : " failed after its reboot"));
+}
+
+void Stepper::startIntendedMoves()
+{
+    if (!seen.mayDrain) {
+        return;
+    }
+    std::vector<InstanceId> settled;
+    for (const auto &[id, target] : fleet.intended) {
+        FleetInstance &instance = fleet.instances.at(id);
+        if (!target.empty() && instance.pool == target) {
+            settled.push_back(id);
+        } else if (instance.state == InstanceState::Active && moveAllowed(fleet, instance.pool, sheet, seen.records)) {
+            beginDrain(instance, target.empty() ? Purpose::Remove : Purpose::Move, target, nowMs);
+        } else if (instance.state == InstanceState::Failed && target.empty()) {
+            instance.state = InstanceState::Drained;  // serves nothing, so there is nothing to drain
+            instance.purpose = Purpose::Remove;
+        }
+    }
+    for (const InstanceId &id : settled) {
+        fleet.intended.erase(id);
+    }
+}
+
+bool Stepper::windowAllows(const PoolId &pool) const
+{
+    bool hasWindow = false;
+    for (const WindowSpec &window : sheet.windows) {
+        if (window.pool == pool) {
+            hasWindow = true;
+            if (windowIsOpen(window, seen.wallNow)) {
+                return true;
+            }
+        }
+    }
+    return !hasWindow;
+}
+
+void Stepper::advanceWaves()
+{
+    for (auto &[id, wave] : fleet.waves) {
+        if (isOver(wave) || wave.state == WaveState::Paused) {
+            continue;
+        }
+        judgeWave(id, wave);
+        if (wave.state != WaveState::Paused && seen.mayDrain && windowAllows(wave.pool)) {
+            startWaveInstances(id, wave);
+        }
+        if (wave.state != WaveState::Paused && wave.waiting.empty() && wave.running.empty()) {
+            wave.state = WaveState::Done;
+            wave.endedMs = nowMs;
+            notices.push_back("wave " + id + " is done");
+        }
+    }
+}
+
+/// An instance that served again and is gone now counts as failed: failures within a wave are correlated and may show
+/// late.
+void Stepper::judgeWave(const std::string &id, Wave &wave)
+{
+    const std::size_t judged = std::min(JudgedCount, wave.finished.size() - wave.judgedFrom);
+    const auto failures = static_cast<std::size_t>(
+        std::count_if(wave.finished.end() - static_cast<std::ptrdiff_t>(judged), wave.finished.end(),
+                      [&](const FinishedInstance &item) { return !item.succeeded || !isLive(seen.records, item.id); }));
+    const bool canaryFailed = wave.state == WaveState::Canary && failures > 0;
+    if (failures >= FailuresToPause || canaryFailed) {
+        wave.state = WaveState::Paused;
+        wave.reason = std::to_string(failures) + " of the last " + std::to_string(judged) + " instances failed";
+        notices.push_back("wave " + id + " is paused: " + wave.reason);
+    } else if (wave.state == WaveState::Canary && wave.finished.size() >= CanaryCount) {
+        wave.state = WaveState::Rolling;
+    }
+}
+
+void Stepper::startWaveInstances(const std::string &id, Wave &wave)
+{
+    if (wave.state == WaveState::Planned) {
+        wave.state = WaveState::Canary;
+    }
+    std::vector<InstanceId> skipped;
+    for (const InstanceId &next : std::vector<InstanceId>(wave.waiting)) {
+        const bool canaryFull
+            = wave.state == WaveState::Canary && wave.running.size() + wave.finished.size() >= CanaryCount;
+        if (canaryFull || !budgetAllows(fleet, wave.pool, sheet, seen.records)) {
+            return;
+        }
+        const auto it = fleet.instances.find(next);
+        if (it == fleet.instances.end() || it->second.pool != wave.pool) {
+            eraseId(wave.waiting, next);  // removed or moved since the wave was planned
+            continue;
+        }
+        if (it->second.state != InstanceState::Active || !isLive(seen.records, next)) {
+            continue;  // dealt with by something else or down; its turn comes when it serves again
+        }
+        beginDrain(it->second, Purpose::Reboot, {}, nowMs);
+        it->second.wave = id;
+        eraseId(wave.waiting, next);
+        wave.running.push_back(next);
+    }
+}
+
+}
+
+std::vector<InstanceId> admitted(const Fleet &fleet, const PoolId &pool, const std::vector<InstanceRecord> &records)
+{
+    std::vector<InstanceId> ids;
+    for (const InstanceRecord &record : records) {
+        const auto it = fleet.instances.find(record.id);
+        if (record.presence == Presence::Live && it != fleet.instances.end() && it->second.pool == pool
+            && it->second.state == InstanceState::Active) {
+            ids.push_back(record.id);
+        }
+    }
+    return ids;
+}
+
+int disrupted(const Fleet &fleet, const PoolId &pool, const std::vector<InstanceRecord> &records)
+{
+    std::set<InstanceId> live;
+    for (const InstanceRecord &record : records) {
+        if (record.presence == Presence::Live) {
+            live.insert(record.id);
+        }
+    }
+    return static_cast<int>(std::count_if(fleet.instances.begin(), fleet.instances.end(), [&](const auto &item) {
+        return item.second.pool == pool && (item.second.state != InstanceState::Active || live.count(item.first) == 0);
+    }));
+}
+
+int disruptionLimit(const Fleet &fleet, const PoolId &pool, const Sheet &sheet)
+{
+    constexpr double rounding = 1e-9;  // 0.9 of 10 must leave 1, though 10 * (1 - 0.9) is slightly below 1
+    const int size = poolSize(fleet, pool);
+    int limit = size;
+    for (const ServiceSpec &service : sheet.services) {
+        if (service.pool == pool) {
+            limit = std::min(limit, static_cast<int>(std::floor(size * (1.0 - service.availability) + rounding)));
+        }
+    }
+    return limit;
+}
+
+Result<Fleet> moveInstance(const Fleet &fleet, const InstanceId &instance, const PoolId &target, const Sheet &sheet,
+                           const std::vector<InstanceRecord> &records, std::int64_t nowMs)
+{
+    Fleet next = fleet;
+    const auto it = next.instances.find(instance);
+    if (it == next.instances.end()) {
+        return Error{ErrorCode::NotFound, "no instance is named " + instance.value};
+    }
+    if (findPool(sheet, target) == nullptr) {
+        return Error{ErrorCode::NotFound, "no pool is named " + target.value};
+    }
+    if (it->second.pool == target) {
+        return Error{ErrorCode::Refused, "instance " + instance.value + " is already in pool " + target.value};
+    }
+    if (it->second.state != InstanceState::Active) {
+        return Error{ErrorCode::Conflict,
+                     "instance " + instance.value + " is " + std::string(toString(it->second.state)) + " for "
+                         + std::string(toString(it->second.purpose))};
+    }
+    if (!moveAllowed(fleet, it->second.pool, sheet, records)) {
+        return Error{ErrorCode::Refused,
+                     "the budget or the least size of the pool forbids it: "
+                         + describeBudget(fleet, it->second.pool, sheet, records)};
+    }
+    beginDrain(it->second, Purpose::Move, target, nowMs);
+    return next;
+}
+
+Result<Fleet> drainInstance(const Fleet &fleet, const InstanceId &instance, const Sheet &sheet,
+                            const std::vector<InstanceRecord> &records, std::int64_t nowMs)
+{
+    Fleet next = fleet;
+    const auto it = next.instances.find(instance);
+    if (it == next.instances.end()) {
+        return Error{ErrorCode::NotFound, "no instance is named " + instance.value};
+    }
+    if (it->second.state != InstanceState::Active) {
+        return Error{ErrorCode::Conflict,
+                     "instance " + instance.value + " is " + std::string(toString(it->second.state)) + " for "
+                         + std::string(toString(it->second.purpose))};
+    }
+    // An instance that is down is disrupted already, so draining it costs the budget nothing.
+    if (isLive(records, instance) && !budgetAllows(fleet, it->second.pool, sheet, records)) {
+        return Error{ErrorCode::Refused,
+                     "the budget forbids it: " + describeBudget(fleet, it->second.pool, sheet, records)};
+    }
+    beginDrain(it->second, Purpose::Drain, {}, nowMs);
+    return next;
+}
+
+Result<Fleet> undrainInstance(const Fleet &fleet, const InstanceId &instance, std::int64_t nowMs)
+{
+    Fleet next = fleet;
+    const auto it = next.instances.find(instance);
+    if (it == next.instances.end()) {
+        return Error{ErrorCode::NotFound, "no instance is named " + instance.value};
+    }
+    const Purpose purpose = it->second.purpose;
+    if ((purpose != Purpose::Drain && purpose != Purpose::Move) || !apply(it->second, InstanceEvent::Undrain, nowMs)) {
+        return Error{ErrorCode::Refused, "instance " + instance.value + " is not drained by an operator or for a move"};
+    }
+    next.intended.erase(instance);
+    return next;
+}
+
+Result<Fleet> startWave(const Fleet &fleet, const std::string &id, const PoolId &pool,
+                        const std::vector<InstanceRecord> &records, std::int64_t nowMs)
+{
+    const auto existing = fleet.waves.find(id);
+    if (id.empty() || existing != fleet.waves.end()) {
+        return Error{ErrorCode::Conflict, "a wave needs a new name, but '" + id + "' is empty or taken"};
+    }
+    for (const auto &[other, wave] : fleet.waves) {
+        if (wave.pool == pool && !isOver(wave)) {
+            return Error{ErrorCode::Conflict,
+                         "wave " + other + " of pool " + pool.value + " is " + std::string(toString(wave.state))};
+        }
+    }
+    std::vector<InstanceId> ids;
+    for (const auto &[instance, state] : fleet.instances) {
+        if (state.pool == pool) {
+            ids.push_back(instance);
+        }
+    }
+    if (ids.empty()) {
+        return Error{ErrorCode::NotFound, "pool " + pool.value + " has no instances"};
+    }
+    Fleet next = fleet;
+    next.waves[id] = {.pool = pool, .waiting = interleaveRacks(ids, records), .startedMs = nowMs};
+    return next;
+}
+
+Result<Fleet> pauseWave(const Fleet &fleet, const std::string &id, const std::string &reason)
+{
+    Fleet next = fleet;
+    const auto wave = findWave(next, id);
+    if (!wave) {
+        return wave.error();
+    }
+    if (isOver(*wave.value()) || wave.value()->state == WaveState::Paused) {
+        return Error{ErrorCode::Refused, "wave " + id + " is " + std::string(toString(wave.value()->state))};
+    }
+    wave.value()->state = WaveState::Paused;
+    wave.value()->reason = reason;
+    return next;
+}
+
+Result<Fleet> resumeWave(const Fleet &fleet, const std::string &id)
+{
+    Fleet next = fleet;
+    const auto found = findWave(next, id);
+    if (!found) {
+        return found.error();
+    }
+    Wave &wave = *found.value();
+    if (wave.state != WaveState::Paused) {
+        return Error{ErrorCode::Refused, "wave " + id + " is " + std::string(toString(wave.state)) + ", not paused"};
+    }
+    wave.state = wave.finished.size() < CanaryCount ? WaveState::Canary : WaveState::Rolling;
+    wave.reason.clear();
+    wave.judgedFrom = wave.finished.size();
+    return next;
+}
+
+Result<Fleet> abortWave(const Fleet &fleet, const std::string &id, std::int64_t nowMs)
+{
+    Fleet next = fleet;
+    const auto found = findWave(next, id);
+    if (!found) {
+        return found.error();
+    }
+    Wave &wave = *found.value();
+    if (isOver(wave)) {
+        return Error{ErrorCode::Refused, "wave " + id + " is " + std::string(toString(wave.state))};
+    }
+    // Instances that are not rebooting yet serve again; the others finish their reboot.
+    for (const InstanceId &instance : std::vector<InstanceId>(wave.running)) {
+        const auto it = next.instances.find(instance);
+        if (it != next.instances.end() && apply(it->second, InstanceEvent::Undrain, nowMs)) {
+            eraseId(wave.running, instance);
+        }
+    }
+    wave.waiting.clear();
+    wave.state = WaveState::Aborted;
+    wave.endedMs = nowMs;
+    return next;
+}
+
+FleetStep stepFleet(const Fleet &fleet, const Sheet &sheet, const std::string &sheetDigest,
+                    const FleetObservation &seen, std::int64_t nowMs)
+{
+    FleetStep step{fleet, {}};
+    Stepper stepper{step.next, sheet, seen, nowMs, step.notices};
+    stepper.takeOverSheet(sheetDigest);
+    stepper.advanceInstances();
+    stepper.startIntendedMoves();
+    stepper.advanceWaves();
+    return step;
+}
+
+namespace
+{
+
+json::array formatIds(const std::vector<InstanceId> &ids)
+{
+    json::array array;
+    for (const InstanceId &id : ids) {
+        array.emplace_back(id.value);
+    }
+    return array;
+}
+
+json::object formatInstance(const FleetInstance &instance)
+{
+    json::object object{
+        {"pool", instance.pool.value}, {"state", toString(instance.state)}, {"since", instance.sinceMs}};
+    if (instance.purpose != Purpose::None) {
+        object["purpose"] = toString(instance.purpose);
+    }
+    if (!instance.target.empty()) {
+        object["target"] = instance.target.value;
+    }
+    if (!instance.wave.empty()) {
+        object["wave"] = instance.wave;
+    }
+    return object;
+}
+
+json::object formatWave(const Wave &wave)
+{
+    json::array finished;
+    for (const FinishedInstance &item : wave.finished) {
+        finished.push_back(json::object{{"id", item.id.value}, {"ok", item.succeeded}});
+    }
+    return json::object{{"pool", wave.pool.value},
+                        {"state", toString(wave.state)},
+                        {"reason", wave.reason},
+                        {"waiting", formatIds(wave.waiting)},
+                        {"running", formatIds(wave.running)},
+                        {"finished", std::move(finished)},
+                        {"judged_from", wave.judgedFrom},
+                        {"started", wave.startedMs},
+                        {"ended", wave.endedMs}};
+}
+
+std::string text(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+std::int64_t number(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    if (value == nullptr) {
+        return 0;
+    }
+    if (value->is_uint64()) {
+        return static_cast<std::int64_t>(value->as_uint64());
+    }
+    return value->is_int64() ? value->as_int64() : 0;
+}
+
+const json::object &child(const json::object &object, std::string_view key)
+{
+    static const json::object none;
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_object() ? value->as_object() : none;
+}
+
+std::vector<InstanceId> parseIds(const json::object &object, std::string_view key)
+{
+    std::vector<InstanceId> ids;
+    const json::value *value = object.if_contains(key);
+    if (value != nullptr && value->is_array()) {
+        for (const json::value &item : value->as_array()) {
+            if (item.is_string()) {
+                ids.push_back({std::string(item.as_string())});
+            }
+        }
+    }
+    return ids;
+}
+
+std::optional<FleetInstance> parseInstance(const json::object &object)
+{
+    const auto state = parseEnum<InstanceState>(text(object, "state"));
+    const std::string purposeName = text(object, "purpose");
+    const auto purpose = purposeName.empty() ? Purpose::None : parseEnum<Purpose>(purposeName);
+    if (!state || !purpose || text(object, "pool").empty()) {
+        return std::nullopt;
+    }
+    return FleetInstance{.pool = {text(object, "pool")},
+                         .state = *state,
+                         .purpose = *purpose,
+                         .target = {text(object, "target")},
+                         .wave = text(object, "wave"),
+                         .sinceMs = number(object, "since")};
+}
+
+std::optional<Wave> parseWave(const json::object &object)
+{
+    const auto state = parseEnum<WaveState>(text(object, "state"));
+    if (!state || text(object, "pool").empty()) {
+        return std::nullopt;
+    }
+    Wave wave{.pool = {text(object, "pool")},
+              .state = *state,
+              .reason = text(object, "reason"),
+              .waiting = parseIds(object, "waiting"),
+              .running = parseIds(object, "running"),
+              .judgedFrom = static_cast<std::size_t>(number(object, "judged_from")),
+              .startedMs = number(object, "started"),
+              .endedMs = number(object, "ended")};
+    const json::value *finished = object.if_contains("finished");
+    if (finished != nullptr && finished->is_array()) {
+        for (const json::value &item : finished->as_array()) {
+            const json::value *succeeded = item.is_object() ? item.as_object().if_contains("ok") : nullptr;
+            if (succeeded == nullptr || !succeeded->is_bool()) {
+                return std::nullopt;
+            }
+            wave.finished.push_back({{text(item.as_object(), "id")}, succeeded->as_bool()});
+        }
+    }
+    return wave.judgedFrom <= wave.finished.size() ? std::optional(std::move(wave)) : std::nullopt;
+}
+
+}
+
+std::string formatFleet(const Fleet &fleet)
+{
+    json::object instances;
+    for (const auto &[id, instance] : fleet.instances) {
+        instances[id.value] = formatInstance(instance);
+    }
+    json::object intended;
+    for (const auto &[id, pool] : fleet.intended) {
+        intended[id.value] = pool.value;
+    }
+    json::object waves;
+    for (const auto &[id, wave] : fleet.waves) {
+        waves[id] = formatWave(wave);
+    }
+    return json::serialize(json::object{{"change", fleet.change},
+                                        {"change_id", fleet.changeId},
+                                        {"sheet", fleet.sheetDigest},
+                                        {"instances", std::move(instances)},
+                                        {"intended", std::move(intended)},
+                                        {"waves", std::move(waves)}});
+}
+
+Result<Fleet> parseFleet(std::string_view input)
+{
+    boost::system::error_code error;
+    const json::value parsed = json::parse(input, error);
+    if (error || !parsed.is_object()) {
+        return Error{ErrorCode::Invalid, "the fleet value is not a JSON object"};
+    }
+    const json::object &object = parsed.as_object();
+    Fleet fleet{.change = static_cast<std::uint64_t>(number(object, "change")),
+                .changeId = text(object, "change_id"),
+                .sheetDigest = text(object, "sheet")};
+    for (const auto &item : child(object, "instances")) {
+        const auto instance = item.value().is_object() ? parseInstance(item.value().as_object()) : std::nullopt;
+        if (!instance) {
+            return Error{ErrorCode::Invalid, "the fleet value has a malformed instance " + std::string(item.key())};
+        }
+        fleet.instances[{std::string(item.key())}] = *instance;
+    }
+    for (const auto &item : child(object, "intended")) {
+        const InstanceId id{std::string(item.key())};
+        if (!item.value().is_string() || fleet.instances.count(id) == 0) {
+            return Error{ErrorCode::Invalid, "the fleet value intends a move of the unknown instance " + id.value};
+        }
+        fleet.intended[id] = {std::string(item.value().as_string())};
+    }
+    for (const auto &item : child(object, "waves")) {
+        const auto wave = item.value().is_object() ? parseWave(item.value().as_object()) : std::nullopt;
+        if (!wave) {
+            return Error{ErrorCode::Invalid, "the fleet value has a malformed wave " + std::string(item.key())};
+        }
+        fleet.waves[std::string(item.key())] = *wave;
+    }
+    return fleet;
+}
+
+}
