Add control work, the command line and the daemon's header

Cause: the operators' side of the whole path. Ruled out: CLI11's own checks for the daemon's settings, since they stop at the first error. Change: controller (fleet step, reboots and checks, alerts), operator commands with tables, JSON and stable exit codes.

--- /dev/null
+++ b/src/cli.cpp
@@ -0,0 +1,606 @@
+#include "cli.h"
+
+#include "entry.h"
+#include "settings.h"
+
+#include <CLI/App.hpp>
+#include <CLI/Config.hpp>
+#include <CLI/Formatter.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace briarvane
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr std::string_view Version = "0.1.0";
+constexpr std::chrono::seconds CallTimeout{15};
+constexpr std::chrono::milliseconds PollPeriod{300};
+
+int code(ExitCode value)
+{
+    return static_cast<int>(value);
+}
+
+// Calls to the operator port ------------------------------------------------------------------------------------------
+
+struct OperatorOptions
+{
+    std::string address = "127.0.0.1:8081";
+    std::string token;
+    std::string name;  // who applies a change
+    bool asJson = false;
+};
+
+struct CallResult
+{
+    int status = 0;  // 0: no answer
+    json::value body;
+    std::string problem;
+};
+
+CallResult call(const OperatorOptions &options, http::verb verb, const std::string &target,
+                const std::string &body = {})
+{
+    CallResult result;
+    const auto endpoint = parseEndpoint(options.address);
+    if (!endpoint) {
+        result.problem = "--operator '" + options.address + "' is not an IPv4 address and a port";
+        return result;
+    }
+    asio::io_context io;
+    beast::tcp_stream stream(io);
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request{verb, target, 11, body};
+    request.set(http::field::host, options.address);
+    request.set(http::field::authorization, "Bearer " + options.token);
+    request.set(http::field::connection, "close");
+    request.prepare_payload();
+    http::response_parser<http::string_body> parser;
+    constexpr std::uint64_t largestReply = 64ULL * 1024 * 1024;
+    parser.body_limit(largestReply);
+    beast::error_code failure;
+    stream.expires_after(CallTimeout);
+    stream.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(endpoint->address), endpoint->port),
+                         [&](beast::error_code error) {
+                             failure = error;
+                             if (error) {
+                                 return;
+                             }
+                             http::async_write(stream, request, [&](beast::error_code writeError, std::size_t) {
+                                 failure = writeError;
+                                 if (!writeError) {
+                                     http::async_read(
+                                         stream, buffer, parser,
+                                         [&](beast::error_code readError, std::size_t) { failure = readError; });
+                                 }
+                             });
+                         });
+    io.run();
+    if (failure) {
+        result.problem = "the entry at " + options.address + " did not answer: " + failure.message();
+        return result;
+    }
+    result.status = static_cast<int>(parser.get().result_int());
+    boost::system::error_code parseError;
+    result.body = json::parse(parser.get().body(), parseError);
+    if (parseError) {
+        result.problem = "the entry at " + options.address + " answered with something that is not JSON";
+        result.status = 0;
+    }
+    return result;
+}
+
+std::string encodePercent(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.') {
+            encoded += c;
+        } else {
+            encoded += '%';
+            encoded += digits[byte / 16];
+            encoded += digits[byte % 16];
+        }
+    }
+    return encoded;
+}
+
+// Output --------------------------------------------------------------------------------------------------------------
+
+std::string cell(const json::value &value)
+{
+    if (value.is_string()) {
+        return std::string(value.as_string());
+    }
+    if (value.is_bool()) {
+        return value.as_bool() ? "yes" : "no";
+    }
+    if (value.is_array()) {
+        std::string text;
+        for (const json::value &item : value.as_array()) {
+            text += (text.empty() ? "" : " ") + cell(item);
+        }
+        return text;
+    }
+    return json::serialize(value);
+}
+
+/// Prints objects as rows; a column that an object lacks stays empty.
+void printTable(const json::array &rows, const std::vector<std::string> &columns)
+{
+    std::vector<std::vector<std::string>> cells{columns};
+    for (const json::value &row : rows) {
+        std::vector<std::string> line;
+        for (const std::string &column : columns) {
+            const json::value *value = row.as_object().if_contains(column);
+            line.push_back(value == nullptr ? "" : cell(*value));
+        }
+        cells.push_back(std::move(line));
+    }
+    for (const auto &line : cells) {
+        std::string text;
+        for (std::size_t i = 0; i < line.size(); ++i) {
+            std::size_t width = 0;
+            for (const auto &other : cells) {
+                width = std::max(width, other[i].size());
+            }
+            text += line[i] + (i + 1 < line.size() ? std::string(width - line[i].size() + 2, ' ') : "");
+        }
+        std::cout << text << '\n';
+    }
+}
+
+/// An object of objects as rows, with the name in column "id".
+json::array namedRows(const json::value &object)
+{
+    json::array rows;
+    for (const auto &item : object.as_object()) {
+        json::object row = item.value().as_object();
+        row["id"] = item.key();
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+int exitCodeOf(const CallResult &result)
+{
+    constexpr int created = 299;
+    if (result.status == 0 || result.status == 503) {
+        return code(ExitCode::Unavailable);
+    }
+    if (result.status <= created) {
+        const json::value *everywhere
+            = result.body.is_object() ? result.body.as_object().if_contains("in_force_everywhere") : nullptr;
+        return everywhere != nullptr && everywhere->is_bool() && !everywhere->as_bool() ? code(ExitCode::Partial)
+                                                                                        : code(ExitCode::Ok);
+    }
+    const json::value *error = result.body.is_object() ? result.body.as_object().if_contains("error") : nullptr;
+    if (error != nullptr && *error == "conflict") {
+        return code(ExitCode::Conflict);
+    }
+    return result.status == 409 || result.status == 422 ? code(ExitCode::Refused) : code(ExitCode::Failed);
+}
+
+void printProblem(const CallResult &result)
+{
+    std::cerr << "briarvane: ";
+    if (!result.problem.empty()) {
+        std::cerr << result.problem << '\n';
+        return;
+    }
+    const json::object &body = result.body.as_object();
+    const json::value *message = body.if_contains("message");
+    std::cerr << (message == nullptr ? "the entry answered with status " + std::to_string(result.status)
+                                     : cell(*message))
+              << '\n';
+    for (const char *list : {"errors", "difference"}) {
+        const json::value *items = body.if_contains(list);
+        if (items != nullptr && items->is_array()) {
+            for (const json::value &item : items->as_array()) {
+                std::string line;
+                for (const auto &field : item.as_object()) {
+                    line += (line.empty() ? "" : "  ") + std::string(field.key()) + "=" + cell(field.value());
+                }
+                std::cerr << "  " << line << '\n';
+            }
+        }
+    }
+}
+
+/// Prints JSON or lets `table` print; problems go to standard error.
+int report(const OperatorOptions &options, const CallResult &result,
+           const std::function<void(const json::object &)> &table)
+{
+    const int exit = exitCodeOf(result);
+    if (options.asJson && result.status != 0) {
+        std::cout << json::serialize(result.body) << '\n';
+    } else if (exit == code(ExitCode::Ok) || exit == code(ExitCode::Partial)) {
+        table(result.body.as_object());
+    } else {
+        printProblem(result);
+    }
+    return exit;
+}
+
+void printConfig(const json::object &body)
+{
+    for (const char *field : {"version", "digest", "change_id", "operator"}) {
+        std::cout << field << ": " << cell(body.at(field)) << '\n';
+    }
+}
+
+void printApplied(const json::object &body)
+{
+    const json::value *changed = body.if_contains("changed");
+    if (changed != nullptr) {
+        std::cout << (changed->as_bool() ? "applied\n" : "already in force\n");
+        printConfig(body);
+    } else {
+        std::cout << "accepted\n";
+    }
+    if (body.at("in_force_everywhere").as_bool()) {
+        std::cout << "in force at every entry\n";
+    } else {
+        std::cout << "not confirmed yet by: " << cell(body.at("missing")) << '\n';
+    }
+}
+
+void printStatus(const json::object &body)
+{
+    std::cout << "entry " << cell(body.at("entry")) << ", view " << cell(body.at("view")) << ", store "
+              << (body.at("store_down").as_bool() ? "down" : "up") << '\n';
+    for (const char *key : {"sheet", "alerts"}) {
+        const json::object &config = body.at(key).as_object();
+        std::cout << key << ": version " << cell(config.at("version")) << ", digest " << cell(config.at("digest"))
+                  << ", change " << cell(config.at("change_id")) << ", by " << cell(config.at("operator")) << '\n';
+    }
+    std::cout << "fleet: " << json::serialize(body.at("fleet")) << "\n\n";
+    printTable(body.at("entries").as_array(), {"id", "data_centre", "live", "stopping"});
+    std::cout << '\n';
+    printTable(body.at("pools").as_array(),
+               {"id", "instances", "serving", "disrupted", "disruption_limit", "spare", "services"});
+    std::cout << '\n';
+    printTable(namedRows(body.at("waves")), {"id", "pool", "state", "waiting", "running", "finished", "reason"});
+    std::cout << "\nalarms: " << json::serialize(body.at("alarms")) << '\n';
+    std::cout << "requests: " << json::serialize(body.at("requests")) << '\n';
+}
+
+// Commands ------------------------------------------------------------------------------------------------------------
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf())) {
+        std::cerr << "briarvane: the file " << path << " cannot be read or is empty\n";
+        return std::nullopt;
+    }
+    return text.str();
+}
+
+void addConfigCommands(CLI::App &app, OperatorOptions &options, std::string &file, std::string &expected, int &exit,
+                       const std::string &kind)
+{
+    const std::string base = "/v1/" + kind;
+    CLI::App *group = app.add_subcommand(kind, kind == "sheet" ? "The sheet in force" : "The alert rules in force");
+    group->require_subcommand(1);
+    group->footer("Example: briarvane " + kind + " apply examples/swan-coast." + (kind == "sheet" ? "csv" : "alerts"));
+    const auto send = [&, base](const std::string &action) {
+        const auto text = readFile(file);
+        if (!text) {
+            exit = code(ExitCode::Usage);
+            return std::optional<CallResult>();
+        }
+        return std::optional(call(options, http::verb::post, base + action, *text));
+    };
+    CLI::App *check = group->add_subcommand("check", "Check a file without applying it");
+    check->add_option("file", file, "file to check")->required();
+    check->callback([&, send] {
+        if (const auto result = send("/check")) {
+            exit = report(options, *result, [](const json::object &body) {
+                std::cout << "accepted, digest " << cell(body.at("digest")) << '\n';
+            });
+        }
+    });
+    CLI::App *apply = group->add_subcommand("apply", "Put a file in force at every entry");
+    apply->add_option("file", file, "file to apply")->required();
+    apply->add_option("--expected-version", expected, "refuse unless this version is in force");
+    apply->callback([&, send] {
+        const std::string query = "?operator=" + encodePercent(options.name)
+            + (expected.empty() ? "" : "&expected=" + encodePercent(expected));
+        if (const auto result = send(query)) {
+            exit = report(options, *result, printApplied);
+        }
+    });
+    CLI::App *show = group->add_subcommand("show", "Print what is in force");
+    show->callback([&, base] {
+        exit = report(options, call(options, http::verb::get, base), [](const json::object &body) {
+            printConfig(body);
+            std::cout << '\n' << cell(body.at("text"));
+        });
+    });
+    if (kind == "sheet") {
+        CLI::App *diff = group->add_subcommand("diff", "Show what a file would change");
+        diff->add_option("file", file, "file to compare")->required();
+        diff->callback([&, send] {
+            if (const auto result = send("/diff")) {
+                exit = report(options, *result, [](const json::object &body) {
+                    printTable(body.at("changes").as_array(), {"kind", "name", "before", "after"});
+                });
+            }
+        });
+    }
+}
+
+void addPoolCommands(CLI::App &app, OperatorOptions &options, std::string &name, int &exit)
+{
+    CLI::App *group = app.add_subcommand("pool", "Pools and their budgets");
+    group->require_subcommand(1);
+    group->footer("Example: briarvane pool show rosters");
+    const auto print = [](const json::object &body) {
+        printTable(body.at("pools").as_array(),
+                   {"id", "instances", "serving", "disrupted", "disruption_limit", "spare", "services"});
+    };
+    group->add_subcommand("list", "All pools")->callback([&, print] {
+        exit = report(options, call(options, http::verb::get, "/v1/pools"), print);
+    });
+    CLI::App *show = group->add_subcommand("show", "One pool");
+    show->add_option("pool", name, "pool")->required();
+    show->callback([&, print] {
+        const CallResult result = call(options, http::verb::get, "/v1/pools/" + encodePercent(name));
+        exit = report(options, result, print);
+        if (exit == 0 && result.body.at("pools").as_array().empty()) {
+            std::cerr << "briarvane: no pool is named " << name << '\n';
+            exit = code(ExitCode::Failed);
+        }
+    });
+}
+
+/// Polls the instance until it is in one of the wanted states, and says which entries it waits for.
+int followInstance(const OperatorOptions &options, const std::string &id, const std::string &wanted,
+                   std::chrono::seconds limit)
+{
+    std::string shown;
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        const CallResult result = call(options, http::verb::get, "/v1/instances/" + encodePercent(id));
+        if (result.status != 200 || result.body.at("instances").as_array().empty()) {
+            printProblem(result);
+            return code(ExitCode::Unavailable);
+        }
+        const json::object &instance = result.body.at("instances").as_array().front().as_object();
+        std::string line = id + " in pool " + cell(instance.at("pool")) + " is " + cell(instance.at("state"));
+        if (const json::value *holders = instance.if_contains("waiting_for");
+            holders != nullptr && !holders->as_array().empty()) {
+            line += ", waits for " + cell(*holders);
+        }
+        if (line != shown && !options.asJson) {
+            std::cout << line << std::endl;
+            shown = line;
+        }
+        if (cell(instance.at("state")) == "drained"
+            || (cell(instance.at("state")) == "active" && cell(instance.at("pool")) == wanted)) {
+            return code(ExitCode::Ok);
+        }
+        std::this_thread::sleep_for(PollPeriod);
+    }
+    std::cerr << "briarvane: not finished within the time of --wait-s; it goes on\n";
+    return code(ExitCode::Partial);
+}
+
+struct InstanceArguments
+{
+    std::string id;
+    std::string pool;
+    int waitSeconds = 0;
+    bool undo = false;
+};
+
+void addInstanceCommands(CLI::App &app, OperatorOptions &options, InstanceArguments &arguments, int &exit)
+{
+    CLI::App *group = app.add_subcommand("instance", "Instances, their pools and drains");
+    group->require_subcommand(1);
+    group->footer("Example: briarvane instance move rosters-3 --to orders --wait-s 60");
+    const auto print = [](const json::object &body) {
+        printTable(body.at("instances").as_array(),
+                   {"id", "pool", "state", "purpose", "target", "wave", "presence", "address", "data_centre", "rack",
+                    "waiting_for"});
+    };
+    group->add_subcommand("list", "All instances")->callback([&, print] {
+        exit = report(options, call(options, http::verb::get, "/v1/instances"), print);
+    });
+    CLI::App *show = group->add_subcommand("show", "One instance");
+    show->add_option("instance", arguments.id, "instance")->required();
+    show->callback([&, print] {
+        exit = report(options, call(options, http::verb::get, "/v1/instances/" + encodePercent(arguments.id)), print);
+    });
+    CLI::App *move = group->add_subcommand("move", "Move an instance to another pool, after its requests have ended");
+    move->add_option("instance", arguments.id, "instance")->required();
+    move->add_option("--to", arguments.pool, "pool that it moves to")->required();
+    CLI::App *drain = group->add_subcommand("drain", "Give an instance no new work");
+    drain->add_option("instance", arguments.id, "instance")->required();
+    drain->add_flag("--undo", arguments.undo, "let it serve again");
+    for (CLI::App *command : {move, drain}) {
+        command->add_option("--wait-s", arguments.waitSeconds, "wait for the end, at most this many seconds")
+            ->check(CLI::Range(0, 86400));
+    }
+    const auto act = [&](const std::string &action, const std::string &wanted) {
+        const CallResult result
+            = call(options, http::verb::post, "/v1/instances/" + encodePercent(arguments.id) + "/" + action);
+        exit = report(options, result, printApplied);
+        if (arguments.waitSeconds > 0 && (exit == code(ExitCode::Ok) || exit == code(ExitCode::Partial))) {
+            exit = followInstance(options, arguments.id, wanted, std::chrono::seconds(arguments.waitSeconds));
+        }
+    };
+    move->callback([&, act] { act("move?pool=" + encodePercent(arguments.pool), arguments.pool); });
+    drain->callback([&, act] { act(arguments.undo ? "undrain" : "drain", ""); });
+}
+
+int followWave(const OperatorOptions &options, const std::string &id, std::chrono::seconds limit)
+{
+    std::string shown;
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        const CallResult result = call(options, http::verb::get, "/v1/waves");
+        const json::value *wave = result.status == 200 ? result.body.at("waves").as_object().if_contains(id) : nullptr;
+        if (wave == nullptr) {
+            printProblem(result);
+            return code(ExitCode::Unavailable);
+        }
+        const std::string state = cell(wave->at("state"));
+        const std::string line = "wave " + id + " is " + state + ": waiting "
+            + std::to_string(wave->at("waiting").as_array().size()) + ", running " + cell(wave->at("running"))
+            + ", finished " + std::to_string(wave->at("finished").as_array().size()) + " " + cell(wave->at("reason"));
+        if (line != shown && !options.asJson) {
+            std::cout << line << std::endl;
+            shown = line;
+        }
+        if (state == "done") {
+            return code(ExitCode::Ok);
+        }
+        if (state == "paused" || state == "aborted") {
+            return code(ExitCode::Failed);
+        }
+        std::this_thread::sleep_for(PollPeriod);
+    }
+    std::cerr << "briarvane: not finished within the time of --wait-s; it goes on\n";
+    return code(ExitCode::Partial);
+}
+
+void addWaveCommands(CLI::App &app, OperatorOptions &options, InstanceArguments &arguments, int &exit)
+{
+    CLI::App *group = app.add_subcommand("wave", "Maintenance waves");
+    group->require_subcommand(1);
+    group->footer("Example: briarvane wave start friday --pool rosters --wait-s 600");
+    CLI::App *show = group->add_subcommand("show", "All waves");
+    show->callback([&] {
+        exit = report(options, call(options, http::verb::get, "/v1/waves"), [](const json::object &body) {
+            printTable(namedRows(body.at("waves")), {"id", "pool", "state", "waiting", "running", "reason"});
+        });
+    });
+    for (const std::string action : {"start", "pause", "resume", "abort"}) {
+        CLI::App *command = group->add_subcommand(action, action + " a wave");
+        command->add_option("wave", arguments.id, "name of the wave")->required();
+        command->add_option("--wait-s", arguments.waitSeconds, "wait for the end, at most this many seconds")
+            ->check(CLI::Range(0, 86400));
+        if (action == "start") {
+            command->add_option("--pool", arguments.pool, "pool whose instances are rebooted")->required();
+        }
+        command->callback([&, action] {
+            const std::string target
+                = "/v1/waves/" + encodePercent(arguments.id) + "/" + action + "?pool=" + encodePercent(arguments.pool);
+            exit = report(options, call(options, http::verb::post, target), printApplied);
+            if (arguments.waitSeconds > 0 && (exit == code(ExitCode::Ok) || exit == code(ExitCode::Partial))) {
+                exit = followWave(options, arguments.id, std::chrono::seconds(arguments.waitSeconds));
+            }
+        });
+    }
+}
+
+// The daemon ----------------------------------------------------------------------------------------------------------
+
+int startEntry(const std::map<std::string, std::string> &flags, bool checkOnly)
+{
+    std::map<std::string, std::string> environment;
+    for (const SettingSpec &spec : entrySettingSpecs()) {
+        if (const char *value = std::getenv(environmentName(spec.name).c_str()); value != nullptr) {
+            environment[std::string(spec.name)] = value;
+        }
+    }
+    const EntrySettingsCheck check = checkEntrySettings(flags, environment);
+    if (checkOnly) {
+        for (const SettingValue &value : check.effective) {
+            std::cout << value.name << " = " << value.value << "  (" << value.source << ")\n";
+        }
+    }
+    for (const std::string &error : check.errors) {
+        std::cerr << "briarvane entry: " << error << '\n';
+    }
+    if (!check.errors.empty()) {
+        return code(ExitCode::Usage);
+    }
+    return checkOnly ? code(ExitCode::Ok) : runEntry(check.settings);
+}
+
+}
+
+int runCommandLine(const std::vector<std::string> &arguments)
+{
+    CLI::App app("Fleet capacity and maintenance manager", "briarvane");
+    app.require_subcommand(1);
+    app.footer("Example: briarvane --operator 127.0.0.1:8081 status\nExit codes: 0 ok, 1 failed, 2 usage, 3 refused, 4 "
+               "conflict, 5 unavailable, 6 not confirmed in time");
+    OperatorOptions options;
+    const char *user = std::getenv("USER");
+    options.name = user == nullptr ? "unknown" : user;
+    int exit = code(ExitCode::Ok);
+    std::string output = "table";
+    app.add_option("--operator", options.address, "operator port of an entry")
+        ->envname("BRIARVANE_OPERATOR")
+        ->capture_default_str();
+    app.add_option("--token", options.token, "bearer token; better set in the environment")
+        ->envname("BRIARVANE_OPERATOR_TOKEN");
+    app.add_option("--name", options.name, "who makes the change")->envname("BRIARVANE_OPERATOR_NAME");
+    app.add_option("--output", output, "table or json")
+        ->check(CLI::IsMember({"table", "json"}))
+        ->each([&](const std::string &value) { options.asJson = value == "json"; });
+
+    std::map<std::string, std::string> flags;
+    bool checkOnly = false;
+    CLI::App *entry = app.add_subcommand("entry", "Run an entry");
+    entry->footer(
+        "Example: briarvane entry --id e1 --data-centre perth --platform embedded --instances orders-1=127.0.0.1:9001");
+    entry->add_flag("--check", checkOnly, "check and print the settings, then exit");
+    for (const SettingSpec &spec : entrySettingSpecs()) {
+        const std::string name(spec.name);
+        entry->add_option_function<std::string>(
+            "--" + name, [&flags, name](const std::string &value) { flags[name] = value; },
+            std::string(spec.help) + "; " + std::string(spec.accepted) + " [" + environmentName(spec.name) + "]");
+    }
+    entry->callback([&] { exit = startEntry(flags, checkOnly); });
+
+    std::string file;
+    std::string expected;
+    InstanceArguments instance;
+    addConfigCommands(app, options, file, expected, exit, "sheet");
+    addConfigCommands(app, options, file, expected, exit, "alerts");
+    addPoolCommands(app, options, instance.pool, exit);
+    addInstanceCommands(app, options, instance, exit);
+    addWaveCommands(app, options, instance, exit);
+    CLI::App *status = app.add_subcommand("status", "What is in force, entries, pools, waves, alarms, requests");
+    status->footer("Example: briarvane status --help");
+    status->callback([&] { exit = report(options, call(options, http::verb::get, "/v1/status"), printStatus); });
+    app.add_subcommand("settings", "Print the settings reference")->callback([] { std::cout << settingsReference(); });
+    app.add_subcommand("version", "Print the version")->callback([] { std::cout << "briarvane " << Version << '\n'; });
+
+    std::vector<std::string> reversed(arguments.rbegin(), arguments.rend());
+    try {
+        app.parse(reversed);
+    } catch (const CLI::ParseError &error) {
+        return app.exit(error) == 0 ? code(ExitCode::Ok) : code(ExitCode::Usage);
+    }
+    return exit;
+}
+
+}
--- /dev/null
+++ b/src/entry_control.h
@@ -0,0 +1,364 @@
+#pragma once
+
+// Periodic control work of an entry: fleet step, reboots and the checks after them, alert evaluation, metrics reports.
+// Every entry runs it; only the entry that is responsible for a duty acts on it. Runs on the I/O thread.
+//
+// Index
+// [1] Supplied by the daemon
+// [2] Check of a rebooted instance
+// [3] Controller
+
+#include "alerts.h"
+#include "config.h"
+#include "entry_cluster.h"
+#include "fleet.h"
+#include "log.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <random>
+
+namespace briarvane
+{
+
+// [1] Supplied by the daemon ------------------------------------------------------------------------------------------
+
+struct ControlHooks
+{
+    std::function<std::map<InstanceId, int>()> inFlight;         // this entry's requests per instance
+    std::function<std::vector<AlertSample>(TimePoint)> samples;  // summed over all entries
+};
+
+// [2] Check of a rebooted instance ------------------------------------------------------------------------------------
+
+/// Connects and sends one GET; true when the instance answered with any status below 500. Called back once.
+void checkInstance(boost::asio::io_context &io, const std::string &address, std::uint16_t port, Duration timeout,
+                   std::function<void(bool)> done);
+
+// [3] Controller ------------------------------------------------------------------------------------------------------
+
+constexpr Duration ControlPeriod{200'000};
+constexpr Duration AlertPeriod{1'000'000};
+constexpr Duration RebootSettle{1'000'000};      // the list lags, so its first "live" after a reboot is not believed
+constexpr Duration RebootAskPeriod{5'000'000};   // between two requests for the same reboot
+constexpr std::int64_t RebootLimitMs = 180'000;  // an instance that is not back by then has failed
+constexpr std::int64_t VerifyLimitMs = 60'000;   // an instance that does not answer by then has failed
+constexpr Duration CheckPeriod{1'000'000};
+constexpr Duration CheckTimeout{1'000'000};
+
+template<Platform P>
+class Controller
+{
+public:
+    Controller(Cluster<P> &cluster, ControlHooks hooks);
+
+    void start();
+    void stop();
+
+private:
+    struct RebootProgress
+    {
+        TimePoint asked;                    // last request to the platform
+        std::optional<TimePoint> accepted;  // the platform took it
+        TimePoint checked;                  // last check begun
+        std::optional<bool> answered;       // outcome of a check since the last fleet step
+    };
+
+    void tick();
+    void adoptFleet(const StoreValue &value);
+    void reportDraining();
+    void stepFleetNow(TimePoint now);
+    FleetObservation observe(TimePoint now) const;
+    void carryOnReboots(TimePoint now);
+    void checkNow(const InstanceId &id, TimePoint now);
+    const InstanceRecord *record(const InstanceId &id) const;
+    void evaluateAlerts(TimePoint now);
+    bool isResponsible(std::string_view duty, TimePoint now) const;
+    static std::int64_t unixMs();
+
+    Cluster<P> &m_cluster;
+    ControlHooks m_hooks;
+    boost::asio::steady_timer m_timer;
+    Fleet m_fleet;
+    Sheet m_sheet;
+    std::string m_sheetDigest;
+    AlertRules m_rules;
+    AlertState m_alertState;
+    std::uint64_t m_alarmsVersion = 0;
+    bool m_alarmsPending = false;
+    bool m_fleetPending = false;
+    bool m_stopped = false;
+    TimePoint m_lastAlerts;
+    std::map<InstanceId, RebootProgress> m_reboots;
+    std::mt19937_64 m_random{std::random_device{}()};
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  // callbacks that arrive after the end are ignored
+};
+
+template<Platform P>
+Controller<P>::Controller(Cluster<P> &cluster, ControlHooks hooks)
+    : m_cluster(cluster)
+    , m_hooks(std::move(hooks))
+    , m_timer(cluster.io())
+{
+    // The handlers run before the next heartbeat, so an entry never confirms a drain without its requests in flight.
+    m_cluster.onChanged("fleet", [this](const StoreValue &value) { adoptFleet(value); });
+    m_cluster.onChanged("config/sheet", [this](const StoreValue &value) {
+        const auto config = parseConfig(value.value);
+        if (config) {
+            m_sheet = parseSheet(config.value().text).sheet;
+            m_sheetDigest = config.value().digest;
+        }
+    });
+    m_cluster.onChanged("config/alerts", [this](const StoreValue &value) {
+        const auto config = parseConfig(value.value);
+        if (config) {
+            m_rules = parseAlerts(config.value().text).rules;
+        }
+    });
+}
+
+template<Platform P>
+void Controller<P>::start()
+{
+    m_timer.expires_after(ControlPeriod);
+    m_timer.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](boost::system::error_code error) {
+        if (!error && !alive.expired() && !m_stopped) {
+            tick();
+            start();
+        }
+    });
+}
+
+template<Platform P>
+void Controller<P>::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+    m_alive.reset();
+}
+
+template<Platform P>
+void Controller<P>::tick()
+{
+    const TimePoint now = m_cluster.now();
+    reportDraining();
+    if (isResponsible("fleet", now)) {
+        carryOnReboots(now);
+        stepFleetNow(now);
+    } else {
+        m_reboots.clear();
+    }
+    if (now - m_lastAlerts >= AlertPeriod) {
+        m_lastAlerts = now;
+        evaluateAlerts(now);
+    }
+}
+
+template<Platform P>
+void Controller<P>::adoptFleet(const StoreValue &value)
+{
+    auto fleet = parseFleet(value.value);
+    if (!fleet) {
+        logRepeated(LogLevel::Error, "fleet-malformed", "fleet", {{"reason", fleet.error().message}});
+        return;
+    }
+    m_fleet = std::move(fleet.value());
+    reportDraining();
+}
+
+template<Platform P>
+void Controller<P>::reportDraining()
+{
+    std::map<InstanceId, int> draining;
+    for (const auto &[id, count] : m_hooks.inFlight()) {
+        const auto it = m_fleet.instances.find(id);
+        if (count > 0 && (it == m_fleet.instances.end() || it->second.state != InstanceState::Active)) {
+            draining[id] = count;
+        }
+    }
+    m_cluster.membership().setDraining(draining);
+}
+
+template<Platform P>
+void Controller<P>::stepFleetNow(TimePoint now)
+{
+    if (m_fleetPending || m_cluster.instances().empty() || m_cluster.membership().storeDown(now)) {
+        return;
+    }
+    FleetStep step = stepFleet(m_fleet, m_sheet, m_sheetDigest, observe(now), unixMs());
+    if (step.next == m_fleet) {
+        return;
+    }
+    ++step.next.change;
+    step.next.changeId = m_cluster.membership().self().value + "-" + std::to_string(m_random());
+    m_fleetPending = true;
+    m_cluster.change(
+        "fleet", m_cluster.inForce("fleet").version, formatFleet(step.next),
+        [this, alive = std::weak_ptr<bool>(m_alive), notices = std::move(step.notices)](Result<StoreValue> result) {
+            if (alive.expired()) {
+                return;
+            }
+            m_fleetPending = false;
+            if (!result) {
+                logRepeated(LogLevel::Warn, "fleet-step-failed", "fleet", {{"reason", result.error().message}});
+                return;
+            }
+            for (const std::string &notice : notices) {
+                logEvent(LogLevel::Info, "fleet", {{"notice", notice}});
+            }
+        });
+}
+
+template<Platform P>
+FleetObservation Controller<P>::observe(TimePoint now) const
+{
+    FleetObservation seen{.records = m_cluster.instances(), .mayDrain = m_cluster.membership().mayAcceptDrain(now)};
+    seen.wallNow = std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+    const std::uint64_t version = m_cluster.inForce("fleet").version;
+    const std::int64_t nowMs = unixMs();
+    for (const auto &[id, instance] : m_fleet.instances) {
+        if (instance.state == InstanceState::Draining
+            && m_cluster.membership().drainHolders(id, version, now).empty()) {
+            seen.released.insert(id);
+        }
+        const InstanceRecord *listed = record(id);
+        const bool isLive = listed != nullptr && listed->presence == Presence::Live;
+        const auto progress = m_reboots.find(id);
+        if (progress != m_reboots.end()) {
+            const auto &accepted = progress->second.accepted;
+            if (instance.state == InstanceState::Rebooting && accepted && now - *accepted >= RebootSettle && isLive) {
+                seen.rebooted.insert(id);
+            }
+            if (instance.state != InstanceState::Rebooting && isLive && progress->second.answered == true) {
+                seen.verified[id] = true;
+            }
+        }
+        const std::int64_t age = nowMs - instance.sinceMs;
+        if ((instance.state == InstanceState::Verifying && age > VerifyLimitMs)
+            || (instance.state == InstanceState::Rebooting && age > RebootLimitMs)) {
+            seen.verified.try_emplace(id, false);
+        }
+    }
+    return seen;
+}
+
+/// Follows from the states in the value in force, so that another entry carries on where this one stopped. Asking again
+/// for a reboot is harmless: the instance serves nobody until it has been checked.
+template<Platform P>
+void Controller<P>::carryOnReboots(TimePoint now)
+{
+    for (const auto &[id, instance] : m_fleet.instances) {
+        const bool isRebooting = instance.state == InstanceState::Rebooting;
+        const bool needsCheck = instance.state == InstanceState::Verifying || instance.state == InstanceState::Failed;
+        if (!isRebooting && !needsCheck) {
+            m_reboots.erase(id);
+            continue;
+        }
+        RebootProgress &progress = m_reboots[id];
+        if (isRebooting && !progress.accepted
+            && (progress.asked == TimePoint{} || now - progress.asked >= RebootAskPeriod)) {
+            progress.asked = now;
+            m_cluster.platform().reboot(id, [this, alive = std::weak_ptr<bool>(m_alive), id = id](Result<bool> result) {
+                const auto it = alive.expired() ? m_reboots.end() : m_reboots.find(id);
+                if (!alive.expired() && it != m_reboots.end() && result) {
+                    it->second.accepted = m_cluster.now();
+                }
+            });
+        }
+        if (needsCheck && now - progress.checked >= CheckPeriod) {
+            progress.checked = now;
+            checkNow(id, now);
+        }
+    }
+}
+
+template<Platform P>
+void Controller<P>::checkNow(const InstanceId &id, TimePoint /*now*/)
+{
+    const InstanceRecord *listed = record(id);
+    if (listed == nullptr) {
+        return;
+    }
+    checkInstance(m_cluster.io(), listed->address, listed->port, CheckTimeout,
+                  [this, alive = std::weak_ptr<bool>(m_alive), id](bool answered) {
+                      if (alive.expired()) {
+                          return;
+                      }
+                      const auto it = m_reboots.find(id);
+                      if (it != m_reboots.end()) {
+                          it->second.answered = answered;
+                      }
+                  });
+}
+
+template<Platform P>
+const InstanceRecord *Controller<P>::record(const InstanceId &id) const
+{
+    const auto &records = m_cluster.instances();
+    const auto it
+        = std::find_if(records.begin(), records.end(), [&](const InstanceRecord &item) { return item.id == id; });
+    return it == records.end() ? nullptr : &*it;
+}
+
+/// The store holds the raised alarms, so that one alarm is raised for all entries and a new evaluator goes on with it.
+template<Platform P>
+void Controller<P>::evaluateAlerts(TimePoint now)
+{
+    if (!isResponsible("alerts", now) || m_alarmsPending) {
+        return;
+    }
+    const StoreValue &stored = m_cluster.inForce("alarms");
+    if (stored.version != m_alarmsVersion) {
+        auto raised = parseRaised(stored.value);
+        if (raised) {
+            m_alertState.raised = std::move(raised.value());
+        }
+        m_alarmsVersion = stored.version;
+    }
+    AlertState next = stepAlerts(m_rules, m_alertState, m_hooks.samples(now), now, unixMs());
+    if (next.raised == m_alertState.raised) {
+        m_alertState = std::move(next);
+        return;
+    }
+    m_alarmsPending = true;
+    m_cluster.change(
+        "alarms", stored.version, formatRaised(next.raised),
+        [this, alive = std::weak_ptr<bool>(m_alive), next](Result<StoreValue> result) {
+            if (alive.expired()) {
+                return;
+            }
+            m_alarmsPending = false;
+            if (!result) {
+                logRepeated(LogLevel::Warn, "alarms-not-stored", "alarms", {{"reason", result.error().message}});
+                return;
+            }
+            for (const RaisedAlarm &alarm : next.raised) {
+                if (std::find(m_alertState.raised.begin(), m_alertState.raised.end(), alarm)
+                    == m_alertState.raised.end()) {
+                    logEvent(LogLevel::Warn, "alarm-raised", {{"rule", alarm.rule}, {"severity", alarm.severity}});
+                }
+            }
+            for (const RaisedAlarm &alarm : m_alertState.raised) {
+                if (std::find(next.raised.begin(), next.raised.end(), alarm) == next.raised.end()) {
+                    logEvent(LogLevel::Info, "alarm-cleared", {{"rule", alarm.rule}});
+                }
+            }
+            m_alertState = next;
+            m_alarmsVersion = result.value().version;
+        });
+}
+
+template<Platform P>
+bool Controller<P>::isResponsible(std::string_view duty, TimePoint now) const
+{
+    return m_cluster.membership().responsible(duty, now) == m_cluster.membership().self();
+}
+
+template<Platform P>
+std::int64_t Controller<P>::unixMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,6 @@
-int main()
+#include "cli.h"
+
+int main(int argc, char **argv)
 {
-    return 0;
+    return briarvane::runCommandLine({argv + 1, argv + argc});
 }
