--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include "statechart.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -13,44 +15,43 @@
 
 namespace json = boost::json;
 
-enum class InstanceEvent { Drain, Released, Reboot, Back, Verified, VerifyFailed, Moved, Recover, Undrain };
-
-/// The transition table of charts/instance.scxml.
-std::optional<InstanceState> nextState(InstanceState state, InstanceEvent event)
-{
-    using S = InstanceState;
-    using E = InstanceEvent;
-    struct Transition
-    {
-        S from;
-        E event;
-        S to;
-    };
-    static constexpr Transition transitions[] = {
-        {S::Active, E::Drain, S::Draining},         {S::Draining, E::Released, S::Drained},
-        {S::Draining, E::Undrain, S::Active},       {S::Drained, E::Undrain, S::Active},
-        {S::Drained, E::Moved, S::Active},          {S::Drained, E::Reboot, S::Rebooting},
-        {S::Rebooting, E::Back, S::Verifying},      {S::Verifying, E::Verified, S::Active},
-        {S::Verifying, E::VerifyFailed, S::Failed}, {S::Rebooting, E::VerifyFailed, S::Failed},
-        {S::Failed, E::Recover, S::Active},
-    };
-    for (const Transition &transition : transitions) {
-        if (transition.from == state && transition.event == event) {
-            return transition.to;
-        }
+using InstanceChart = Chart<InstanceState, InstanceEvent>;
+using WaveChart = Chart<WaveState, WaveEvent, WaveGuard>;
+
+/// The charts are part of the binary, so one that cannot be read is a broken build and terminates.
+const InstanceChart &instanceChart()
+{
+    static const InstanceChart chart = embeddedChart<InstanceChart>("instance").value();
+    return chart;
+}
+
+const WaveChart &waveChart()
+{
+    static const WaveChart chart = embeddedChart<WaveChart>("wave").value();
+    return chart;
+}
+
+/// False when the chart has no such transition; the wave is then unchanged.
+bool apply(Wave &wave, WaveEvent event)
+{
+    const auto state
+        = next(waveChart(), wave.state, event, [&wave](WaveGuard) { return wave.finished.size() >= CanaryCount; });
+    if (!state) {
+        return false;
     }
-    return std::nullopt;
+    wave.state = state.value();
+    return true;
 }
 
 bool apply(FleetInstance &instance, InstanceEvent event, std::int64_t nowMs)
 {
-    const auto next = nextState(instance.state, event);
-    if (!next) {
+    const auto state = next(instanceChart(), instance.state, event);
+    if (!state) {
         return false;
     }
-    instance.state = *next;
+    instance.state = state.value();
     instance.sinceMs = nowMs;
-    if (*next == InstanceState::Active) {
+    if (instance.state == InstanceState::Active) {
         instance.purpose = Purpose::None;
         instance.target = {};
         instance.wave.clear();
@@ -133,6 +134,11 @@
     return wave.state == WaveState::Done || wave.state == WaveState::Aborted;
 }
 
+bool isWorkedOff(const Wave &wave)
+{
+    return wave.waiting.empty() && wave.running.empty();
+}
+
 /// Takes the racks in turn, so that the first instances lie in different racks and no rack is emptied at once.
 std::vector<InstanceId> interleaveRacks(const std::vector<InstanceId> &ids, const std::vector<InstanceRecord> &records)
 {
@@ -263,7 +269,9 @@
         notices.push_back("instance " + id.value + " serves again");
     } else if (instance.state == InstanceState::Verifying
                || (instance.state == InstanceState::Rebooting && !verified->second)) {
-        apply(instance, verified->second ? InstanceEvent::Verified : InstanceEvent::VerifyFailed, nowMs);
+        const InstanceEvent failed
+            = instance.state == InstanceState::Verifying ? InstanceEvent::VerifyFailed : InstanceEvent::Fail;
+        apply(instance, verified->second ? InstanceEvent::Verified : failed, nowMs);
         finishWaveInstance(wave, id, verified->second);
     }
 }
@@ -326,8 +334,8 @@
         if (wave.state != WaveState::Paused && seen.mayDrain && windowAllows(wave.pool)) {
             startWaveInstances(id, wave);
         }
-        if (wave.state != WaveState::Paused && wave.waiting.empty() && wave.running.empty()) {
-            wave.state = WaveState::Done;
+        if (wave.state == WaveState::Rolling && isWorkedOff(wave)) {
+            apply(wave, WaveEvent::Finished);
             wave.endedMs = nowMs;
             notices.push_back("wave " + id + " is done");
         }
@@ -344,18 +352,18 @@
                       [&](const FinishedInstance &item) { return !item.succeeded || !isLive(seen.records, item.id); }));
     const bool canaryFailed = wave.state == WaveState::Canary && failures > 0;
     if (failures >= FailuresToPause || canaryFailed) {
-        wave.state = WaveState::Paused;
+        apply(wave, WaveEvent::Pause);
         wave.reason = std::to_string(failures) + " of the last " + std::to_string(judged) + " instances failed";
         notices.push_back("wave " + id + " is paused: " + wave.reason);
-    } else if (wave.state == WaveState::Canary && wave.finished.size() >= CanaryCount) {
-        wave.state = WaveState::Rolling;
+    } else if (wave.state == WaveState::Canary && (wave.finished.size() >= CanaryCount || isWorkedOff(wave))) {
+        apply(wave, WaveEvent::CanaryDone);
     }
 }
 
 void Stepper::startWaveInstances(const std::string &id, Wave &wave)
 {
     if (wave.state == WaveState::Planned) {
-        wave.state = WaveState::Canary;
+        apply(wave, WaveEvent::Start);
     }
     std::vector<InstanceId> skipped;
     for (const InstanceId &next : std::vector<InstanceId>(wave.waiting)) {
@@ -519,10 +527,9 @@
     if (!wave) {
         return wave.error();
     }
-    if (isOver(*wave.value()) || wave.value()->state == WaveState::Paused) {
+    if (!apply(*wave.value(), WaveEvent::Pause)) {
         return Error{ErrorCode::Refused, "wave " + id + " is " + std::string(toString(wave.value()->state))};
     }
-    wave.value()->state = WaveState::Paused;
     wave.value()->reason = reason;
     return next;
 }
@@ -535,10 +542,9 @@
         return found.error();
     }
     Wave &wave = *found.value();
-    if (wave.state != WaveState::Paused) {
+    if (!apply(wave, WaveEvent::Resume)) {
         return Error{ErrorCode::Refused, "wave " + id + " is " + std::string(toString(wave.state)) + ", not paused"};
     }
-    wave.state = wave.finished.size() < CanaryCount ? WaveState::Canary : WaveState::Rolling;
     wave.reason.clear();
     wave.judgedFrom = wave.finished.size();
     return next;
@@ -552,7 +558,7 @@
         return found.error();
     }
     Wave &wave = *found.value();
-    if (isOver(wave)) {
+    if (!apply(wave, WaveEvent::Abort)) {
         return Error{ErrorCode::Refused, "wave " + id + " is " + std::string(toString(wave.state))};
     }
     // Instances that are not rebooting yet serve again; the others finish their reboot.
@@ -563,7 +569,6 @@
         }
     }
     wave.waiting.clear();
-    wave.state = WaveState::Aborted;
     wave.endedMs = nowMs;
     return next;
 }
