Add the harness that starts the real programs on loopback

Cause: the demo and the failure runs need processes, a client and a fleet. Ruled out: a library for child processes (posix_spawn is enough).

--- /dev/null
+++ b/tests/harness.h
@@ -0,0 +1,128 @@
+#pragma once
+
+// Starts the real programs on loopback for end-to-end runs: processes, a blocking HTTP client, a whole fleet.
+//
+// Index
+// [1] Processes
+// [2] HTTP client
+// [3] A fleet of stand-ins and entries
+
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace harness
+{
+
+// [1] Processes -------------------------------------------------------------------------------------------------------
+
+/// A child process of the driver. Its output goes to a file.
+class Process
+{
+public:
+    Process() = default;
+    Process(const std::vector<std::string> &command, const std::vector<std::string> &environment,
+            const std::string &outputFile);
+    Process(Process &&other) noexcept;
+    Process &operator=(Process &&other) noexcept;
+    Process(const Process &) = delete;
+    Process &operator=(const Process &) = delete;
+    ~Process();  // ends it with SIGKILL if it still runs
+
+    void signal(int number) const;
+    /// Exit code, or -signal; none while it still runs after the limit.
+    std::optional<int> wait(int limitMs);
+    int pid() const;
+
+private:
+    int m_pid = 0;
+};
+
+struct CommandResult
+{
+    int exitCode = 0;
+    std::string output;  // standard output and standard error
+};
+
+CommandResult run(const std::vector<std::string> &command, const std::vector<std::string> &environment,
+                  const std::string &outputFile);
+
+// [2] HTTP client -----------------------------------------------------------------------------------------------------
+
+struct Response
+{
+    int status = 0;                              // 0: no complete response
+    std::map<std::string, std::string> headers;  // lower-case names
+    std::string body;
+    bool connected = false;  // false: the connection was refused, so nothing was sent
+};
+
+/// One request on a connection of its own.
+Response request(std::uint16_t port, const std::string &method, const std::string &target,
+                 const std::map<std::string, std::string> &headers, const std::string &body, int timeoutMs);
+
+// [3] A fleet of stand-ins and entries --------------------------------------------------------------------------------
+
+struct FleetOptions
+{
+    std::string bin;   // folder of the programs
+    std::string work;  // folder for logs
+    std::uint16_t basePort = 21000;
+    int entries = 8;
+    std::vector<std::pair<std::string, int>> pools;  // name and number of instances
+    int dataCentres = 3;
+    int slots = 8;
+    int graceMs = 300;
+    int listLagMs = 300;
+    int writeLimit = 400;  // store writes a second
+    int readLimit = 2000;
+};
+
+struct Instance
+{
+    std::string id;
+    std::string pool;
+    std::uint16_t port = 0;
+};
+
+/// Platform stand-in, upstream stand-in with all executors, entries. Ports follow from `basePort`.
+class Fleet
+{
+public:
+    explicit Fleet(FleetOptions options);
+
+    bool start();  // false with a message on standard error when something did not come up
+    bool startEntry(int index);
+    bool waitReady(int index, int limitMs) const;
+    std::uint16_t callerPort(int entry) const;
+    std::uint16_t operatorPort(int entry) const;
+    std::uint16_t platformPort() const;
+    std::uint16_t upstreamControlPort() const;
+    const std::vector<Instance> &instances() const;
+    Process &entry(int index);
+    Process &platform();
+    int entries() const;
+    /// An operator command against an entry.
+    CommandResult command(int entry, const std::vector<std::string> &arguments) const;
+    void platformFault(const std::string &query) const;
+    void upstreamFault(const std::string &instance, const std::string &kind, int value) const;
+    boost::json::value upstream(const std::string &target) const;
+    boost::json::value platformStats() const;
+    /// Tells the platform's list about an entry's process, as the real platform does.
+    void listEntry(int index, const std::string &presence) const;
+
+private:
+    bool waitPort(std::uint16_t port, int limitMs) const;
+    FleetOptions m_options;
+    std::vector<Instance> m_instances;
+    Process m_platform;
+    Process m_upstream;
+    std::vector<Process> m_entries;
+};
+
+}
