--- a/src/entry_cluster.h
+++ b/src/entry_cluster.h
@@ -7,7 +7,14 @@
 #include "peers.h"
 #include "platform.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
 #include <map>
+#include <random>
 
 namespace briarvane
 {
@@ -34,6 +41,9 @@
     using ChangeDone = std::function<void(Result<StoreValue>)>;
 
     Cluster(boost::asio::io_context &io, P &platform, Peers &peers, ClusterSettings settings);
+    ~Cluster();
+    Cluster(const Cluster &) = delete;
+    Cluster &operator=(const Cluster &) = delete;
 
     void start();                           // registers the entry, starts watch, heartbeats and list reads
     void stop(std::function<void()> done);  // announces stopping, removes entries/<id>
@@ -62,3 +72,5 @@
 };
 
 }
+
+#include "entry_cluster_state.h"
--- /dev/null
+++ b/src/entry_cluster_state.h
@@ -0,0 +1,917 @@
+#pragma once
+
+// Body of Cluster<P>, included by entry_cluster.h only.
+//
+// Index
+// [1] Periods
+// [2] State: registration, watch, heartbeats, configuration, instance list
+// [3] Cluster's functions
+
+#include "entry_cluster.h"
+#include "log.h"
+#include "peers_messages.h"
+
+namespace briarvane
+{
+
+// [1] Periods ---------------------------------------------------------------------------------------------------------
+
+constexpr Duration TickPeriod{100'000};            // well below PauseGap, so that only real pauses are found
+constexpr Duration ConfirmDelay{20'000};           // an adopted version is confirmed ahead of the next heartbeat
+constexpr Duration RetryFirst{100'000};            // after a failed store call; doubles with each failure
+constexpr Duration RetryMost{1'000'000};           // keeps the return from an outage below ViewTimeout
+constexpr Duration RegisterSpread{300'000};        // all leases lapse together in an outage; spreads the new grants
+constexpr Duration SettleTimeout{10'000'000};      // a lost answer is read back this long
+constexpr Duration StopTimeout{2'000'000};         // for removing the registration
+constexpr Duration PeerForgetTimeout{60'000'000};  // neither listed nor heard: the connection is closed
+constexpr std::uint32_t FullListPeriod = 10;       // rounds after which an unchanged instance list is sent in full
+constexpr int UpdateLagRounds = 2;                 // heartbeats after which entries that are not responsible help
+
+// [2] State -----------------------------------------------------------------------------------------------------------
+
+template<Platform P>
+struct Cluster<P>::State : std::enable_shared_from_this<Cluster<P>::State>
+{
+    struct Waiter
+    {
+        std::string key;
+        std::uint64_t version = 0;
+        TimePoint deadline;
+        std::function<void(std::vector<EntryId>)> done;
+    };
+    struct PendingChange
+    {
+        std::string key;
+        std::uint64_t expected = 0;
+        std::string value;
+        ChangeDone done;
+        TimePoint deadline;
+        std::uint64_t seenVersion = 0;  // the watch or a peer showed the value in force
+        bool lost = false;              // an answer was lost, the swap may have taken effect
+    };
+
+    State(boost::asio::io_context &ioContext, P &usedPlatform, Peers &usedPeers, ClusterSettings clusterSettings)
+        : io(ioContext)
+        , platform(usedPlatform)
+        , peers(usedPeers)
+        , settings(std::move(clusterSettings))
+        , membership(settings.self, settings.startId, now())
+        , random(settings.startId ^ XXH3_64bits(settings.self.value.data(), settings.self.value.size()))
+        , tickTimer(io)
+        , heartbeatTimer(io)
+        , watchTimer(io)
+        , leaseTimer(io)
+        , instanceTimer(io)
+        , stopTimer(io)
+    {
+        for (const std::string &key : settings.keys) {
+            values[key].key = key;
+            prefixes += key + ",";
+        }
+        prefixes += EntriesPrefix;
+    }
+
+    static TimePoint now()
+    {
+        return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    }
+
+    Duration jitter(Duration least, Duration most)
+    {
+        return Duration(std::uniform_int_distribution<Duration::rep>(least.count(), most.count())(random));
+    }
+
+    /// Calls `next` after the delay, unless the timer is set again or the cluster is closed.
+    template<class F>
+    void after(boost::asio::steady_timer &timer, Duration delay, F next)
+    {
+        timer.expires_after(delay);
+        timer.async_wait([self = this->shared_from_this(), next](const boost::system::error_code &error) {
+            if (!error && !self->closed) {
+                next();
+            }
+        });
+    }
+
+    void start()
+    {
+        peers.onMessage([weak = this->weak_from_this()](const wire::Envelope &message) {
+            if (const auto self = weak.lock(); self && !self->closed) {
+                self->onMessage(message);
+            }
+        });
+        for (const auto &[id, endpoint] : settings.peers) {
+            connect(id, endpoint);
+        }
+        onTick();
+        onHeartbeatTimer();
+        watch();
+        registerEntry();
+        onInstanceTimer();
+    }
+
+    void close()
+    {
+        closed = true;
+        for (auto *timer : {&tickTimer, &heartbeatTimer, &watchTimer, &leaseTimer, &instanceTimer, &stopTimer}) {
+            timer->cancel();
+        }
+        waiters.clear();
+        pending.clear();
+        handlers.clear();
+        instanceHandlers.clear();
+    }
+
+    void onTick()
+    {
+        membership.tick(now());
+        checkWaiters();
+        forgetPeers();
+        after(tickTimer, TickPeriod, [this] { onTick(); });
+    }
+
+    // Registration
+
+    std::string ownKey() const
+    {
+        return EntriesPrefix + settings.self.value;
+    }
+
+    /// Grants a lease and puts the entry's record under it. A failed or lost step starts all over.
+    void registerEntry()
+    {
+        if (registering || stopping || superseded) {
+            return;
+        }
+        registering = true;
+        lease.clear();
+        const TimePoint begun = now();
+        platform.grantLease(
+            settings.leaseTtl, guarded<std::string>([this, begun](Result<std::string> granted) {
+                if (!granted) {
+                    onLeaseFailure(granted.error());
+                    return;
+                }
+                const std::string newLease = granted.value();
+                platform.read(ownKey(), guarded<StoreValue>([this, begun, newLease](Result<StoreValue> present) {
+                                  if (!present) {
+                                      onLeaseFailure(present.error());
+                                      return;
+                                  }
+                                  const boost::json::object record = {{"start", std::to_string(settings.startId)},
+                                                                      {"address", settings.peerEndpoint},
+                                                                      {"data_centre", settings.dataCentre}};
+                                  const SwapRequest request{ownKey(), present.value().version,
+                                                            boost::json::serialize(record), newLease};
+                                  platform.swap(
+                                      request,
+                                      guarded<std::uint64_t>([this, begun, newLease](Result<std::uint64_t> version) {
+                                          if (!version) {
+                                              onLeaseFailure(version.error());
+                                              return;
+                                          }
+                                          registering = false;
+                                          registeredVersion = version.value();
+                                          lease = newLease;
+                                          onLeaseValid(begun);
+                                      }));
+                              }));
+            }));
+    }
+
+    void onLeaseValid(TimePoint begun)
+    {
+        leaseFailures = 0;
+        membership.registered(begun + settings.leaseTtl);
+        after(leaseTimer, settings.leaseTtl / 3, [this] { renew(); });
+    }
+
+    void onLeaseFailure(const Error &error)
+    {
+        registering = false;
+        ++leaseFailures;
+        membership.storeFailure(now());
+        logRepeated(LogLevel::Warn, "lease-failed", settings.self.value, {{"reason", error.message}});
+        after(leaseTimer, retryDelay(leaseFailures), [this] {
+            if (lease.empty()) {
+                registerEntry();
+            } else {
+                renew();
+            }
+        });
+    }
+
+    void renew()
+    {
+        if (stopping || lease.empty()) {
+            return;
+        }
+        const TimePoint begun = now();
+        platform.renewLease(lease, guarded<bool>([this, begun](Result<bool> renewed) {
+                                if (!renewed) {
+                                    onLeaseFailure(renewed.error());
+                                } else if (renewed.value()) {
+                                    onLeaseValid(begun);
+                                } else {
+                                    onRegistrationLost();
+                                }
+                            }));
+    }
+
+    void onRegistrationLost()
+    {
+        if (registering || stopping || lease.empty()) {
+            return;
+        }
+        logEvent(LogLevel::Warn, "registration-lost", {{"entry", settings.self.value}});
+        lease.clear();
+        membership.registered(TimePoint::min());
+        after(leaseTimer, jitter(Duration::zero(), RegisterSpread), [this] { registerEntry(); });
+    }
+
+    Duration retryDelay(int failures)
+    {
+        const Duration most = std::min(RetryMost, RetryFirst * (1 << std::min(failures, 5)));
+        return jitter(RetryFirst / 2, most);
+    }
+
+    // Watch
+
+    void watch()
+    {
+        const TimePoint begun = now();
+        platform.watch(prefixes, watchedVersion, guarded<WatchBatch>([this, begun](Result<WatchBatch> result) {
+                           if (result) {
+                               watchFailures = 0;
+                               onBatch(result.value(), begun);
+                               watch();
+                               return;
+                           }
+                           if (result.error().code == ErrorCode::NotFound) {
+                               watchedVersion = 0;
+                           } else {
+                               membership.storeFailure(now());
+                               logRepeated(LogLevel::Warn, "watch-failed", settings.self.value,
+                                           {{"reason", result.error().message}});
+                           }
+                           ++watchFailures;
+                           after(watchTimer, retryDelay(watchFailures), [this] { watch(); });
+                       }));
+    }
+
+    void onBatch(const WatchBatch &batch, TimePoint begun)
+    {
+        // A watch from version 0 answers with everything: entries that it leaves out are gone.
+        std::set<EntryId> listed = watchedVersion == 0 ? std::set<EntryId>{} : membership.listed();
+        bool ownSeen = watchedVersion != 0;
+        for (const StoreValue &value : batch.values) {
+            if (value.key.starts_with(EntriesPrefix)) {
+                const EntryId id{value.key.substr(EntriesPrefix.size())};
+                if (id == settings.self) {
+                    ownSeen = value.version != 0;
+                    onOwnRecord(value);
+                } else if (value.version != 0) {
+                    onEntryRecord(id, value.value);
+                }
+                if (value.version == 0) {
+                    listed.erase(id);
+                } else {
+                    listed.insert(id);
+                }
+            }
+        }
+        membership.setListed(listed, now());
+        if (!ownSeen) {
+            onRegistrationLost();
+        }
+        for (const StoreValue &value : batch.values) {
+            if (values.contains(value.key)) {
+                adopt(value);
+            }
+        }
+        // A version below the watched one shows that the store lost its state: everything is read again.
+        watchedVersion = batch.version < watchedVersion ? 0 : batch.version;
+        membership.storeContact(begun);
+        if (leaseFailures > 0) {
+            membership.storeFailure(now());
+        }
+    }
+
+    void onOwnRecord(const StoreValue &value)
+    {
+        if (value.version <= registeredVersion || registering || registeredVersion == 0) {
+            return;
+        }
+        boost::system::error_code error;
+        const boost::json::value record = boost::json::parse(value.value, error);
+        const boost::json::value *start
+            = error || !record.is_object() ? nullptr : record.as_object().if_contains("start");
+        if (start && start->is_string() && start->as_string() != std::to_string(settings.startId)) {
+            // A later process took the id over. Registering again would only take turns with it.
+            logEvent(LogLevel::Error, "entry-superseded", {{"entry", settings.self.value}});
+            superseded = true;
+            lease.clear();
+            leaseTimer.cancel();
+            membership.registered(TimePoint::min());
+        }
+    }
+
+    void onEntryRecord(const EntryId &id, const std::string &text)
+    {
+        boost::system::error_code error;
+        const boost::json::value record = boost::json::parse(text, error);
+        const boost::json::value *address
+            = error || !record.is_object() ? nullptr : record.as_object().if_contains("address");
+        if (address && address->is_string()) {
+            connect(id, std::string(address->as_string()));
+        }
+    }
+
+    // Peers
+
+    void connect(const EntryId &id, const std::string &endpoint)
+    {
+        if (id == settings.self || endpoint.empty()) {
+            return;
+        }
+        Link &link = links[id];
+        link.since = now();
+        if (link.endpoint != endpoint) {
+            link.endpoint = endpoint;
+            peers.connect(id, endpoint);
+        }
+    }
+
+    void forgetPeers()
+    {
+        std::erase_if(links, [this](const auto &known) {
+            const auto &[id, link] = known;
+            const EntryStatus *status = membership.entry(id);
+            const TimePoint last = status ? std::max(status->lastHeard, link.since) : link.since;
+            if (settings.peers.contains(id) || membership.listed().contains(id) || now() - last < PeerForgetTimeout) {
+                return false;
+            }
+            peers.disconnect(id);
+            return true;
+        });
+    }
+
+    void onMessage(const wire::Envelope &message)
+    {
+        switch (message.body_case()) {
+        case wire::Envelope::kHeartbeat:
+            onHeartbeat(message);
+            break;
+        case wire::Envelope::kConfigUpdate: {
+            const wire::ConfigUpdate &update = message.config_update();
+            if (values.contains(update.key())) {
+                adopt({update.key(), update.value(), update.version()});
+            }
+            break;
+        }
+        case wire::Envelope::kInstanceList:
+            onInstanceList(message.instance_list());
+            break;
+        default:
+            break;
+        }
+    }
+
+    // Heartbeats
+
+    void onHeartbeatTimer()
+    {
+        sendHeartbeats();
+        after(heartbeatTimer, HeartbeatPeriod, [this] { onHeartbeatTimer(); });
+    }
+
+    void heartbeatSoon()
+    {
+        if (!closed && heartbeatTimer.expiry() - std::chrono::steady_clock::now() > ConfirmDelay) {
+            after(heartbeatTimer, ConfirmDelay, [this] { onHeartbeatTimer(); });
+        }
+    }
+
+    /// Each peer gets its own echo only, which keeps the bytes of a heartbeat independent of the number of entries but
+    /// for the short list of entries heard.
+    void sendHeartbeats()
+    {
+        const TimePoint time = now();
+        ++round;
+        membership.heartbeatSent(round, time);
+        wire::Envelope message;
+        fillHeartbeat(*message.mutable_heartbeat(), membership, time);
+        message.mutable_heartbeat()->set_round(round);
+        message.mutable_heartbeat()->set_address(settings.peerEndpoint);
+        message.mutable_heartbeat()->set_data_centre(settings.dataCentre);
+        for (const auto &[id, link] : links) {
+            wire::Heartbeat &heartbeat = *message.mutable_heartbeat();
+            heartbeat.clear_echo();
+            const EntryStatus *status = membership.entry(id);
+            if (status && status->round != 0) {
+                wire::HeartbeatEcho &echo = *heartbeat.add_echo();
+                echo.set_entry(id.value);
+                echo.set_start_id(status->startId);
+                echo.set_round(status->round);
+            }
+            peers.send(id, message);
+        }
+    }
+
+    void onHeartbeat(const wire::Envelope &message)
+    {
+        const wire::Heartbeat &heartbeat = message.heartbeat();
+        const EntryId sender{message.sender()};
+        if (sender == settings.self) {
+            return;
+        }
+        const TimePoint time = now();
+        membership.heartbeat(statusOf(message, membership),
+                             Duration(static_cast<Duration::rep>(heartbeat.store_contact_age_us())), time);
+        connect(sender, heartbeat.address());
+        for (const auto &[key, value] : values) {
+            const auto theirs = std::find_if(heartbeat.in_force().begin(), heartbeat.in_force().end(),
+                                             [&key = key](const auto &inForce) { return inForce.key() == key; });
+            const std::uint64_t version = theirs == heartbeat.in_force().end() ? 0 : theirs->version();
+            helpLagging(sender, value, version, time);
+        }
+        checkWaiters();
+    }
+
+    /// One entry answers a lagging peer at once, the others only when it still lags: otherwise each of them would send
+    /// the whole value.
+    void helpLagging(const EntryId &peer, const StoreValue &value, std::uint64_t theirs, TimePoint time)
+    {
+        int &rounds = links[peer].lag[value.key];
+        if (theirs >= value.version) {
+            rounds = 0;
+            return;
+        }
+        ++rounds;
+        // A peer is not asked for its own duty here: the helper is chosen among the others.
+        const std::vector<EntryId> live = membership.live(time);
+        const auto ahead = std::find_if(live.begin(), live.end(), [&](const EntryId &id) {
+            const EntryStatus *status = membership.entry(id);
+            const auto place = status->inForce.find(value.key);
+            return id != peer && place != status->inForce.end() && place->second >= value.version;
+        });
+        if (rounds > UpdateLagRounds || ahead == live.end() || *ahead == settings.self) {
+            peers.send(peer, updateOf(value));
+        }
+    }
+
+    static wire::Envelope updateOf(const StoreValue &value)
+    {
+        wire::Envelope message;
+        wire::ConfigUpdate &update = *message.mutable_config_update();
+        update.set_key(value.key);
+        update.set_version(value.version);
+        update.set_value(value.value);
+        return message;
+    }
+
+    // Configuration
+
+    void adopt(const StoreValue &value)
+    {
+        StoreValue &present = values.at(value.key);
+        if (value.version <= present.version) {
+            return;  // also deletions: what is in force never reverts
+        }
+        present = value;
+        membership.setInForce(value.key, value.version);
+        for (const auto &change : pending) {
+            if (change->key == value.key && change->value == value.value) {
+                change->seenVersion = value.version;
+            }
+        }
+        const std::vector<Changed> called = handlers[value.key];
+        const StoreValue copy = value;
+        for (const Changed &handler : called) {
+            handler(copy);
+        }
+        heartbeatSoon();
+    }
+
+    void change(const std::string &key, std::uint64_t expected, std::string value, ChangeDone done)
+    {
+        const auto refuse = [&](ErrorCode code, const std::string &reason) {
+            boost::asio::post(io, [done, error = Error{code, reason}] { done(error); });
+        };
+        if (!values.contains(key)) {
+            refuse(ErrorCode::Invalid, "the key " + key + " is not a configuration key");
+            return;
+        }
+        if (membership.storeDown(now())) {
+            refuse(ErrorCode::Unavailable, "the store is down, changes are refused until it is back");
+            return;
+        }
+        const auto request = std::make_shared<PendingChange>(
+            PendingChange{key, expected, std::move(value), std::move(done), now() + SettleTimeout});
+        pending.push_back(request);
+        swap(request);
+    }
+
+    void swap(const std::shared_ptr<PendingChange> &request)
+    {
+        const SwapRequest call{request->key, request->expected, request->value, ""};
+        platform.swap(call, guarded<std::uint64_t>([this, request](Result<std::uint64_t> version) {
+                          if (version) {
+                              finish(request, StoreValue{request->key, request->value, version.value()});
+                          } else if (version.error().code == ErrorCode::Unknown) {
+                              request->lost = true;
+                              readBack(request);
+                          } else if (version.error().code == ErrorCode::Conflict) {
+                              // Even the first answer: a transport below may have sent the swap twice.
+                              readBack(request);
+                          } else if (request->lost) {
+                              settleLater(request);
+                          } else {
+                              finish(request, version.error());
+                          }
+                      }));
+    }
+
+    /// Finds out what became of a swap. When the value is as before, the swap is sent again with the same expected
+    /// version, so that it takes effect once whether or not the first one is still on its way.
+    void readBack(const std::shared_ptr<PendingChange> &request)
+    {
+        platform.read(
+            request->key, guarded<StoreValue>([this, request](Result<StoreValue> present) {
+                if (!present) {
+                    settleLater(request);
+                    return;
+                }
+                const StoreValue &found = present.value();
+                if (found.value == request->value && found.version != request->expected) {
+                    finish(request, found);
+                    return;
+                }
+                if (found.version == request->expected) {
+                    swap(request);
+                    return;
+                }
+                if (found.version != 0) {
+                    adopt(found);
+                }
+                if (request->seenVersion != 0) {
+                    finish(request, StoreValue{request->key, request->value, request->seenVersion});
+                } else if (request->lost) {
+                    finish(request,
+                           Error{ErrorCode::Unknown,
+                                 "the answer was lost and the value has changed since, to version "
+                                     + std::to_string(found.version)});
+                } else {
+                    finish(request,
+                           Error{ErrorCode::Conflict,
+                                 "another change came first, the version is now " + std::to_string(found.version)});
+                }
+            }));
+    }
+
+    void settleLater(const std::shared_ptr<PendingChange> &request)
+    {
+        if (request->seenVersion != 0) {
+            finish(request, StoreValue{request->key, request->value, request->seenVersion});
+            return;
+        }
+        if (now() >= request->deadline) {
+            finish(request,
+                   request->lost
+                       ? Error{ErrorCode::Unknown, "the store did not answer, the change may have taken effect"}
+                       : Error{ErrorCode::Conflict, "another change came first"});
+            return;
+        }
+        const auto timer = std::make_shared<boost::asio::steady_timer>(io);
+        after(*timer, jitter(RetryFirst, 3 * RetryFirst), [this, request, timer] { readBack(request); });
+    }
+
+    void finish(const std::shared_ptr<PendingChange> &request, const Result<StoreValue> &result)
+    {
+        std::erase(pending, request);
+        if (result) {
+            adopt(result.value());
+            for (const auto &[id, link] : links) {
+                // Large values are not queued for a peer that is frozen or gone; its next heartbeat asks for them.
+                const EntryStatus *status = membership.entry(id);
+                if (status && now() - status->lastHeard < ViewTimeout) {
+                    peers.send(id, updateOf(result.value()));
+                }
+            }
+        }
+        request->done(result);
+    }
+
+    void checkWaiters()
+    {
+        const TimePoint time = now();
+        std::vector<Waiter> open;
+        open.swap(waiters);
+        std::vector<std::pair<Waiter, std::vector<EntryId>>> ready;
+        for (Waiter &waiter : open) {
+            std::vector<EntryId> missing = membership.unconfirmed(waiter.key, waiter.version, time);
+            if (missing.empty() || time >= waiter.deadline) {
+                ready.emplace_back(std::move(waiter), std::move(missing));
+            } else {
+                waiters.push_back(std::move(waiter));
+            }
+        }
+        for (auto &[waiter, missing] : ready) {
+            waiter.done(std::move(missing));
+        }
+    }
+
+    // Instance list
+
+    /// One entry reads the list and sends it to the others; an entry that gets none reads for itself.
+    void onInstanceTimer()
+    {
+        const TimePoint time = now();
+        const bool stale = !instancesAsOf || time - *instancesAsOf > 5 * settings.instancePeriod / 2;
+        if (stale || membership.responsible("instances", time) == settings.self) {
+            readInstances();
+        }
+        after(instanceTimer, jitter(settings.instancePeriod * 9 / 10, settings.instancePeriod * 11 / 10),
+              [this] { onInstanceTimer(); });
+    }
+
+    void readInstances()
+    {
+        if (readingInstances) {
+            return;
+        }
+        readingInstances = true;
+        const TimePoint begun = now();
+        platform.instances(
+            guarded<std::vector<InstanceRecord>>([this, begun](Result<std::vector<InstanceRecord>> read) {
+                readingInstances = false;
+                if (!read) {
+                    logRepeated(LogLevel::Warn, "instance-list-failed", settings.self.value,
+                                {{"reason", read.error().message}});
+                    return;
+                }
+                setInstances(std::move(read.value()), begun);
+                if (membership.responsible("instances", now()) == settings.self) {
+                    sendInstances();
+                }
+            }));
+    }
+
+    static std::uint64_t digestOf(const std::vector<InstanceRecord> &list)
+    {
+        std::string text;
+        for (const InstanceRecord &record : list) {
+            for (const std::string_view part :
+                 {std::string_view(record.id.value), std::string_view(record.address),
+                  std::string_view(record.dataCentre), std::string_view(record.rack), toString(record.presence)}) {
+                text += part;
+                text += '\0';
+            }
+            text += std::to_string(record.port) + '\n';
+        }
+        return XXH3_64bits(text.data(), text.size());
+    }
+
+    void setInstances(std::vector<InstanceRecord> list, TimePoint asOf)
+    {
+        if (instancesAsOf && asOf < *instancesAsOf) {
+            return;
+        }
+        const bool first = !instancesAsOf;
+        instancesAsOf = asOf;
+        if (!first && list == instances) {
+            return;
+        }
+        instances = std::move(list);
+        instancesDigest = digestOf(instances);
+        for (const InstanceRecord &record : instances) {
+            if (record.presence == Presence::Gone) {
+                membership.gone(EntryId{record.id.value});
+            }
+        }
+        const std::vector<std::function<void()>> called = instanceHandlers;
+        for (const std::function<void()> &handler : called) {
+            handler();
+        }
+    }
+
+    void sendInstances()
+    {
+        const bool full = sentDigest != instancesDigest || ++sentUnchanged >= FullListPeriod;
+        wire::Envelope message;
+        wire::InstanceList &list = *message.mutable_instance_list();
+        list.set_age_us(static_cast<std::uint64_t>((now() - *instancesAsOf).count()));
+        list.set_digest(instancesDigest);
+        list.set_unchanged(!full);
+        if (full) {
+            sentUnchanged = 0;
+            sentDigest = instancesDigest;
+            for (const InstanceRecord &record : instances) {
+                wire::InstanceEntry &line = *list.add_instances();
+                line.set_id(record.id.value);
+                line.set_address(record.address);
+                line.set_port(record.port);
+                line.set_data_centre(record.dataCentre);
+                line.set_rack(record.rack);
+                line.set_presence(std::string(toString(record.presence)));
+            }
+        }
+        peers.broadcast(message);
+    }
+
+    void onInstanceList(const wire::InstanceList &list)
+    {
+        const TimePoint asOf = now() - Duration(static_cast<Duration::rep>(list.age_us()));
+        if (list.unchanged()) {
+            if (!instancesAsOf || list.digest() != instancesDigest) {
+                readInstances();
+            } else {
+                instancesAsOf = std::max(*instancesAsOf, asOf);
+            }
+            return;
+        }
+        std::vector<InstanceRecord> records;
+        for (const wire::InstanceEntry &line : list.instances()) {
+            records.push_back({InstanceId{line.id()}, line.address(), static_cast<std::uint16_t>(line.port()),
+                               line.data_centre(), line.rack(),
+                               parseEnum<Presence>(line.presence()).value_or(Presence::Gone)});
+        }
+        setInstances(std::move(records), asOf);
+    }
+
+    // Stop
+
+    void stop(std::function<void()> done)
+    {
+        stopping = true;
+        membership.setStopping();
+        leaseTimer.cancel();
+        sendHeartbeats();
+        const auto once = std::make_shared<std::function<void()>>(std::move(done));
+        const auto end = [self = this->shared_from_this(), once] {
+            if (*once) {
+                const std::function<void()> call = std::exchange(*once, nullptr);
+                self->close();
+                call();
+            }
+        };
+        after(stopTimer, StopTimeout, end);
+        if (lease.empty()) {
+            boost::asio::post(io, end);
+            return;
+        }
+        platform.remove(ownKey(), registeredVersion, [end](const Result<bool> &) { end(); });
+    }
+
+    /// Wraps a completion so that it is not called after the cluster was closed.
+    template<class T, class F>
+    Done<T> guarded(F next)
+    {
+        return [self = this->shared_from_this(), next = std::move(next)](Result<T> result) mutable {
+            if (!self->closed) {
+                next(std::move(result));
+            }
+        };
+    }
+
+    struct Link
+    {
+        std::string endpoint;
+        TimePoint since;
+        std::map<std::string, int> lag;  // heartbeats with an older version, per key
+    };
+    inline static const std::string EntriesPrefix = "entries/";
+
+    boost::asio::io_context &io;
+    P &platform;
+    Peers &peers;
+    ClusterSettings settings;
+    Membership membership;
+    std::mt19937_64 random;  // spreads retries only
+    boost::asio::steady_timer tickTimer;
+    boost::asio::steady_timer heartbeatTimer;
+    boost::asio::steady_timer watchTimer;
+    boost::asio::steady_timer leaseTimer;
+    boost::asio::steady_timer instanceTimer;
+    boost::asio::steady_timer stopTimer;
+    std::string prefixes;
+    std::map<std::string, StoreValue> values;
+    std::map<std::string, std::vector<Changed>> handlers;
+    std::map<EntryId, Link> links;
+    std::vector<Waiter> waiters;
+    std::vector<std::shared_ptr<PendingChange>> pending;
+    std::string lease;
+    std::uint64_t registeredVersion = 0;
+    std::uint64_t watchedVersion = 0;
+    std::uint64_t round = 0;
+    int leaseFailures = 0;
+    int watchFailures = 0;
+    std::vector<InstanceRecord> instances;
+    std::vector<std::function<void()>> instanceHandlers;
+    std::optional<TimePoint> instancesAsOf;
+    std::uint64_t instancesDigest = 0;
+    std::uint64_t sentDigest = 0;
+    std::uint32_t sentUnchanged = 0;
+    bool readingInstances = false;
+    bool registering = false;
+    bool superseded = false;
+    bool stopping = false;
+    bool closed = false;
+};
+
+// [3] Cluster's functions ---------------------------------------------------------------------------------------------
+
+template<Platform P>
+Cluster<P>::Cluster(boost::asio::io_context &io, P &platform, Peers &peers, ClusterSettings settings)
+    : m_state(std::make_shared<State>(io, platform, peers, std::move(settings)))
+{
+}
+
+template<Platform P>
+Cluster<P>::~Cluster()
+{
+    m_state->close();
+}
+
+template<Platform P>
+void Cluster<P>::start()
+{
+    m_state->start();
+}
+
+template<Platform P>
+void Cluster<P>::stop(std::function<void()> done)
+{
+    m_state->stop(std::move(done));
+}
+
+template<Platform P>
+void Cluster<P>::change(const std::string &key, std::uint64_t expected, std::string value, ChangeDone done)
+{
+    m_state->change(key, expected, std::move(value), std::move(done));
+}
+
+template<Platform P>
+const StoreValue &Cluster<P>::inForce(const std::string &key) const
+{
+    static const StoreValue none;
+    const auto place = m_state->values.find(key);
+    return place == m_state->values.end() ? none : place->second;
+}
+
+template<Platform P>
+void Cluster<P>::onChanged(const std::string &key, Changed handler)
+{
+    m_state->handlers[key].push_back(std::move(handler));
+}
+
+template<Platform P>
+void Cluster<P>::onInstances(std::function<void()> handler)
+{
+    m_state->instanceHandlers.push_back(std::move(handler));
+}
+
+template<Platform P>
+const std::vector<InstanceRecord> &Cluster<P>::instances() const
+{
+    return m_state->instances;
+}
+
+template<Platform P>
+void Cluster<P>::waitInForce(const std::string &key, std::uint64_t version, Duration timeout,
+                             std::function<void(std::vector<EntryId> missing)> done)
+{
+    m_state->waiters.push_back({key, version, now() + timeout, std::move(done)});
+}
+
+template<Platform P>
+Membership &Cluster<P>::membership()
+{
+    return m_state->membership;
+}
+
+template<Platform P>
+P &Cluster<P>::platform()
+{
+    return m_state->platform;
+}
+
+template<Platform P>
+Peers &Cluster<P>::peers()
+{
+    return m_state->peers;
+}
+
+template<Platform P>
+boost::asio::io_context &Cluster<P>::io()
+{
+    return m_state->io;
+}
+
+template<Platform P>
+TimePoint Cluster<P>::now() const
+{
+    return State::now();
+}
+
+}
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,336 @@
+#include "membership.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace briarvane
+{
+
+namespace
+{
+
+const std::string FleetKey = "fleet";
+
+std::uint64_t weight(const EntryId &entry, std::string_view duty)
+{
+    return XXH3_64bits_withSeed(duty.data(), duty.size(), XXH3_64bits(entry.value.data(), entry.value.size()));
+}
+
+}
+
+Membership::Membership(EntryId self, std::uint64_t startId, TimePoint now)
+    : m_self(std::move(self))
+    , m_startId(startId)
+    , m_lastTick(now)
+    , m_resumed(now)
+{
+    EntryStatus &status = m_entries[m_self];
+    status.id = m_self;
+    status.startId = startId;
+}
+
+// Events
+
+void Membership::storeContact(TimePoint begun)
+{
+    m_ownStoreDown = false;
+    m_lastRoot = std::max(m_lastRoot.value_or(begun), begun);
+    m_lastProof = std::max(m_lastProof.value_or(begun), begun);
+}
+
+void Membership::storeFailure(TimePoint /*now*/)
+{
+    m_ownStoreDown = true;
+}
+
+void Membership::registered(TimePoint validUntil)
+{
+    m_registeredUntil = validUntil;
+}
+
+void Membership::heartbeatSent(std::uint64_t round, TimePoint now)
+{
+    m_sentRounds.emplace_back(round, now);
+    while (now - m_sentRounds.front().second > ViewTimeout) {
+        m_sentRounds.pop_front();
+    }
+}
+
+void Membership::heartbeat(const EntryStatus &status, Duration storeContactAge, TimePoint now)
+{
+    if (status.id == m_self) {
+        return;
+    }
+    tick(now);
+    const auto [place, added] = m_entries.try_emplace(status.id, status);
+    EntryStatus &known = place->second;
+    const bool sameStart = !added && known.startId == status.startId;
+    if (sameStart && status.round < known.round) {
+        return;
+    }
+    const TimePoint before = sameStart ? known.sentAfter : TimePoint::min();
+    known = status;
+    known.lastHeard = now;
+    // An echo that is no longer in the list of sent rounds is older than ViewTimeout and proves nothing useful.
+    known.sentAfter = std::max(before, sentAt(status.echo).value_or(TimePoint::min()));
+    if (known.sentAfter == TimePoint::min() || !hasVersionsOf(known)) {
+        return;
+    }
+    m_lastProof = std::max(m_lastProof.value_or(known.sentAfter), known.sentAfter);
+    if (storeContactAge < ViewTimeout) {
+        const TimePoint root = known.sentAfter - std::max(storeContactAge, Duration::zero());
+        m_lastRoot = std::max(m_lastRoot.value_or(root), root);
+    }
+}
+
+void Membership::setListed(const std::set<EntryId> &listed, TimePoint now)
+{
+    for (const EntryId &id : m_listed) {
+        const EntryStatus *status = entry(id);
+        if (!listed.contains(id) && !(status && status->stopping)) {
+            m_lapsed[id] = now;
+        }
+    }
+    for (const EntryId &id : listed) {
+        m_lapsed.erase(id);
+    }
+    std::erase_if(m_lapsed, [now](const auto &lapsed) { return now - lapsed.second > LapsedTimeout; });
+    std::erase_if(m_entries, [&](const auto &known) {
+        return known.first != m_self && !listed.contains(known.first) && now - known.second.lastHeard > LapsedTimeout;
+    });
+    m_listed = listed;
+    m_everListed = m_everListed || listed.contains(m_self);
+}
+
+void Membership::gone(const EntryId &id)
+{
+    if (id != m_self) {
+        m_lapsed.erase(id);
+    }
+}
+
+void Membership::tick(TimePoint now)
+{
+    if (now - m_lastTick > PauseGap) {
+        m_resumed = now;
+    }
+    m_lastTick = std::max(m_lastTick, now);
+}
+
+// Decisions
+
+std::vector<EntryId> Membership::live(TimePoint now) const
+{
+    std::vector<EntryId> ids;
+    for (const auto &[id, status] : m_entries) {
+        if (id == m_self || now - status.lastHeard < LiveTimeout) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+const std::set<EntryId> &Membership::listed() const
+{
+    return m_listed;
+}
+
+EntryId Membership::responsible(std::string_view duty, TimePoint now) const
+{
+    // With only stopping entries left, the duties stay with this one: somebody has to answer until the process ends.
+    EntryId best = m_self;
+    std::optional<std::uint64_t> bestWeight;
+    for (const EntryId &id : live(now)) {
+        const std::uint64_t candidate = weight(id, duty);
+        if (!m_entries.at(id).stopping && (!bestWeight || candidate > *bestWeight)) {
+            best = id;
+            bestWeight = candidate;
+        }
+    }
+    return best;
+}
+
+ViewState Membership::viewState(TimePoint now) const
+{
+    // The first handler after a pause may run before tick().
+    const bool paused = now - m_lastTick > PauseGap || (m_lastProof && *m_lastProof < m_resumed);
+    if (paused) {
+        return ViewState::Paused;
+    }
+    if (!m_lastProof) {
+        return ViewState::Isolated;
+    }
+    const std::set<EntryId> voting = voters(now);
+    std::set<EntryId> reached = heard(now);
+    std::erase_if(reached, [&voting](const EntryId &id) { return !voting.contains(id); });
+    const bool hearsHalf = 2 * reached.size() >= voting.size();
+
+    // A lease that may have lapsed lets drains be confirmed without this entry, unless the others hear it.
+    const bool registered = m_everListed && m_registeredUntil && now < *m_registeredUntil;
+    if (storeContactAge(now) < ViewTimeout && (registered || (m_everListed && hearsHalf && reached.size() > 1))) {
+        return ViewState::Usable;
+    }
+    // An entry that was never registered is unknown to those who accept drains.
+    const bool allDown = std::all_of(reached.begin(), reached.end(), [this](const EntryId &id) {
+        return id == m_self ? m_ownStoreDown : m_entries.at(id).storeDown && hasVersionsOf(m_entries.at(id));
+    });
+    return m_everListed && hearsHalf && allDown ? ViewState::StoreOutage : ViewState::Isolated;
+}
+
+bool Membership::mayStartWork(TimePoint now) const
+{
+    const ViewState state = viewState(now);
+    return state == ViewState::Usable || state == ViewState::StoreOutage;
+}
+
+bool Membership::mayAcceptDrain(TimePoint now) const
+{
+    const std::set<EntryId> voting = voters(now);
+    const std::set<EntryId> reached = heard(now);
+    const auto votes
+        = std::count_if(voting.begin(), voting.end(), [&](const EntryId &id) { return reached.contains(id); });
+    return now - m_lastTick <= PauseGap && 2 * static_cast<std::size_t>(votes) > voting.size();
+}
+
+std::set<EntryId> Membership::voters(TimePoint now) const
+{
+    std::set<EntryId> ids = m_listed;
+    ids.insert(m_self);
+    for (const auto &[id, since] : m_lapsed) {
+        if (now - since <= LapsedTimeout) {
+            ids.insert(id);
+        }
+    }
+    return ids;
+}
+
+std::set<EntryId> Membership::heard(TimePoint now) const
+{
+    std::set<EntryId> ids = {m_self};
+    for (const auto &[id, status] : m_entries) {
+        // What was heard before a pause may have changed during it.
+        if (id != m_self && status.sentAfter >= m_resumed && now - status.sentAfter < LiveTimeout) {
+            ids.insert(id);
+        }
+    }
+    return ids;
+}
+
+Duration Membership::storeContactAge(TimePoint now) const
+{
+    return m_lastRoot ? std::max(now - *m_lastRoot, Duration::zero()) : Duration::max();
+}
+
+bool Membership::storeDown(TimePoint /*now*/) const
+{
+    return m_ownStoreDown;
+}
+
+std::vector<EntryId> Membership::unconfirmed(const std::string &key, std::uint64_t version, TimePoint now) const
+{
+    std::vector<EntryId> ids;
+    for (const EntryId &id : confirming(now)) {
+        const EntryStatus *status = entry(id);
+        if (!status) {
+            ids.push_back(id);
+            continue;
+        }
+        const auto place = status->inForce.find(key);
+        if (place == status->inForce.end() || place->second < version) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::vector<EntryId> Membership::drainHolders(const InstanceId &instance, std::uint64_t fleetVersion,
+                                              TimePoint now) const
+{
+    std::vector<EntryId> ids;
+    for (const EntryId &id : confirming(now)) {
+        const EntryStatus *status = entry(id);
+        if (!status || status->countedFleet < fleetVersion) {
+            ids.push_back(id);
+            continue;
+        }
+        const auto count = status->draining.find(instance);
+        if (count != status->draining.end() && count->second > 0) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+const EntryStatus *Membership::entry(const EntryId &id) const
+{
+    const auto place = m_entries.find(id);
+    return place == m_entries.end() ? nullptr : &place->second;
+}
+
+const EntryId &Membership::self() const
+{
+    return m_self;
+}
+
+std::uint64_t Membership::startId() const
+{
+    return m_startId;
+}
+
+void Membership::setInForce(const std::string &key, std::uint64_t version)
+{
+    selfStatus().inForce[key] = version;
+    if (key == FleetKey && !m_countsDraining) {
+        selfStatus().countedFleet = version;
+    }
+}
+
+void Membership::setDraining(const std::map<InstanceId, int> &inFlight)
+{
+    EntryStatus &own = selfStatus();
+    own.draining = inFlight;
+    own.countedFleet = own.inForce[FleetKey];
+    m_countsDraining = true;
+}
+
+void Membership::setStopping()
+{
+    selfStatus().stopping = true;
+}
+
+EntryStatus &Membership::selfStatus()
+{
+    return m_entries.at(m_self);
+}
+
+std::set<EntryId> Membership::confirming(TimePoint now) const
+{
+    std::set<EntryId> ids = m_listed;
+    ids.insert(m_self);
+    for (const auto &[id, status] : m_entries) {
+        if (id != m_self && now - status.lastHeard < LiveTimeout) {
+            ids.insert(id);
+            ids.insert(status.heard.begin(), status.heard.end());
+        }
+    }
+    return ids;
+}
+
+bool Membership::hasVersionsOf(const EntryStatus &status) const
+{
+    const EntryStatus &own = m_entries.at(m_self);
+    return std::all_of(status.inForce.begin(), status.inForce.end(), [&own](const auto &theirs) {
+        const auto place = own.inForce.find(theirs.first);
+        return theirs.second == 0 || (place != own.inForce.end() && place->second >= theirs.second);
+    });
+}
+
+std::optional<TimePoint> Membership::sentAt(std::uint64_t round) const
+{
+    const auto place = std::find_if(m_sentRounds.begin(), m_sentRounds.end(),
+                                    [round](const auto &sent) { return sent.first == round; });
+    return round == 0 || place == m_sentRounds.end() ? std::nullopt : std::optional(place->second);
+}
+
+}
--- a/src/platform.h
+++ b/src/platform.h
@@ -25,6 +25,7 @@
 template<class T>
 using Done = std::function<void(Result<T>)>;
 
+/// An empty batch at the end of the watch time proves that nothing changed until then.
 struct WatchBatch
 {
     std::uint64_t version = 0;       // watch again from here
@@ -48,10 +49,11 @@
                             Done<std::string> name, Done<std::vector<InstanceRecord>> records, Done<bool> flag)
 {
     platform.read(text, value);            // a missing key answers version 0
-    platform.list(text, values);           // all keys with this prefix
+    platform.list(text, values);           // all keys with one of these prefixes, separated by commas
     platform.swap(swap, number);           // the new version
     platform.remove(text, version, flag);  // compare-and-delete
-    platform.watch(text, version, batch);  // waits for a change of a key with this prefix after the version
+    platform.watch(text, version, batch);  // waits for a change under these prefixes after the version; after 0: all
+                                           // values; NotFound: too far behind, begin again from 0
     platform.grantLease(time, name);
     platform.renewLease(text, flag);  // false: the lease has lapsed
     platform.instances(records);
@@ -60,19 +62,25 @@
 
 // [3] HTTP/JSON adapter -----------------------------------------------------------------------------------------------
 
+constexpr Duration DefaultWatchTimeout{500'000};
+
 struct PlatformSettings
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
     Duration callTimeout{1'000'000};
-    Duration watchTimeout{30'000'000};
+    /// Time after which an unchanged watch answers. The answer is what renews the entry's view, whose age is counted
+    /// from the start of the watch, so it must stay well below ViewTimeout.
+    Duration watchTimeout = DefaultWatchTimeout;
 };
 
 class HttpPlatform
 {
 public:
     HttpPlatform(boost::asio::io_context &io, PlatformSettings settings);
-    ~HttpPlatform();
+    ~HttpPlatform();  // calls that are still due are not completed
+    HttpPlatform(const HttpPlatform &) = delete;
+    HttpPlatform &operator=(const HttpPlatform &) = delete;
 
     void read(const std::string &key, Done<StoreValue> done);
     void list(const std::string &prefix, Done<std::vector<StoreValue>> done);
@@ -100,11 +108,15 @@
     bool holdCalls = false;  // calls are kept until it is cleared and release() is called
 };
 
-/// Keeps everything in memory of this process: for `--platform embedded` and as the fake in tests.
+/// Keeps everything in memory of this process: for `--platform embedded` and as the fake in tests. The io_context must
+/// outlive it; completions that are still due when it ends are not called.
 class EmbeddedPlatform
 {
 public:
     explicit EmbeddedPlatform(boost::asio::io_context &io);
+    ~EmbeddedPlatform();
+    EmbeddedPlatform(const EmbeddedPlatform &) = delete;
+    EmbeddedPlatform &operator=(const EmbeddedPlatform &) = delete;
 
     void read(const std::string &key, Done<StoreValue> done);
     void list(const std::string &prefix, Done<std::vector<StoreValue>> done);
@@ -120,7 +132,8 @@
     std::vector<InstanceRecord> records;  // what instances() answers
     std::size_t writes = 0;               // calls that changed or tried to change a value
     std::size_t reads = 0;
-    void release();  // runs held calls
+    Duration rebootTime{500'000};  // from the reboot call until the record is live again
+    void release();                // runs held calls
 
 private:
     struct Impl;
--- /dev/null
+++ b/src/platform_embedded.cpp
@@ -0,0 +1,262 @@
+#include "platform_store.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace briarvane
+{
+
+namespace
+{
+
+TimePoint steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+Error down()
+{
+    return Error{ErrorCode::Unavailable, "the store is down"};
+}
+
+}
+
+struct EmbeddedPlatform::Impl : std::enable_shared_from_this<EmbeddedPlatform::Impl>
+{
+    struct Watch
+    {
+        std::string prefixes;
+        std::uint64_t after = 0;
+        TimePoint until;
+        Done<WatchBatch> done;
+    };
+
+    Impl(boost::asio::io_context &ioContext, EmbeddedPlatform &platform)
+        : io(ioContext)
+        , owner(&platform)
+        , timer(ioContext)
+    {
+    }
+
+    template<class T>
+    void complete(const Done<T> &done, Result<T> result)
+    {
+        boost::asio::post(io, [self = shared_from_this(), done, result = std::move(result)] {
+            if (self->owner) {
+                done(result);
+            }
+        });
+    }
+
+    /// Runs the call now, or keeps it while calls are held.
+    void run(std::function<void()> call)
+    {
+        if (owner->faults.holdCalls) {
+            held.push_back(std::move(call));
+            return;
+        }
+        store.expire(steadyNow());
+        call();
+        wakeWatches();
+    }
+
+    template<class T>
+    void reading(const Done<T> &done, std::function<Result<T>()> call)
+    {
+        run([this, done, call = std::move(call)] {
+            ++owner->reads;
+            complete<T>(done, owner->faults.down ? Result<T>(down()) : call());
+        });
+    }
+
+    template<class T>
+    void writing(const Done<T> &done, std::function<Result<T>()> call)
+    {
+        run([this, done, call = std::move(call)] {
+            EmbeddedFaults &faults = owner->faults;
+            ++owner->writes;
+            if (faults.down) {
+                complete<T>(done, down());
+            } else if (faults.failWrites > 0) {
+                --faults.failWrites;
+                complete<T>(done, Error{ErrorCode::Unavailable, "the write failed"});
+            } else if (faults.loseAnswers > 0) {
+                --faults.loseAnswers;
+                static_cast<void>(call());
+                complete<T>(done, Error{ErrorCode::Unknown, "the answer was lost"});
+            } else {
+                complete<T>(done, call());
+            }
+        });
+    }
+
+    /// Lease and reboot calls: not counted, and not subject to the faults of writes, so that a test's fault hits the
+    /// write it is meant for and not a renewal in the background.
+    template<class T>
+    void other(const Done<T> &done, std::function<Result<T>()> call)
+    {
+        run([this, done, call = std::move(call)] {
+            complete<T>(done, owner->faults.down ? Result<T>(down()) : call());
+        });
+    }
+
+    /// Answers watches that see a change, whose time has come, or whose store is down.
+    void wakeWatches()
+    {
+        const TimePoint now = steadyNow();
+        std::vector<Watch> waiting;
+        waiting.swap(watches);
+        for (Watch &watch : waiting) {
+            if (owner->faults.down) {
+                complete<WatchBatch>(watch.done, down());
+                continue;
+            }
+            Result<WatchBatch> batch = store.changes(watch.prefixes, watch.after);
+            if (!batch || !batch.value().values.empty() || watch.until <= now) {
+                complete<WatchBatch>(watch.done, std::move(batch));
+            } else {
+                watches.push_back(std::move(watch));
+            }
+        }
+        schedule();
+    }
+
+    /// Sets the timer to the next end of a lease, a watch or a reboot. A switched-off store is noticed by waiting
+    /// watches at their end at the latest.
+    void schedule()
+    {
+        std::optional<TimePoint> next = store.nextExpiry();
+        const auto consider = [&next](TimePoint time) { next = next ? std::min(*next, time) : time; };
+        for (const Watch &watch : watches) {
+            consider(watch.until);
+        }
+        for (const auto &[instance, until] : reboots) {
+            consider(until);
+        }
+        if (!next || timerAt == next) {
+            return;
+        }
+        timerAt = next;
+        timer.expires_at(*next);
+        timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+            if (!error && self->owner) {
+                self->timerAt.reset();
+                self->onTimer();
+            }
+        });
+    }
+
+    void onTimer()
+    {
+        const TimePoint now = steadyNow();
+        store.expire(now);
+        std::erase_if(reboots, [this, now](const auto &reboot) {
+            if (reboot.second > now) {
+                return false;
+            }
+            setPresence(reboot.first, Presence::Live);
+            return true;
+        });
+        wakeWatches();
+    }
+
+    bool setPresence(const InstanceId &instance, Presence presence)
+    {
+        for (InstanceRecord &record : owner->records) {
+            if (record.id == instance) {
+                record.presence = presence;
+                return true;
+            }
+        }
+        return false;
+    }
+
+    boost::asio::io_context &io;
+    EmbeddedPlatform *owner;
+    boost::asio::steady_timer timer;
+    std::optional<TimePoint> timerAt;
+    MemoryStore store;
+    std::vector<Watch> watches;
+    std::vector<std::function<void()>> held;
+    std::map<InstanceId, TimePoint> reboots;
+};
+
+EmbeddedPlatform::EmbeddedPlatform(boost::asio::io_context &io)
+    : m_impl(std::make_shared<Impl>(io, *this))
+{
+}
+
+EmbeddedPlatform::~EmbeddedPlatform()
+{
+    m_impl->owner = nullptr;
+    m_impl->timer.cancel();
+    m_impl->watches.clear();
+    m_impl->held.clear();
+}
+
+void EmbeddedPlatform::read(const std::string &key, Done<StoreValue> done)
+{
+    m_impl->reading<StoreValue>(done, [impl = m_impl.get(), key] { return impl->store.read(key); });
+}
+
+void EmbeddedPlatform::list(const std::string &prefix, Done<std::vector<StoreValue>> done)
+{
+    m_impl->reading<std::vector<StoreValue>>(done, [impl = m_impl.get(), prefix] { return impl->store.list(prefix); });
+}
+
+void EmbeddedPlatform::swap(const SwapRequest &request, Done<std::uint64_t> done)
+{
+    m_impl->writing<std::uint64_t>(done, [impl = m_impl.get(), request] { return impl->store.swap(request); });
+}
+
+void EmbeddedPlatform::remove(const std::string &key, std::uint64_t expected, Done<bool> done)
+{
+    m_impl->writing<bool>(done, [impl = m_impl.get(), key, expected] { return impl->store.remove(key, expected); });
+}
+
+void EmbeddedPlatform::watch(const std::string &prefix, std::uint64_t after, Done<WatchBatch> done)
+{
+    m_impl->run([impl = m_impl.get(), prefix, after, done = std::move(done)] {
+        ++impl->owner->reads;
+        impl->watches.push_back({prefix, after, steadyNow() + DefaultWatchTimeout, done});
+    });
+}
+
+void EmbeddedPlatform::grantLease(Duration ttl, Done<std::string> done)
+{
+    m_impl->other<std::string>(done, [impl = m_impl.get(), ttl] { return impl->store.grantLease(ttl, steadyNow()); });
+}
+
+void EmbeddedPlatform::renewLease(const std::string &lease, Done<bool> done)
+{
+    m_impl->other<bool>(done, [impl = m_impl.get(), lease] { return impl->store.renewLease(lease, steadyNow()); });
+}
+
+void EmbeddedPlatform::instances(Done<std::vector<InstanceRecord>> done)
+{
+    m_impl->reading<std::vector<InstanceRecord>>(done, [impl = m_impl.get()] { return impl->owner->records; });
+}
+
+void EmbeddedPlatform::reboot(const InstanceId &instance, Done<bool> done)
+{
+    m_impl->other<bool>(done, [impl = m_impl.get(), instance]() -> Result<bool> {
+        if (!impl->setPresence(instance, Presence::Gone)) {
+            return Error{ErrorCode::NotFound, "no such instance"};
+        }
+        impl->reboots[instance] = steadyNow() + impl->owner->rebootTime;
+        return true;
+    });
+}
+
+void EmbeddedPlatform::release()
+{
+    std::vector<std::function<void()>> calls;
+    calls.swap(m_impl->held);
+    for (std::function<void()> &call : calls) {
+        m_impl->run(std::move(call));
+    }
+}
+
+}
--- /dev/null
+++ b/src/platform_store.cpp
@@ -0,0 +1,160 @@
+#include "platform_store.h"
+
+#include <algorithm>
+
+namespace briarvane
+{
+
+namespace
+{
+
+std::vector<std::string> splitPrefixes(const std::string &prefixes)
+{
+    std::vector<std::string> parts;
+    std::size_t begin = 0;
+    while (true) {
+        const std::size_t end = prefixes.find(',', begin);
+        parts.push_back(prefixes.substr(begin, end - begin));
+        if (end == std::string::npos) {
+            return parts;
+        }
+        begin = end + 1;
+    }
+}
+
+bool matches(const std::vector<std::string> &prefixes, const std::string &key)
+{
+    return std::any_of(prefixes.begin(), prefixes.end(),
+                       [&key](const std::string &prefix) { return key.starts_with(prefix); });
+}
+
+Error conflict(std::uint64_t present)
+{
+    return Error{ErrorCode::Conflict, "the value changed, its version is " + std::to_string(present)};
+}
+
+}
+
+StoreValue MemoryStore::read(const std::string &key) const
+{
+    const auto place = m_values.find(key);
+    return place == m_values.end() ? StoreValue{key, "", 0}
+                                   : StoreValue{key, place->second.value, place->second.version};
+}
+
+std::vector<StoreValue> MemoryStore::list(const std::string &prefixes) const
+{
+    const std::vector<std::string> parts = splitPrefixes(prefixes);
+    std::vector<StoreValue> values;
+    for (const auto &[key, kept] : m_values) {
+        if (matches(parts, key)) {
+            values.push_back({key, kept.value, kept.version});
+        }
+    }
+    return values;
+}
+
+Result<std::uint64_t> MemoryStore::swap(const SwapRequest &request)
+{
+    if (request.value.size() > ValueLimit) {
+        return Error{ErrorCode::Invalid, "the value is larger than 1 MB"};
+    }
+    if (!request.lease.empty() && !m_leases.contains(request.lease)) {
+        return Error{ErrorCode::NotFound, "the lease has lapsed"};
+    }
+    const std::uint64_t present = read(request.key).version;
+    if (present != request.expected) {
+        return conflict(present);
+    }
+    m_values[request.key] = {request.value, ++m_version, request.lease};
+    return m_version;
+}
+
+Result<bool> MemoryStore::remove(const std::string &key, std::uint64_t expected)
+{
+    const auto place = m_values.find(key);
+    if (place == m_values.end()) {
+        return Error{ErrorCode::NotFound, "no such key"};
+    }
+    if (place->second.version != expected) {
+        return conflict(place->second.version);
+    }
+    erase(place);
+    return true;
+}
+
+Result<WatchBatch> MemoryStore::changes(const std::string &prefixes, std::uint64_t after) const
+{
+    if (after != 0 && after < m_forgotten) {
+        return Error{ErrorCode::NotFound, "deletions since version " + std::to_string(after) + " are not known"};
+    }
+    const std::vector<std::string> parts = splitPrefixes(prefixes);
+    WatchBatch batch{m_version, {}};
+    for (const auto &[key, kept] : m_values) {
+        if (kept.version > after && matches(parts, key)) {
+            batch.values.push_back({key, kept.value, kept.version});
+        }
+    }
+    for (const Deletion &deletion : m_deletions) {
+        if (deletion.version > after && matches(parts, deletion.key) && !m_values.contains(deletion.key)) {
+            batch.values.push_back({deletion.key, "", 0});
+        }
+    }
+    return batch;
+}
+
+std::uint64_t MemoryStore::version() const
+{
+    return m_version;
+}
+
+std::string MemoryStore::grantLease(Duration ttl, TimePoint now)
+{
+    const std::string lease = std::to_string(m_nextLease++);
+    m_leases[lease] = {ttl, now + ttl};
+    return lease;
+}
+
+bool MemoryStore::renewLease(const std::string &lease, TimePoint now)
+{
+    const auto place = m_leases.find(lease);
+    if (place == m_leases.end() || place->second.until <= now) {
+        return false;
+    }
+    place->second.until = now + place->second.ttl;
+    return true;
+}
+
+bool MemoryStore::expire(TimePoint now)
+{
+    const std::uint64_t before = m_version;
+    std::erase_if(m_leases, [now](const auto &lease) { return lease.second.until <= now; });
+    for (auto place = m_values.begin(); place != m_values.end();) {
+        const auto next = std::next(place);
+        if (!place->second.lease.empty() && !m_leases.contains(place->second.lease)) {
+            erase(place);
+        }
+        place = next;
+    }
+    return m_version != before;
+}
+
+std::optional<TimePoint> MemoryStore::nextExpiry() const
+{
+    const auto place = std::min_element(m_leases.begin(), m_leases.end(), [](const auto &left, const auto &right) {
+        return left.second.until < right.second.until;
+    });
+    return place == m_leases.end() ? std::nullopt : std::optional(place->second.until);
+}
+
+void MemoryStore::erase(std::map<std::string, Kept>::iterator place)
+{
+    m_deletions.push_back({place->first, ++m_version});
+    m_values.erase(place);
+    if (m_deletions.size() > DeletionLimit) {
+        m_forgotten = m_deletions.front().version;
+        m_deletions.pop_front();
+    }
+}
+
+}
