--- /dev/null
+++ b/src/upstream.cpp
@@ -0,0 +1,656 @@
+#include "upstream.h"
+
+#include "http_timers.h"
+
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+
+#include <array>
+#include <deque>
+#include <unordered_set>
+
+namespace briarvane
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
+using Call = UpstreamCall::State;
+
+namespace
+{
+
+constexpr std::size_t ReadSize = 64 * 1024;  // of the buffer that all connections share
+constexpr int ReadsPerTurn = 8;              // so that one large answer does not hold up the event loop
+constexpr int InterimAnswers = 8;            // 1xx answers accepted before the final one
+constexpr Duration SweepPeriod{1'000'000};
+
+}
+
+// Parts of the client -------------------------------------------------------------------------------------------------
+
+namespace upstream
+{
+
+/// Waits for readability instead of reading ahead: bytes that arrive on an idle connection stay in the socket, where
+/// the probe before reuse finds them, so they can never be taken for the answer to the next request.
+struct Connection : std::enable_shared_from_this<Connection>
+{
+    Connection(UpstreamClient::Impl &client, std::shared_ptr<struct Instance> target);
+
+    void connect();
+    void begin(const std::shared_ptr<Call> &next);
+    void write();
+    void waitReadable();
+    void readable();
+    bool parse(std::string_view &data);  // false: the call has ended or the connection is closed
+    bool parseHead(std::string_view &data);
+    void complete(bool bytesLeft);
+    void fail(UpstreamResult result);
+    void close();
+    bool stillUsable();
+
+    std::shared_ptr<UpstreamClient::Impl> impl;
+    std::shared_ptr<struct Instance> instance;
+    Socket socket;
+    std::shared_ptr<Call> call;
+    bool closed = false;
+    bool reused = false;
+    bool readPending = false;
+    bool writePending = false;
+    bool writeFailed = false;
+    std::string in;  // received and not yet parsed
+    std::size_t scanned = 0;
+    std::optional<HttpParser<false>> parser;
+    bool headPassed = false;
+    bool anyReceived = false;
+    bool closeAfter = false;  // the upstream announced that it closes
+    int status = 0;
+    int interim = 0;
+    Timers::Key connectTimer;
+    TimePoint idleSince;
+};
+
+/// Connections and waiting calls of one instance.
+struct Instance
+{
+    UpstreamEndpoint endpoint;
+    bool retired = false;  // no longer configured: no connection is kept idle
+    std::unordered_set<std::shared_ptr<Connection>> open;
+    std::vector<std::shared_ptr<Connection>> idle;  // the last one was used last
+    std::deque<std::shared_ptr<Call>> waiting;
+};
+
+}
+
+using upstream::Connection;
+using upstream::Instance;
+
+struct UpstreamClient::Impl : std::enable_shared_from_this<UpstreamClient::Impl>
+{
+    Impl(asio::io_context &context, UpstreamSettings limits)
+        : io(context)
+        , settings(limits)
+        , timers(context)
+    {
+    }
+
+    void start(const std::shared_ptr<Call> &call);
+    void serveWaiting(Instance &instance);
+    void scheduleSweep();
+    void retire(Instance &instance);
+
+    asio::io_context &io;
+    UpstreamSettings settings;
+    Timers timers;
+    std::map<InstanceId, std::shared_ptr<Instance>> instances;
+    std::vector<char> readBuffer = std::vector<char>(ReadSize);
+    bool sweeping = false;
+};
+
+struct UpstreamCall::State : std::enable_shared_from_this<UpstreamCall::State>
+{
+    void end(UpstreamResult result);
+    void detach();
+    bool wholeSent() const
+    {
+        return written == head.size() + body.size();
+    }
+
+    std::shared_ptr<UpstreamClient::Impl> impl;
+    std::shared_ptr<Instance> instance;
+    std::shared_ptr<Connection> connection;  // while it connects or is in use
+    std::string head;                        // request line and fields
+    std::string body;
+    std::size_t written = 0;
+    bool isHead = false;
+    bool sent = false;
+    bool ended = false;
+    bool starting = false;  // inside send(): the end is posted
+    bool paused = false;
+    Timers::Key timer;
+    UpstreamEvents events;
+};
+
+// Calls ---------------------------------------------------------------------------------------------------------------
+
+void UpstreamCall::State::detach()
+{
+    impl->timers.cancel(timer);
+    if (connection != nullptr) {
+        connection->call = nullptr;
+        connection = nullptr;
+    }
+}
+
+void UpstreamCall::State::end(UpstreamResult result)
+{
+    if (ended) {
+        return;
+    }
+    detach();
+    ended = true;
+    auto finish = std::move(events.end);
+    // The other two are kept until their caller returns, since one of them may be running now.
+    if (starting) {
+        asio::post(impl->io, [finish = std::move(finish), result] { finish(result); });
+    } else {
+        finish(result);
+    }
+}
+
+bool UpstreamCall::sent() const
+{
+    return m_state != nullptr && m_state->sent;
+}
+
+void UpstreamCall::cancel()
+{
+    if (m_state == nullptr || m_state->ended) {
+        return;
+    }
+    const auto state = m_state;
+    state->ended = true;
+    const auto connection = state->connection;
+    state->detach();
+    if (connection != nullptr) {
+        connection->close();
+    }
+}
+
+void UpstreamCall::pause()
+{
+    if (m_state != nullptr) {
+        m_state->paused = true;
+    }
+}
+
+void UpstreamCall::resume()
+{
+    if (m_state != nullptr && m_state->paused) {
+        m_state->paused = false;
+        if (m_state->connection != nullptr) {
+            m_state->connection->waitReadable();
+        }
+    }
+}
+
+// Connections ---------------------------------------------------------------------------------------------------------
+
+Connection::Connection(UpstreamClient::Impl &client, std::shared_ptr<Instance> target)
+    : impl(client.shared_from_this())
+    , instance(std::move(target))
+    , socket(client.io)
+{
+}
+
+void Connection::connect()
+{
+    error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(instance->endpoint.address, error), instance->endpoint.port);
+    if (!error) {
+        socket.open(endpoint.protocol(), error);
+    }
+    if (error) {
+        fail(UpstreamResult::ConnectFailed);
+        return;
+    }
+    socket.non_blocking(true, error);
+    socket.set_option(tcp::no_delay(true), error);
+    connectTimer
+        = impl->timers.at(steadyNow() + impl->settings.connectTimeout, [this] { fail(UpstreamResult::ConnectFailed); });
+    socket.async_connect(endpoint, [self = shared_from_this()](const error_code &failure) {
+        self->impl->timers.cancel(self->connectTimer);
+        if (self->closed) {
+            return;
+        }
+        if (failure) {
+            self->fail(UpstreamResult::ConnectFailed);
+            return;
+        }
+        self->waitReadable();
+        self->write();
+    });
+}
+
+void Connection::begin(const std::shared_ptr<Call> &next)
+{
+    call = next;
+    next->connection = shared_from_this();
+    parser.reset();
+    in.clear();
+    scanned = 0;
+    headPassed = anyReceived = false;
+    interim = 0;
+}
+
+void Connection::write()
+{
+    if (closed || writePending || writeFailed || call == nullptr) {
+        return;
+    }
+    while (!call->wholeSent()) {
+        const std::size_t headLeft = call->head.size() - std::min(call->written, call->head.size());
+        const std::size_t bodyLeft = call->head.size() + call->body.size() - call->written - headLeft;
+        const std::array<asio::const_buffer, 2> pieces{
+            asio::buffer(call->head.data() + call->head.size() - headLeft, headLeft),
+            asio::buffer(call->body.data() + call->body.size() - bodyLeft, bodyLeft)};
+        error_code error;
+        const std::size_t size = socket.write_some(pieces, error);
+        if (size > 0) {
+            call->sent = true;
+            call->written += size;
+        }
+        if (error == asio::error::would_block) {
+            writePending = true;
+            socket.async_wait(Socket::wait_write, [self = shared_from_this()](const error_code &) {
+                self->writePending = false;
+                self->write();
+            });
+            return;
+        }
+        if (error) {
+            if (!call->sent && reused) {
+                // The upstream closed this idle connection after the probe and no byte was sent on it.
+                const auto other = call;
+                other->connection = nullptr;
+                call = nullptr;
+                close();
+                impl->start(other);
+            } else if (!call->sent) {
+                fail(UpstreamResult::ConnectFailed);
+            } else {
+                writeFailed = true;  // the upstream may have answered early; reading tells
+            }
+            return;
+        }
+    }
+}
+
+void Connection::waitReadable()
+{
+    if (closed || readPending || (call != nullptr && call->paused)) {
+        return;
+    }
+    readPending = true;
+    socket.async_wait(Socket::wait_read, [self = shared_from_this()](const error_code &error) {
+        self->readPending = false;
+        if (!self->closed && !error) {
+            self->readable();
+        }
+    });
+}
+
+void Connection::readable()
+{
+    std::vector<char> &buffer = impl->readBuffer;
+    for (int turn = 0; turn < ReadsPerTurn && !closed; ++turn) {
+        if (call != nullptr && call->paused) {
+            return;
+        }
+        error_code error;
+        const std::size_t size = socket.read_some(asio::buffer(buffer), error);
+        if (error == asio::error::would_block) {
+            break;
+        }
+        if (call == nullptr) {  // closed by the upstream, or bytes that nobody asked for
+            close();
+            return;
+        }
+        if (error) {
+            fail(!call->sent       ? UpstreamResult::ConnectFailed
+                     : anyReceived ? UpstreamResult::Truncated
+                                   : UpstreamResult::Reset);
+            return;
+        }
+        anyReceived = true;
+        std::string_view data(buffer.data(), size);
+        if (!in.empty()) {
+            in.append(data);
+            data = in;
+        }
+        if (!parse(data)) {
+            break;
+        }
+        // `data` is the unparsed rest, in the shared buffer or in `in`.
+        if (in.empty()) {
+            in = data;
+        } else {
+            in.erase(0, in.size() - data.size());
+        }
+        if (in.size() > impl->settings.headerLimit) {
+            fail(UpstreamResult::Truncated);
+            return;
+        }
+        if (size < buffer.size()) {
+            break;
+        }
+    }
+    waitReadable();
+}
+
+bool Connection::parseHead(std::string_view &data)
+{
+    parser.emplace();
+    parser->body_limit(boost::none);
+    parser->skip(call->isHead);
+    if (parser->parseHeader(data.substr(0, scanned)) != 0) {
+        fail(UpstreamResult::Truncated);
+        return false;
+    }
+    data.remove_prefix(std::exchange(scanned, 0));
+    const HttpHead &head = parser->head();
+    if (head.status < 200) {
+        if (head.status == 101 || ++interim > InterimAnswers) {
+            fail(UpstreamResult::Truncated);
+            return false;
+        }
+        parser.reset();
+        return true;
+    }
+    if (head.framing == Framing::UntilClose && !parser->is_done()) {
+        fail(UpstreamResult::Truncated);
+        return false;
+    }
+    status = head.status;
+    closeAfter = head.close;
+    headPassed = true;
+    const auto current = call;
+    parser->onBody([target = current.get()](std::string_view piece) {
+        if (!target->ended) {
+            target->events.body(piece);
+        }
+    });
+    current->events.head(head);
+    return call == current;
+}
+
+bool Connection::parse(std::string_view &data)
+{
+    const auto current = call;
+    while (true) {
+        if (!headPassed) {
+            const HeaderScan scan = scanHeader(data, impl->settings.headerLimit, scanned);
+            if (scan == HeaderScan::NeedMore) {
+                return true;
+            }
+            if (scan != HeaderScan::Complete) {
+                fail(UpstreamResult::Truncated);
+                return false;
+            }
+            if (!parseHead(data)) {
+                return false;
+            }
+            continue;
+        }
+        if (parser->is_done()) {
+            complete(!data.empty());
+            return false;
+        }
+        if (data.empty()) {
+            return true;
+        }
+        int failed = 0;
+        const std::size_t consumed = parser->parseBody(data, failed);
+        data.remove_prefix(consumed);
+        if (call != current) {
+            return false;
+        }
+        if (failed != 0) {
+            fail(UpstreamResult::Truncated);
+            return false;
+        }
+        if (consumed == 0 && !parser->is_done()) {
+            return true;
+        }
+    }
+}
+
+void Connection::complete(bool bytesLeft)
+{
+    const auto finished = call;
+    in.clear();
+    const bool reusable = !closeAfter && !bytesLeft && finished->wholeSent() && !writePending && !instance->retired;
+    finished->detach();
+    if (reusable) {
+        idleSince = steadyNow();
+        reused = true;
+        instance->idle.push_back(shared_from_this());
+    } else {
+        close();
+    }
+    finished->end(status >= 500 ? UpstreamResult::ServerError : UpstreamResult::Completed);
+    impl->serveWaiting(*instance);
+}
+
+/// Ends the call and closes the connection.
+void Connection::fail(UpstreamResult result)
+{
+    const auto self = shared_from_this();
+    const auto failed = call;
+    if (failed != nullptr) {
+        failed->detach();
+    }
+    close();
+    if (failed != nullptr) {
+        failed->end(result);
+    }
+}
+
+void Connection::close()
+{
+    if (closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    closed = true;
+    impl->timers.cancel(connectTimer);
+    error_code ignored;
+    socket.close(ignored);
+    instance->open.erase(self);
+    std::erase(instance->idle, self);
+    impl->serveWaiting(*instance);
+}
+
+bool Connection::stillUsable()
+{
+    char byte = 0;
+    error_code error;
+    socket.receive(asio::buffer(&byte, 1), Socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+// The client ----------------------------------------------------------------------------------------------------------
+
+void UpstreamClient::Impl::start(const std::shared_ptr<Call> &call)
+{
+    Instance &instance = *call->instance;
+    while (!instance.idle.empty()) {
+        const auto connection = instance.idle.back();
+        instance.idle.pop_back();
+        if (!connection->stillUsable()) {
+            connection->close();
+            continue;
+        }
+        connection->begin(call);
+        connection->waitReadable();
+        connection->write();
+        return;
+    }
+    if (static_cast<int>(instance.open.size()) >= std::max(1, instance.endpoint.connections)) {
+        instance.waiting.push_back(call);
+        return;
+    }
+    const auto connection = std::make_shared<Connection>(*this, call->instance);
+    instance.open.insert(connection);
+    connection->begin(call);
+    connection->connect();
+    scheduleSweep();
+}
+
+void UpstreamClient::Impl::serveWaiting(Instance &instance)
+{
+    while (!instance.waiting.empty()
+           && (!instance.idle.empty()
+               || static_cast<int>(instance.open.size()) < std::max(1, instance.endpoint.connections))) {
+        const auto call = instance.waiting.front();
+        instance.waiting.pop_front();
+        if (!call->ended) {
+            start(call);
+        }
+    }
+}
+
+void UpstreamClient::Impl::scheduleSweep()
+{
+    if (std::exchange(sweeping, true)) {
+        return;
+    }
+    timers.at(steadyNow() + SweepPeriod, [this] {
+        sweeping = false;
+        const TimePoint limit = steadyNow() - settings.idleTimeout;
+        bool anyOpen = false;
+        for (const auto &[id, instance] : instances) {
+            const auto idle = instance->idle;
+            for (const auto &connection : idle) {
+                if (connection->idleSince <= limit) {
+                    connection->close();
+                }
+            }
+            anyOpen = anyOpen || !instance->open.empty();
+        }
+        if (anyOpen) {
+            scheduleSweep();
+        }
+    });
+}
+
+void UpstreamClient::Impl::retire(Instance &instance)
+{
+    instance.retired = true;
+    const auto idle = instance.idle;
+    for (const auto &connection : idle) {
+        connection->close();
+    }
+}
+
+UpstreamClient::UpstreamClient(asio::io_context &io, UpstreamSettings settings)
+    : m_impl(std::make_shared<Impl>(io, settings))
+{
+}
+
+UpstreamClient::~UpstreamClient()
+{
+    const auto instances = std::exchange(m_impl->instances, {});
+    for (const auto &[id, instance] : instances) {
+        instance->waiting.clear();
+        const auto open = std::vector(instance->open.begin(), instance->open.end());
+        for (const auto &connection : open) {
+            if (connection->call != nullptr) {
+                connection->call->ended = true;
+                connection->call->detach();
+            }
+            connection->close();
+        }
+    }
+}
+
+void UpstreamClient::configure(std::map<InstanceId, UpstreamEndpoint> endpoints)
+{
+    for (auto it = m_impl->instances.begin(); it != m_impl->instances.end();) {
+        const auto found = endpoints.find(it->first);
+        Instance &instance = *it->second;
+        if (found != endpoints.end() && found->second.address == instance.endpoint.address
+            && found->second.port == instance.endpoint.port) {
+            instance.endpoint = found->second;
+            m_impl->serveWaiting(instance);
+            ++it;
+        } else {
+            m_impl->retire(instance);
+            it = m_impl->instances.erase(it);
+        }
+    }
+    for (auto &[id, endpoint] : endpoints) {
+        auto &instance = m_impl->instances[id];
+        if (instance == nullptr) {
+            instance = std::make_shared<Instance>();
+            instance->endpoint = std::move(endpoint);
+        }
+    }
+}
+
+bool UpstreamClient::knows(const InstanceId &instance) const
+{
+    return m_impl->instances.contains(instance);
+}
+
+UpstreamCall UpstreamClient::send(const InstanceId &instance, UpstreamRequest request, TimePoint deadline,
+                                  UpstreamEvents events)
+{
+    const auto call = std::make_shared<Call>();
+    call->impl = m_impl;
+    call->events = std::move(events);
+    call->isHead = request.method == "HEAD";
+    call->body = std::move(request.body);
+    call->head.reserve(512);
+    call->head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    appendFields(call->head, request.fields);
+    if (!call->body.empty() || request.declareLength) {
+        call->head.append("Content-Length: ").append(std::to_string(call->body.size())).append("\r\n");
+    }
+    call->head.append("\r\n");
+    call->starting = true;
+    const auto found = m_impl->instances.find(instance);
+    if (found == m_impl->instances.end()) {
+        call->end(UpstreamResult::NotSent);
+    } else {
+        call->instance = found->second;
+        call->timer = m_impl->timers.at(deadline, [weak = std::weak_ptr<Call>(call)] {
+            const auto late = weak.lock();
+            if (late == nullptr || late->ended) {
+                return;
+            }
+            if (late->connection == nullptr) {
+                late->end(UpstreamResult::NotSent);  // no connection became free
+            } else {
+                late->connection->fail(late->sent ? UpstreamResult::TimedOut : UpstreamResult::ConnectFailed);
+            }
+        });
+        m_impl->start(call);
+    }
+    call->starting = false;
+    return UpstreamCall(call);
+}
+
+std::map<InstanceId, UpstreamLoad> UpstreamClient::load() const
+{
+    std::map<InstanceId, UpstreamLoad> loads;
+    for (const auto &[id, instance] : m_impl->instances) {
+        loads[id] = {static_cast<int>(instance->open.size()), static_cast<int>(instance->idle.size())};
+    }
+    return loads;
+}
+
+}
