--- /dev/null
+++ b/src/orders.cpp
@@ -0,0 +1,931 @@
+#include "orders.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <orders.pb.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace briarvane
+{
+
+// [2] Keys and answers ------------------------------------------------------------------------------------------------
+
+namespace
+{
+
+void appendField(std::string &text, std::string_view field)
+{
+    // The length in front keeps ("a", "bc") and ("ab", "c") apart.
+    const std::uint64_t size = field.size();
+    text.append(reinterpret_cast<const char *>(&size), sizeof size);
+    text.append(field);
+}
+
+std::int64_t unixMs(WallTime time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}
+
+OrderKeyHash hashOrderKey(const ServiceId &service, const TenantId &tenant, std::string_view key)
+{
+    std::string text;
+    appendField(text, service.value);
+    appendField(text, tenant.value);
+    appendField(text, key);
+    const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+    return {hash.high64, hash.low64};
+}
+
+std::uint64_t hashOrderBody(std::string_view method, std::string_view target, std::string_view body)
+{
+    std::string text;
+    appendField(text, method);
+    appendField(text, target);
+    return XXH3_64bits_withSeed(body.data(), body.size(), XXH3_64bits(text.data(), text.size()));
+}
+
+std::int64_t orderKeyIssuedMs(std::string_view key)
+{
+    // RFC 9562: 48 bits of Unix milliseconds, then the version digit 7, then the variant digit 8, 9, a or b.
+    constexpr std::size_t TextSize = 36;
+    constexpr std::size_t VersionAt = 14;
+    constexpr std::size_t VariantAt = 19;
+    if (key.size() != TextSize || key[VersionAt] != '7'
+        || std::string_view("89abAB").find(key[VariantAt]) == std::string_view::npos) {
+        return 0;
+    }
+    std::int64_t issued = 0;
+    for (std::size_t i = 0; i < key.size(); ++i) {
+        if (i == 8 || i == 13 || i == 18 || i == 23) {
+            if (key[i] != '-') {
+                return 0;
+            }
+            continue;
+        }
+        const std::size_t lower = std::string_view("0123456789abcdef").find(key[i]);
+        const std::size_t upper = std::string_view("0123456789ABCDEF").find(key[i]);
+        const std::size_t digit = std::min(lower, upper);
+        if (digit == std::string_view::npos) {
+            return 0;
+        }
+        if (i < VersionAt - 1) {
+            issued = issued * 16 + static_cast<std::int64_t>(digit);
+        }
+    }
+    return issued;
+}
+
+// [3] Claims, records and their stored form ---------------------------------------------------------------------------
+
+namespace
+{
+
+std::string toBase64(const std::string &bytes)
+{
+    using namespace boost::archive::iterators;
+    using Encode = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+    std::string text(Encode(bytes.begin()), Encode(bytes.end()));
+    text.append((3 - bytes.size() % 3) % 3, '=');
+    return text;
+}
+
+std::optional<std::string> fromBase64(std::string_view text)
+{
+    using namespace boost::archive::iterators;
+    using Decode = transform_width<binary_from_base64<std::string_view::const_iterator>, 8, 6>;
+    if (text.size() % 4 != 0) {
+        return std::nullopt;
+    }
+    for (int i = 0; i < 2 && text.ends_with('='); ++i) {
+        text.remove_suffix(1);
+    }
+    const std::size_t size = text.size() * 3 / 4;
+    std::string bytes;
+    bytes.reserve(size);
+    try {
+        // Counted instead of compared with an end iterator, which would read past the unpadded text.
+        Decode at(text.begin());
+        for (std::size_t i = 0; i < size; ++i, ++at) {
+            bytes.push_back(static_cast<char>(*at));
+        }
+    } catch (const dataflow_exception &) {
+        return std::nullopt;
+    }
+    return bytes;
+}
+
+}
+
+std::string formatOrderSegment(const OrderSegment &segment)
+{
+    stored::Segment message;
+    std::map<ClaimOrigin, std::uint32_t> origins;
+    std::map<std::string_view, std::uint32_t> types;
+    message.set_base_ms(segment.records.empty() ? 0 : segment.records.front().changedMs);
+    for (const OrderRecord &record : segment.records) {
+        const auto [origin, newOrigin]
+            = origins.try_emplace(*record.origin, static_cast<std::uint32_t>(origins.size()));
+        if (newOrigin) {
+            stored::Origin *stored = message.add_origins();
+            stored->set_entry(record.origin->entry.value);
+            stored->set_start_id(record.origin->startId);
+        }
+        stored::Record *stored = message.add_records();
+        stored->set_key_high(record.key.high);
+        stored->set_key_low(record.key.low);
+        stored->set_body_hash(record.bodyHash);
+        stored->set_origin(origin->second);
+        stored->set_sequence(record.sequence);
+        stored->set_after_base_ms(record.changedMs - message.base_ms());
+        stored->set_state(static_cast<std::uint32_t>(record.state));
+        if (record.answer) {
+            stored->set_status(static_cast<std::uint32_t>(record.answer->status));
+            stored->set_body_kept(record.answer->bodyKept);
+            if (record.answer->bodyKept) {
+                stored->set_body(record.answer->body);
+            }
+            if (!record.answer->contentType.empty()) {
+                const auto [type, newType]
+                    = types.try_emplace(record.answer->contentType, static_cast<std::uint32_t>(types.size() + 1));
+                if (newType) {
+                    message.add_content_types(record.answer->contentType);
+                }
+                stored->set_content_type(type->second);
+            }
+        }
+    }
+    if (!segment.writer.entry.empty()) {
+        message.mutable_writer()->set_entry(segment.writer.entry.value);
+        message.mutable_writer()->set_start_id(segment.writer.startId);
+    }
+    message.set_batch(segment.batch);
+    message.set_next(segment.next);
+    for (const SealedRef &ref : segment.sealed) {
+        stored::SealedRef *stored = message.add_sealed();
+        stored->set_number(ref.number);
+        stored->set_newest_ms(ref.newestMs);
+    }
+    return toBase64(message.SerializeAsString());
+}
+
+Result<OrderSegment> parseOrderSegment(const std::string &text)
+{
+    OrderSegment segment;
+    if (text.empty()) {
+        return segment;
+    }
+    const std::optional<std::string> bytes = fromBase64(text);
+    stored::Segment message;
+    if (!bytes || !message.ParseFromString(*bytes)) {
+        return Error{ErrorCode::Invalid, "the value is not a segment of order records"};
+    }
+    std::vector<std::shared_ptr<const ClaimOrigin>> origins;
+    for (const stored::Origin &origin : message.origins()) {
+        origins.push_back(std::make_shared<const ClaimOrigin>(ClaimOrigin{{origin.entry()}, origin.start_id()}));
+    }
+    for (const stored::Record &stored : message.records()) {
+        if (stored.origin() >= origins.size() || stored.state() > static_cast<std::uint32_t>(OrderState::Unknown)
+            || stored.content_type() > static_cast<std::uint32_t>(message.content_types_size())) {
+            return Error{ErrorCode::Invalid, "an order record refers to something that is not in its segment"};
+        }
+        OrderRecord record;
+        record.key = {stored.key_high(), stored.key_low()};
+        record.bodyHash = stored.body_hash();
+        record.origin = origins[stored.origin()];
+        record.sequence = stored.sequence();
+        record.changedMs = message.base_ms() + stored.after_base_ms();
+        record.state = static_cast<OrderState>(stored.state());
+        if (record.state == OrderState::Finished) {
+            KeptAnswer answer;
+            answer.status = static_cast<int>(stored.status());
+            if (stored.content_type() > 0) {
+                answer.contentType = message.content_types(static_cast<int>(stored.content_type()) - 1);
+            }
+            answer.body = stored.body();
+            answer.bodyKept = stored.body_kept();
+            record.answer = std::make_shared<const KeptAnswer>(std::move(answer));
+        }
+        segment.records.push_back(std::move(record));
+    }
+    segment.writer = {{message.writer().entry()}, message.writer().start_id()};
+    segment.batch = message.batch();
+    segment.next = std::max<std::uint64_t>(message.next(), 1);
+    for (const stored::SealedRef &ref : message.sealed()) {
+        segment.sealed.push_back({ref.number(), ref.newest_ms()});
+    }
+    return segment;
+}
+
+// [5] OrderShard ------------------------------------------------------------------------------------------------------
+
+namespace
+{
+
+constexpr std::size_t BatchBytes = 256 * 1024;  // with head and base64 it stays far below the store's 1 MB
+constexpr std::size_t RecordBytes = 64;         // stored size of a record without a body, rounded up
+constexpr std::size_t RefBytes = 20;            // stored size of a reference to a segment
+
+/// Size of a head without its references, which rotation does not shorten.
+std::size_t recordBytes(const std::string &text, const OrderSegment &head)
+{
+    return text.size() - std::min(text.size(), head.sealed.size() * RefBytes);
+}
+
+}
+
+OrderShard::OrderShard(std::uint32_t shard, ClaimOrigin writer, OrderSettings settings)
+    : m_shard(shard)
+    , m_writer(std::move(writer))
+    , m_settings(settings)
+{
+}
+
+OrderCommands OrderShard::claim(ClaimOrder order, const OrderView &view)
+{
+    OrderCommands commands;
+    // Verdicts that need no new record come from memory, if the memory is recent or the record cannot change any more.
+    if (m_loaded) {
+        const OrderRecord *record = find(order.key, view);
+        const Decision decision = decide(order, record, view);
+        const bool recent = view.now - m_confirmedAt <= m_settings.staleAfter;
+        const bool own = record && record->sequence == order.claim.sequence && *record->origin == order.claim.origin;
+        if (!decision.record && !own && (decision.verdict == Verdict::Replay || (recent && record))) {
+            commands.push_back(GiveVerdict{order.claim, order.key, decision.verdict, decision.answer});
+            return commands;
+        }
+    }
+    if (m_queue.size() >= m_settings.queue) {
+        commands.push_back(GiveVerdict{order.claim, order.key, Verdict::Busy, nullptr});
+        return commands;
+    }
+    if (m_queue.empty()) {
+        m_queuedAt = view.now;
+    }
+    m_queue.push_back({std::move(order)});
+    step(view, commands);
+    return commands;
+}
+
+OrderCommands OrderShard::settle(SettleOrder order, const OrderView &view)
+{
+    OrderCommands commands;
+    if (order.state == OrderState::Abandoned) {
+        // A claim that no swap carried yet is dropped without a write.
+        const auto unsent = std::find_if(m_queue.begin(), m_queue.end(), [&](const Operation &operation) {
+            const auto *claim = std::get_if<ClaimOrder>(&operation.order);
+            return claim && !operation.sent && claim->claim == order.claim;
+        });
+        if (unsent != m_queue.end()) {
+            m_queue.erase(unsent);
+            commands.push_back(GiveVerdict{order.claim, order.key, Verdict::Busy, nullptr});
+            commands.push_back(ConfirmSettle{order.claim});
+            return commands;
+        }
+    }
+    if (m_queue.empty()) {
+        m_queuedAt = view.now;
+    }
+    m_queue.push_back({std::move(order)});
+    step(view, commands);
+    return commands;
+}
+
+OrderCommands OrderShard::tick(const OrderView &view)
+{
+    OrderCommands commands;
+    step(view, commands);
+    return commands;
+}
+
+OrderCommands OrderShard::readDone(std::uint64_t call, const Result<StoreValue> &result, const OrderView &view)
+{
+    OrderCommands commands;
+    if (call == 0 || call != m_call) {
+        return commands;
+    }
+    m_call = 0;
+    const Phase phase = std::exchange(m_phase, Phase::Idle);
+    if (!result) {
+        // A failed read of the head or of a segment is repeated from the head; of a sealed segment, from the seal.
+        backOff(view);
+    } else if (phase == Phase::ReadHead) {
+        headRead(result.value(), view, commands);
+    } else if (phase == Phase::ReadSegment) {
+        segmentRead(result.value(), view);
+    } else if (phase == Phase::ReadSeal) {
+        if (result.value().version != 0 && result.value().value == m_sealText) {
+            m_sealedFor = m_version;
+            m_sealStoreVersion = result.value().version;
+        } else if (result.value().version != 0) {
+            // Another writer sealed other records under this number. It may still swap a head that refers to them, so
+            // they stay until a head of this writer is confirmed.
+            m_strays[m_sealNumber] = result.value().version;
+            ++m_sealNumber;
+        }
+    }
+    step(view, commands);
+    return commands;
+}
+
+OrderCommands OrderShard::swapDone(std::uint64_t call, const Result<std::uint64_t> &result, const OrderView &view)
+{
+    OrderCommands commands;
+    if (call == 0 || call != m_call) {
+        return commands;
+    }
+    m_call = 0;
+    const Phase phase = std::exchange(m_phase, Phase::Idle);
+    if (phase == Phase::Seal) {
+        if (result) {
+            m_sealedFor = m_version;
+            m_sealStoreVersion = result.value();
+        } else if (result.error().code == ErrorCode::Conflict || result.error().code == ErrorCode::Unknown) {
+            startRead(Phase::ReadSeal, segmentKey(m_sealNumber), commands);
+            return commands;
+        } else {
+            backOff(view);
+        }
+    } else if (result) {
+        finishBatch(result.value(), view, commands);
+    } else if (result.error().code == ErrorCode::Conflict || result.error().code == ErrorCode::Unknown) {
+        // Only the store knows whether the swap took effect: a conflict may come from the same swap carried out twice.
+        m_uncertain = true;
+        m_uncertainVersion = m_version;
+        m_loaded = false;
+        if (result.error().code == ErrorCode::Unknown) {
+            backOff(view);
+        }
+    } else {
+        requeue(false);
+        backOff(view);
+    }
+    step(view, commands);
+    return commands;
+}
+
+OrderCommands OrderShard::removeDone(std::uint64_t call, const Result<bool> &result, const OrderView &view)
+{
+    OrderCommands commands;
+    if (call == 0 || call != m_removeCall) {
+        return commands;
+    }
+    m_removeCall = 0;
+    if (result || result.error().code == ErrorCode::NotFound) {
+        m_removed.insert(m_removeNumber);
+        m_loadedSegments.erase(m_removeNumber);
+        std::erase_if(m_sealed, [&](const auto &item) {
+            const bool gone = expired(item.second.changedMs, view);
+            if (gone) {
+                addBytes(item.second, -1);
+            }
+            return gone;
+        });
+    }
+    return commands;
+}
+
+std::optional<TimePoint> OrderShard::nextTick() const
+{
+    if (m_call != 0 || (m_queue.empty() && m_inFlight.empty())) {
+        return std::nullopt;
+    }
+    return m_loaded ? std::max(m_flushAt, m_retryAt) : m_retryAt;
+}
+
+bool OrderShard::idle() const
+{
+    return m_call == 0 && m_removeCall == 0 && m_queue.empty() && m_inFlight.empty();
+}
+
+void OrderShard::unload()
+{
+    if (!idle()) {
+        return;
+    }
+    m_loaded = false;
+    m_head.clear();
+    m_sealed.clear();
+    m_refs.clear();
+    m_loadedSegments.clear();
+    m_removed.clear();
+    m_strays.clear();
+    m_origins.clear();
+    m_bodyBytes = 0;
+}
+
+std::size_t OrderShard::records() const
+{
+    return m_head.size() + m_sealed.size();
+}
+
+std::uint64_t OrderShard::rotations() const
+{
+    return m_rotations;
+}
+
+const std::string &OrderShard::damage() const
+{
+    return m_damage;
+}
+
+void OrderShard::step(const OrderView &view, OrderCommands &commands)
+{
+    expireQueue(view, commands);
+    if (m_call != 0 || (m_queue.empty() && m_inFlight.empty()) || view.now < m_retryAt) {
+        return;
+    }
+    if (!m_loaded) {
+        if (m_readNumber != 0) {
+            startRead(Phase::ReadSegment, segmentKey(m_readNumber), commands);
+        } else {
+            m_callStarted = view.now;
+            for (Operation &operation : m_queue) {
+                operation.readAgain = true;
+            }
+            for (Operation &operation : m_inFlight) {
+                operation.readAgain = true;
+            }
+            startRead(Phase::ReadHead, headKey(), commands);
+        }
+        return;
+    }
+    const bool claims = std::any_of(m_queue.begin(), m_queue.end(), [](const Operation &operation) {
+        return std::holds_alternative<ClaimOrder>(operation.order);
+    });
+    if (!claims) {
+        m_flushAt = std::max(m_flushAt, m_queuedAt + m_settings.settleGather);
+    } else {
+        m_flushAt = m_batchDone + m_settings.gather;
+    }
+    if (view.now >= m_flushAt) {
+        buildBatch(view, commands);
+    }
+}
+
+void OrderShard::buildBatch(const OrderView &view, OrderCommands &commands)
+{
+    removeExpiredSegment(view, commands);
+    m_batchMs = unixMs(view.wall);
+    m_changes.clear();
+    bool readFirst = false;
+    std::size_t bytes = 0;
+    auto end = m_queue.begin();
+    for (; end != m_queue.end() && bytes < BatchBytes; ++end) {
+        const std::size_t recorded = m_changes.size();
+        if (const auto *order = std::get_if<ClaimOrder>(&end->order)) {
+            const OrderRecord *record = findWithChanges(order->key, view);
+            Decision decision = decide(*order, record, view);
+            end->verdict = decision.verdict;
+            end->answer = std::move(decision.answer);
+            if (decision.record) {
+                m_changes[order->key] = {
+                    order->key,          order->bodyHash, shared(order->claim.origin), order->claim.sequence, m_batchMs,
+                    OrderState::Claimed, nullptr};
+            } else if (end->verdict != Verdict::Replay && end->verdict != Verdict::Busy) {
+                readFirst = readFirst || (!end->readAgain && view.now - m_confirmedAt > m_settings.staleAfter);
+            }
+        } else {
+            const auto &settle = std::get<SettleOrder>(end->order);
+            // Nothing to change by the records in memory: true only if they are newer than the settle.
+            readFirst = (!applySettle(settle, view) && !end->readAgain) || readFirst;
+            bytes += settle.answer ? settle.answer->body.size() : 0;
+        }
+        bytes += (m_changes.size() - recorded) * RecordBytes;
+    }
+    if (m_changes.empty()) {
+        if (readFirst) {
+            m_loaded = false;
+            step(view, commands);
+            return;
+        }
+        m_inFlight.assign(std::make_move_iterator(m_queue.begin()), std::make_move_iterator(end));
+        m_queue.erase(m_queue.begin(), end);
+        answerInFlight(commands);
+        return;
+    }
+    m_rotating = m_headBytes >= m_settings.segmentBytes;
+    if (m_rotating && m_sealedFor != m_version) {
+        seal(view, commands);
+        return;
+    }
+    OrderSegment head;
+    head.writer = m_writer;
+    head.batch = ++m_batch;
+    head.next = m_next;
+    for (const SealedRef &ref : m_refs) {
+        if (!m_removed.contains(ref.number)) {
+            head.sealed.push_back(ref);
+        }
+    }
+    if (m_rotating) {
+        head.sealed.push_back({m_sealNumber, m_sealNewestMs});
+        head.next = m_sealNumber + 1;
+    } else {
+        for (const auto &[key, record] : m_head) {
+            if (!m_changes.contains(key) && !expired(record.changedMs, view)) {
+                head.records.push_back(record);
+            }
+        }
+    }
+    for (const auto &[key, record] : m_changes) {
+        head.records.push_back(record);
+    }
+    m_inFlight.assign(std::make_move_iterator(m_queue.begin()), std::make_move_iterator(end));
+    m_queue.erase(m_queue.begin(), end);
+    m_batchSegment = std::move(head);
+    std::string text = formatOrderSegment(m_batchSegment);
+    m_batchBytes = recordBytes(text, m_batchSegment);
+    m_phase = Phase::Swap;
+    m_call = ++m_lastCall;
+    commands.push_back(SwapOrders{m_call, headKey(), m_version, std::move(text)});
+}
+
+void OrderShard::seal(const OrderView &view, OrderCommands &commands)
+{
+    if (m_sealVersion != m_version) {
+        // The records of another head version: the number is chosen anew, and what was sealed for the old version
+        // counts as another writer's.
+        m_sealVersion = m_version;
+        m_sealNumber = m_next;
+        m_sealNewestMs = 0;
+        OrderSegment sealed;
+        for (const auto &[key, record] : m_head) {
+            if (!expired(record.changedMs, view)) {
+                sealed.records.push_back(record);
+                m_sealNewestMs = std::max(m_sealNewestMs, record.changedMs);
+            }
+        }
+        m_sealText = formatOrderSegment(sealed);
+    }
+    m_phase = Phase::Seal;
+    m_call = ++m_lastCall;
+    commands.push_back(SwapOrders{m_call, segmentKey(m_sealNumber), 0, m_sealText});
+}
+
+void OrderShard::finishBatch(std::uint64_t version, const OrderView &view, OrderCommands &commands)
+{
+    m_version = version;
+    m_next = m_batchSegment.next;
+    m_refs = std::move(m_batchSegment.sealed);
+    m_headBytes = m_batchBytes;
+    std::erase_if(m_removed, [&](std::uint64_t number) { return !refersTo(number); });
+    m_uncertain = false;
+    m_loaded = true;
+    m_confirmedAt = view.now;
+    m_batchDone = view.now;
+    m_flushAt = view.now + m_settings.gather;
+    if (m_rotating) {
+        ++m_rotations;
+        m_loadedSegments[m_sealNumber] = m_sealStoreVersion;
+        for (auto &[key, record] : m_head) {
+            addBytes(record, -1);
+            put(m_sealed, std::move(record));
+        }
+        m_head.clear();
+        m_rotating = false;
+    }
+    std::erase_if(m_head, [&](const auto &item) {
+        const bool gone = item.second.changedMs + retentionMs() < m_batchMs;
+        if (gone) {
+            addBytes(item.second, -1);
+        }
+        return gone;
+    });
+    for (auto &[key, record] : m_changes) {
+        put(m_head, std::move(record));
+    }
+    m_changes.clear();
+    for (auto stray = m_strays.begin(); stray != m_strays.end();) {
+        if (stray->first < m_next && !refersTo(stray->first)) {
+            commands.push_back(RemoveOrders{0, segmentKey(stray->first), stray->second});
+        }
+        stray = m_strays.erase(stray);
+    }
+    answerInFlight(commands);
+    if (!m_queue.empty()) {
+        m_queuedAt = view.now;
+    }
+    for (Operation &operation : m_queue) {
+        operation.sent = false;
+    }
+}
+
+void OrderShard::answerInFlight(OrderCommands &commands)
+{
+    for (Operation &operation : m_inFlight) {
+        if (const auto *claim = std::get_if<ClaimOrder>(&operation.order)) {
+            commands.push_back(GiveVerdict{claim->claim, claim->key, operation.verdict, std::move(operation.answer)});
+        } else if (const auto &settle = std::get<SettleOrder>(operation.order); settle.state != OrderState::Claimed) {
+            commands.push_back(ConfirmSettle{settle.claim});
+        }
+    }
+    m_inFlight.clear();
+}
+
+void OrderShard::requeue(bool mayHaveTakenEffect)
+{
+    for (auto operation = m_inFlight.rbegin(); operation != m_inFlight.rend(); ++operation) {
+        operation->sent = operation->sent || mayHaveTakenEffect;
+        m_queue.push_front(std::move(*operation));
+    }
+    m_inFlight.clear();
+    m_changes.clear();
+}
+
+void OrderShard::headRead(const StoreValue &value, const OrderView &view, OrderCommands &commands)
+{
+    Result<OrderSegment> parsed = parseOrderSegment(value.value);
+    if (!parsed || value.version < m_version) {
+        // Without the records nothing may run.
+        m_damage = parsed ? headKey() + ": the store went back to an older version"
+                          : headKey() + ": " + parsed.error().message;
+        requeue(true);
+        backOff(view);
+        return;
+    }
+    OrderSegment &head = parsed.value();
+    if (!m_inFlight.empty()) {
+        if (value.version > m_version && head.writer == m_writer && head.batch == m_batch) {
+            finishBatch(value.version, view, commands);
+            return;
+        }
+        requeue(true);
+    }
+    if (m_uncertain && value.version > m_uncertainVersion) {
+        m_uncertain = false;
+        for (Operation &operation : m_queue) {
+            operation.sent = false;
+        }
+    }
+    m_version = value.version;
+    m_next = head.next;
+    m_headBytes = recordBytes(value.value, head);
+    m_refs = std::move(head.sealed);
+    m_removed.clear();
+    for (const auto &[key, record] : m_head) {
+        addBytes(record, -1);
+    }
+    m_head.clear();
+    for (OrderRecord &record : head.records) {
+        record.origin = shared(*record.origin);
+        put(m_head, std::move(record));
+    }
+    findMissingSegment();
+    if (m_readNumber == 0) {
+        m_loaded = true;
+        m_confirmedAt = m_callStarted;
+        m_damage.clear();
+    }
+}
+
+void OrderShard::segmentRead(const StoreValue &value, const OrderView &view)
+{
+    const std::uint64_t number = std::exchange(m_readNumber, 0);
+    const auto ref
+        = std::find_if(m_refs.begin(), m_refs.end(), [&](const SealedRef &item) { return item.number == number; });
+    if (ref == m_refs.end()) {
+        return;
+    }
+    const bool old = expired(ref->newestMs, view);
+    Result<OrderSegment> parsed = parseOrderSegment(value.value);
+    if (value.version == 0 && old) {
+        m_removed.insert(number);
+    } else if (value.version == 0 || !parsed) {
+        // The head that was read may be old by now and the segment expired since; if not, records are missing and
+        // nothing may run.
+        m_damage = segmentKey(number) + (parsed ? ": the segment is missing" : ": " + parsed.error().message);
+        backOff(view);
+        return;
+    } else {
+        for (OrderRecord &record : parsed.value().records) {
+            record.origin = shared(*record.origin);
+            put(m_sealed, std::move(record));
+        }
+        m_loadedSegments[number] = value.version;
+    }
+    findMissingSegment();
+    if (m_readNumber == 0) {
+        m_loaded = true;
+        m_confirmedAt = m_callStarted;
+        m_damage.clear();
+    }
+}
+
+void OrderShard::findMissingSegment()
+{
+    m_readNumber = 0;
+    for (const SealedRef &ref : m_refs) {
+        if (!m_loadedSegments.contains(ref.number) && !m_removed.contains(ref.number)) {
+            m_readNumber = ref.number;
+            return;
+        }
+    }
+}
+
+void OrderShard::expireQueue(const OrderView &view, OrderCommands &commands)
+{
+    for (auto operation = m_queue.begin(); operation != m_queue.end();) {
+        const auto *claim = std::get_if<ClaimOrder>(&operation->order);
+        // A claim that was in a swap of unknown effect stays: Busy would say that it is not recorded.
+        if (claim && !operation->sent && claim->deadline <= view.now) {
+            commands.push_back(GiveVerdict{claim->claim, claim->key, Verdict::Busy, nullptr});
+            operation = m_queue.erase(operation);
+        } else {
+            ++operation;
+        }
+    }
+}
+
+void OrderShard::removeExpiredSegment(const OrderView &view, OrderCommands &commands)
+{
+    if (m_removeCall != 0) {
+        return;
+    }
+    for (const SealedRef &ref : m_refs) {
+        // One margin more than the expiry of records: an entry whose clock is behind must not miss the segment.
+        const auto loaded = m_loadedSegments.find(ref.number);
+        if (loaded != m_loadedSegments.end() && expired(ref.newestMs + milliseconds(OrderClockMargin), view)) {
+            m_removeCall = ++m_lastCall;
+            m_removeNumber = ref.number;
+            commands.push_back(RemoveOrders{m_removeCall, segmentKey(ref.number), loaded->second});
+            return;
+        }
+    }
+}
+
+void OrderShard::startRead(Phase phase, std::string key, OrderCommands &commands)
+{
+    m_phase = phase;
+    m_call = ++m_lastCall;
+    commands.push_back(ReadOrders{m_call, std::move(key)});
+}
+
+void OrderShard::backOff(const OrderView &view)
+{
+    m_retryAt = view.now + m_settings.retry;
+}
+
+OrderShard::Decision OrderShard::decide(const ClaimOrder &order, const OrderRecord *record, const OrderView &view) const
+{
+    if (!record || record->state == OrderState::Abandoned) {
+        const bool own = record && record->sequence == order.claim.sequence && *record->origin == order.claim.origin;
+        if (own) {
+            return {Verdict::Busy};
+        }
+        if (order.issuedMs > 0 && order.issuedMs + milliseconds(m_settings.retention) < unixMs(view.wall)) {
+            return {Verdict::Unknown};  // its record may have been dropped
+        }
+        if (!record && records() + m_changes.size() >= m_settings.shardRecords) {
+            return {Verdict::Busy};
+        }
+        return {Verdict::Run, nullptr, true};
+    }
+    const bool own = record->sequence == order.claim.sequence && *record->origin == order.claim.origin;
+    if (own) {
+        return {record->state == OrderState::Claimed ? Verdict::Run : Verdict::Unknown};
+    }
+    if (record->bodyHash != order.bodyHash) {
+        return {Verdict::KeyConflict};
+    }
+    switch (record->state) {
+    case OrderState::Claimed:
+        return {std::find(view.live.begin(), view.live.end(), *record->origin) != view.live.end() ? Verdict::InProgress
+                                                                                                  : Verdict::Unknown};
+    case OrderState::Finished:
+        if (record->answer && record->answer->bodyKept) {
+            return {Verdict::Replay, record->answer};
+        }
+        return {Verdict::Unknown};
+    case OrderState::Abandoned:
+    case OrderState::Unknown:
+        break;
+    }
+    return {Verdict::Unknown};
+}
+
+bool OrderShard::applySettle(const SettleOrder &order, const OrderView &view)
+{
+    const OrderRecord *record = findWithChanges(order.key, view);
+    const bool own = record && record->sequence == order.claim.sequence && *record->origin == order.claim.origin;
+    if (record && !own) {
+        return false;  // the key belongs to another claim by now
+    }
+    switch (order.state) {
+    case OrderState::Claimed:
+        if (!record || record->state != OrderState::Claimed) {
+            return false;
+        }
+        break;
+    case OrderState::Abandoned:
+        // Without a record one is written all the same: it stops a copy of the claim that is still under way.
+        if (record ? record->state != OrderState::Claimed : records() + m_changes.size() >= m_settings.shardRecords) {
+            return false;
+        }
+        break;
+    case OrderState::Finished:
+    case OrderState::Unknown:
+        if (record && (record->state == OrderState::Finished || record->state == OrderState::Unknown)) {
+            return false;
+        }
+        break;
+    }
+    OrderRecord changed{order.key,   order.bodyHash, shared(order.claim.origin), order.claim.sequence, m_batchMs,
+                        order.state, nullptr};
+    if (record) {
+        changed.bodyHash = record->bodyHash;
+        changed.changedMs = std::max(changed.changedMs, record->changedMs);
+    }
+    if (order.state == OrderState::Finished && order.answer) {
+        const std::size_t size = order.answer->body.size();
+        if (order.answer->bodyKept && size <= m_settings.keptBody && m_bodyBytes + size <= m_settings.shardBytes) {
+            changed.answer = order.answer;
+        } else {
+            changed.answer = std::make_shared<const KeptAnswer>(
+                KeptAnswer{order.answer->status, order.answer->contentType, {}, false});
+        }
+    }
+    m_changes[order.key] = std::move(changed);
+    return true;
+}
+
+const OrderRecord *OrderShard::find(const OrderKeyHash &key, const OrderView &view) const
+{
+    for (const RecordMap *map : {&m_head, &m_sealed}) {
+        const auto found = map->find(key);
+        if (found != map->end()) {
+            return expired(found->second.changedMs, view) ? nullptr : &found->second;
+        }
+    }
+    return nullptr;
+}
+
+const OrderRecord *OrderShard::findWithChanges(const OrderKeyHash &key, const OrderView &view) const
+{
+    const auto found = m_changes.find(key);
+    return found != m_changes.end() ? &found->second : find(key, view);
+}
+
+bool OrderShard::expired(std::int64_t changedMs, const OrderView &view) const
+{
+    return changedMs + retentionMs() < unixMs(view.wall);
+}
+
+std::int64_t OrderShard::retentionMs() const
+{
+    return milliseconds(m_settings.retention + OrderClockMargin);
+}
+
+bool OrderShard::refersTo(std::uint64_t number) const
+{
+    return std::any_of(m_refs.begin(), m_refs.end(), [&](const SealedRef &ref) { return ref.number == number; });
+}
+
+std::shared_ptr<const ClaimOrigin> OrderShard::shared(const ClaimOrigin &origin)
+{
+    const auto found = std::find_if(m_origins.rbegin(), m_origins.rend(),
+                                    [&](const std::shared_ptr<const ClaimOrigin> &item) { return *item == origin; });
+    if (found != m_origins.rend()) {
+        return *found;
+    }
+    std::erase_if(m_origins, [](const auto &item) { return item.use_count() == 1; });
+    return m_origins.emplace_back(std::make_shared<const ClaimOrigin>(origin));
+}
+
+std::string OrderShard::headKey() const
+{
+    return "orders/" + std::to_string(m_shard);
+}
+
+std::string OrderShard::segmentKey(std::uint64_t number) const
+{
+    return headKey() + "/" + std::to_string(number);
+}
+
+void OrderShard::addBytes(const OrderRecord &record, int sign)
+{
+    const std::size_t bytes = record.answer ? record.answer->body.size() : 0;
+    m_bodyBytes = sign > 0 ? m_bodyBytes + bytes : m_bodyBytes - std::min(m_bodyBytes, bytes);
+}
+
+void OrderShard::put(RecordMap &map, OrderRecord record)
+{
+    addBytes(record, 1);
+    const auto [at, added] = map.try_emplace(record.key);
+    if (!added) {
+        addBytes(at->second, -1);
+    }
+    at->second = std::move(record);
+}
+
+}
--- a/src/orders.h
+++ b/src/orders.h
@@ -1,12 +1,26 @@
 #pragma once
 
 // Idempotency keys: each key is recorded in the store before its request is sent.
+//
+// Index
+// [1] Names
+// [2] Keys and answers
+// [3] Claims, records and their stored form
+// [4] Commands
+// [5] OrderShard
 
-#include "types.h"
+#include "membership.h"
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+#include <variant>
 
 namespace briarvane
 {
 
+// [1] Names -----------------------------------------------------------------------------------------------------------
+
 enum class OrderState { Claimed, Finished, Abandoned, Unknown };
 
 template<>
@@ -38,6 +52,8 @@
                                                                 {Verdict::Busy, "busy"}}};
 };
 
+// [2] Keys and answers ------------------------------------------------------------------------------------------------
+
 /// 128 bits of service, tenant and key.
 struct OrderKeyHash
 {
@@ -64,9 +80,267 @@
 {
     std::uint32_t shards = 16;
     Duration retention{3'600'000'000};
-    std::size_t keptBody = 4096;           // bytes of an answer that are kept in the store
-    std::size_t segmentBytes = 64 * 1024;  // the head rotates at this size
-    std::size_t shardRecords = 50'000;     // at the cap new keys are refused
+    std::size_t keptBody = 4096;                // bytes of an answer that are kept in the store
+    std::size_t segmentBytes = 64 * 1024;       // the head rotates at this size
+    std::size_t shardRecords = 50'000;          // at the cap new keys are refused
+    std::size_t shardBytes = 16 * 1024 * 1024;  // of kept bodies; above it a body is not kept
+    Duration gather{5'000};                     // least time between two batches of a shard
+    Duration settleGather{20'000};              // a batch without claims waits this long
+    Duration retry{100'000};                    // after a call that the store refused
+    Duration staleAfter{1'000'000};             // a verdict from memory needs store contact within this time
+    std::size_t queue = 20'000;                 // claims that wait in one shard
+};
+
+/// Clocks of entries and callers are assumed to agree within this time. Records are kept longer by it.
+constexpr Duration OrderClockMargin{60'000'000};
+
+// [3] Claims, records and their stored form ---------------------------------------------------------------------------
+
+/// A process that makes claims.
+struct ClaimOrigin
+{
+    EntryId entry;
+    std::uint64_t startId = 0;
+    auto operator<=>(const ClaimOrigin &) const = default;
+};
+
+/// Names one claim. Sequences are not reused within a start.
+struct ClaimId
+{
+    ClaimOrigin origin;
+    std::uint64_t sequence = 0;
+    auto operator<=>(const ClaimId &) const = default;
+};
+
+struct OrderKeyHasher
+{
+    std::size_t operator()(const OrderKeyHash &key) const
+    {
+        return static_cast<std::size_t>(key.low);  // already a hash
+    }
+};
+
+struct OrderRecord
+{
+    OrderKeyHash key;
+    std::uint64_t bodyHash = 0;
+    std::shared_ptr<const ClaimOrigin> origin;
+    std::uint64_t sequence = 0;
+    std::int64_t changedMs = 0;  // Unix time of the last change; retention counts from here
+    OrderState state = OrderState::Claimed;
+    std::shared_ptr<const KeptAnswer> answer;  // with Finished
+};
+
+struct SealedRef
+{
+    std::uint64_t number = 0;
+    std::int64_t newestMs = 0;
+};
+
+/// Content of the head or of a sealed segment.
+struct OrderSegment
+{
+    std::vector<OrderRecord> records;
+    ClaimOrigin writer;       // head only, as are the following
+    std::uint64_t batch = 0;  // of the writer
+    std::uint64_t next = 1;   // lowest number that a new segment may get
+    std::vector<SealedRef> sealed;
+};
+
+std::string formatOrderSegment(const OrderSegment &segment);
+Result<OrderSegment> parseOrderSegment(const std::string &text);  // empty text: an empty segment
+
+struct ClaimOrder
+{
+    OrderKeyHash key;
+    std::uint64_t bodyHash = 0;
+    ClaimId claim;
+    std::int64_t issuedMs = 0;  // 0: the key carries no time
+    TimePoint deadline;
+};
+
+/// Claimed renews the record of a long run, so that it is not forgotten while it runs.
+struct SettleOrder
+{
+    OrderKeyHash key;
+    std::uint64_t bodyHash = 0;
+    ClaimId claim;
+    OrderState state = OrderState::Unknown;
+    std::shared_ptr<const KeptAnswer> answer;
+};
+
+/// What a decision may depend on besides the shard's own state.
+struct OrderView
+{
+    TimePoint now;
+    WallTime wall;
+    std::vector<ClaimOrigin> live;  // entries that are live and their present starts
+};
+
+// [4] Commands --------------------------------------------------------------------------------------------------------
+
+struct ReadOrders
+{
+    std::uint64_t call = 0;
+    std::string key;
+};
+
+struct SwapOrders
+{
+    std::uint64_t call = 0;
+    std::string key;
+    std::uint64_t expected = 0;
+    std::string value;
+};
+
+struct RemoveOrders
+{
+    std::uint64_t call = 0;
+    std::string key;
+    std::uint64_t expected = 0;
+};
+
+struct GiveVerdict
+{
+    ClaimId claim;
+    OrderKeyHash key;
+    Verdict verdict = Verdict::Busy;
+    std::shared_ptr<const KeptAnswer> answer;
+};
+
+/// The settle is in the store or has nothing to change there.
+struct ConfirmSettle
+{
+    ClaimId claim;
+};
+
+using OrderCommand = std::variant<ReadOrders, SwapOrders, RemoveOrders, GiveVerdict, ConfirmSettle>;
+using OrderCommands = std::vector<OrderCommand>;
+
+// [5] OrderShard ------------------------------------------------------------------------------------------------------
+
+/// The shard's records as last confirmed by the store, and at most one batch in flight. Any number of entries may run
+/// one for the same shard: a verdict that needs a record is given only after this entry's swap of the head succeeded.
+class OrderShard
+{
+public:
+    OrderShard(std::uint32_t shard, ClaimOrigin writer, OrderSettings settings);
+
+    // Events; each returns what is to be done
+    OrderCommands claim(ClaimOrder order, const OrderView &view);
+    OrderCommands settle(SettleOrder order, const OrderView &view);
+    OrderCommands readDone(std::uint64_t call, const Result<StoreValue> &result, const OrderView &view);
+    OrderCommands swapDone(std::uint64_t call, const Result<std::uint64_t> &result, const OrderView &view);
+    OrderCommands removeDone(std::uint64_t call, const Result<bool> &result, const OrderView &view);
+    OrderCommands tick(const OrderView &view);
+
+    std::optional<TimePoint> nextTick() const;  // when tick() has something to do
+    bool idle() const;                          // nothing queued or in flight
+    void unload();                              // forgets the records; they are read again on the next use
+    std::size_t records() const;
+    std::uint64_t rotations() const;
+    const std::string &damage() const;  // why a stored value cannot be read; empty: none
+
+private:
+    using RecordMap = std::unordered_map<OrderKeyHash, OrderRecord, OrderKeyHasher>;
+    enum class Phase { Idle, ReadHead, ReadSegment, Seal, ReadSeal, Swap };
+
+    struct Operation
+    {
+        std::variant<ClaimOrder, SettleOrder> order;
+        bool sent = false;       // was in a swap whose effect is not known
+        bool readAgain = false;  // the head was read since this arrived
+        Verdict verdict = Verdict::Busy;
+        std::shared_ptr<const KeptAnswer> answer;
+    };
+
+    struct Decision
+    {
+        Verdict verdict = Verdict::Busy;
+        std::shared_ptr<const KeptAnswer> answer;
+        bool record = false;  // a new record is needed
+    };
+
+    void step(const OrderView &view, OrderCommands &commands);
+    void buildBatch(const OrderView &view, OrderCommands &commands);
+    void seal(const OrderView &view, OrderCommands &commands);
+    void finishBatch(std::uint64_t version, const OrderView &view, OrderCommands &commands);
+    void answerInFlight(OrderCommands &commands);
+    void requeue(bool mayHaveTakenEffect);
+    void headRead(const StoreValue &value, const OrderView &view, OrderCommands &commands);
+    void segmentRead(const StoreValue &value, const OrderView &view);
+    void expireQueue(const OrderView &view, OrderCommands &commands);
+    void removeExpiredSegment(const OrderView &view, OrderCommands &commands);
+    void startRead(Phase phase, std::string key, OrderCommands &commands);
+    void backOff(const OrderView &view);
+    void findMissingSegment();
+    std::int64_t retentionMs() const;
+    bool refersTo(std::uint64_t number) const;
+
+    Decision decide(const ClaimOrder &order, const OrderRecord *record, const OrderView &view) const;
+    bool applySettle(const SettleOrder &order, const OrderView &view);
+    const OrderRecord *find(const OrderKeyHash &key, const OrderView &view) const;
+    const OrderRecord *findWithChanges(const OrderKeyHash &key, const OrderView &view) const;
+    bool expired(std::int64_t changedMs, const OrderView &view) const;
+    std::shared_ptr<const ClaimOrigin> shared(const ClaimOrigin &origin);
+    std::string headKey() const;
+    std::string segmentKey(std::uint64_t number) const;
+    void addBytes(const OrderRecord &record, int sign);
+    void put(RecordMap &map, OrderRecord record);
+
+    const std::uint32_t m_shard;
+    const ClaimOrigin m_writer;
+    const OrderSettings m_settings;
+
+    // As confirmed by the store at m_version
+    bool m_loaded = false;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_next = 1;
+    RecordMap m_head;
+    RecordMap m_sealed;                                       // records of all loaded segments, newest wins
+    std::vector<SealedRef> m_refs;                            // in the head
+    std::map<std::uint64_t, std::uint64_t> m_loadedSegments;  // number to version
+    std::set<std::uint64_t> m_removed;                        // expired and deleted, still in the head
+    TimePoint m_confirmedAt;
+
+    // Call in flight
+    Phase m_phase = Phase::Idle;
+    std::uint64_t m_call = 0;
+    std::uint64_t m_removeCall = 0;
+    std::uint64_t m_removeNumber = 0;
+    std::uint64_t m_lastCall = 0;
+    std::uint64_t m_readNumber = 0;
+
+    // Batch
+    std::deque<Operation> m_queue;
+    std::vector<Operation> m_inFlight;
+    RecordMap m_changes;
+    std::uint64_t m_batch = 0;
+    bool m_uncertain = false;  // a swap that expects m_uncertainVersion may still take effect
+    std::uint64_t m_uncertainVersion = 0;
+    std::uint64_t m_sealNumber = 0;  // 0: none
+    std::string m_sealText;
+    std::uint64_t m_sealedFor = 0;  // head version whose records are in segment m_sealNumber; 0: none
+    std::uint64_t m_sealStoreVersion = 0;
+    std::map<std::uint64_t, std::uint64_t> m_strays;  // segments of other writers that no head can refer to any more
+    std::int64_t m_batchMs = 0;
+    bool m_rotating = false;
+
+    OrderSegment m_batchSegment;  // head that the batch writes
+    std::size_t m_batchBytes = 0;
+    std::uint64_t m_sealVersion = 0;  // head version that m_sealText was made from
+    std::int64_t m_sealNewestMs = 0;
+    std::size_t m_headBytes = 0;
+    TimePoint m_callStarted;  // of the last read of the head
+    TimePoint m_batchDone;
+
+    TimePoint m_flushAt;
+    TimePoint m_retryAt;
+    TimePoint m_queuedAt;
+    std::size_t m_bodyBytes = 0;
+    std::uint64_t m_rotations = 0;
+    std::string m_damage;
+    std::vector<std::shared_ptr<const ClaimOrigin>> m_origins;
 };
 
 }
