Add the request path of an entry

Cause: requests have to get from the server through key, permit and upstream to a response with an honest outcome. Change: entry_requests.h (BasicRequestPath over the permit and order client types), entry_requests.cpp (routes, terms). Decisions: any whole answer is final, also with status 500 and above; small answers with a declared length are held until they are whole, so that a truncated one becomes 502 instead of a cut response.

--- /dev/null
+++ b/src/entry_requests.cpp
@@ -0,0 +1,159 @@
+#include "entry_requests.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace briarvane
+{
+
+namespace
+{
+
+constexpr std::size_t LearnedRoutes = 4096;  // names over all services
+constexpr std::size_t LongestSegment = 32;
+constexpr std::size_t LongestKey = 255;
+constexpr std::size_t LongestName = 64;  // of request ids and tenants
+
+std::string_view withoutSlash(std::string_view path)
+{
+    while (path.ends_with('/')) {
+        path.remove_suffix(1);
+    }
+    return path;
+}
+
+bool printable(std::string_view text, std::size_t longest)
+{
+    return !text.empty() && text.size() <= longest
+        && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+}
+
+void RouteTable::assign(const Sheet &sheet)
+{
+    m_services.clear();
+    m_pools.clear();
+    m_learned.clear();
+    for (const ServiceSpec &service : sheet.services) {
+        m_services.emplace(std::string(withoutSlash(service.route)), service);
+    }
+    for (const PoolSpec &pool : sheet.pools) {
+        m_pools.emplace(pool.id, pool);
+    }
+}
+
+const ServiceSpec *RouteTable::find(std::string_view path) const
+{
+    std::string prefix(withoutSlash(path));
+    while (true) {
+        const auto found = m_services.find(prefix);
+        if (found != m_services.end()) {
+            return &found->second;
+        }
+        if (prefix.empty()) {
+            return nullptr;
+        }
+        prefix.resize(std::min(prefix.rfind('/'), prefix.size() - 1));
+    }
+}
+
+const PoolSpec *RouteTable::pool(const PoolId &id) const
+{
+    const auto found = m_pools.find(id);
+    return found == m_pools.end() ? nullptr : &found->second;
+}
+
+std::string RouteTable::learnedRoute(const ServiceSpec &service, std::string_view method, std::string_view path)
+{
+    const std::string_view route = withoutSlash(service.route);
+    std::string name;
+    name.append(method).append(" ").append(route);
+    std::string_view rest = path.substr(std::min(route.size() + 1, path.size()));
+    rest = rest.substr(0, rest.find('/'));
+    const bool isName = !rest.empty() && rest.size() <= LongestSegment
+        && std::all_of(rest.begin(), rest.end(),
+                       [](char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_'; });
+    if (!isName) {
+        return name;
+    }
+    std::string full = name + "/" + std::string(rest);
+    if (!m_learned.contains(full)) {
+        if (m_learned.size() >= LearnedRoutes) {
+            return name;
+        }
+        m_learned.insert(full);
+    }
+    return full;
+}
+
+Result<RequestTerms> readTerms(const HttpRequest &request, Duration longestTimeout)
+{
+    RequestTerms terms;
+    const auto refused = [](std::string message) { return Error{ErrorCode::Invalid, std::move(message)}; };
+    for (const std::string_view name :
+         {"Briarvane-Tenant", "Briarvane-Timeout-Ms", "Idempotency-Key", "Briarvane-Request-Id"}) {
+        if (request.fields.count(name) > 1) {
+            return refused(std::string(name) + " was given more than once");
+        }
+    }
+    if (const std::string *tenant = request.fields.find("Briarvane-Tenant")) {
+        if (!printable(*tenant, LongestName)) {
+            return refused("Briarvane-Tenant takes 1 to 64 printable characters");
+        }
+        terms.tenant.value = *tenant;
+    }
+    if (const std::string *timeout = request.fields.find("Briarvane-Timeout-Ms")) {
+        std::int64_t ms = 0;
+        const char *end = timeout->data() + timeout->size();
+        const auto [last, failure] = std::from_chars(timeout->data(), end, ms);
+        const std::int64_t longest = longestTimeout.count() / 1000;
+        if (failure != std::errc() || last != end || ms < 1 || ms > longest) {
+            return refused("Briarvane-Timeout-Ms takes a whole number from 1 to " + std::to_string(longest));
+        }
+        terms.timeout = Duration{ms * 1000};
+    }
+    if (const std::string *key = request.fields.find("Idempotency-Key")) {
+        if (!printable(*key, LongestKey)) {
+            return refused("Idempotency-Key takes 1 to 255 printable characters without spaces");
+        }
+        terms.idempotencyKey = *key;
+    }
+    const std::string *requestId = request.fields.find("Briarvane-Request-Id");
+    if (requestId != nullptr && isToken(*requestId) && requestId->size() <= LongestName) {
+        terms.requestId = *requestId;
+    }
+    return terms;
+}
+
+bool idempotentMethod(std::string_view method)
+{
+    return method == "GET" || method == "HEAD" || method == "PUT" || method == "DELETE" || method == "OPTIONS";
+}
+
+HttpFields answerFields(const HttpFields &upstream)
+{
+    HttpFields fields;
+    fields.list.reserve(upstream.list.size() + 2);
+    for (const HttpField &field : upstream.list) {
+        const bool ours
+            = field.name.size() > 10 && equalNames(std::string_view(field.name).substr(0, 10), "Briarvane-");
+        if (!ours) {
+            fields.list.push_back(field);
+        }
+    }
+    return fields;
+}
+
+void addOutcome(HttpFields &fields, Outcome outcome, const std::string &requestId)
+{
+    fields.add("Briarvane-Outcome", toString(outcome));
+    fields.add("Briarvane-Request-Id", requestId);
+}
+
+int refusalStatus(const Error &error)
+{
+    return error.code == ErrorCode::Refused && error.message.find("quota") != std::string::npos ? 429 : 503;
+}
+
+}
--- /dev/null
+++ b/src/entry_requests.h
@@ -0,0 +1,602 @@
+#pragma once
+
+// The way of one request through this entry: service, key, permit, upstream, response. Runs on the I/O thread.
+//
+// Index
+// [1] Settings and reports
+// [2] Routes
+// [3] What the caller is told
+// [4] The request path
+
+#include "entry_orders.h"
+#include "entry_permits.h"
+#include "http.h"
+#include "http_timers.h"
+#include "upstream.h"
+
+#include <unordered_map>
+#include <unordered_set>
+
+namespace briarvane
+{
+
+// [1] Settings and reports --------------------------------------------------------------------------------------------
+
+struct RequestSettings
+{
+    std::uint64_t startId = 0;               // part of generated request ids
+    Duration longestTimeout{3'600'000'000};  // accepted in Briarvane-Timeout-Ms
+    std::size_t holdBack = 64 * 1024;  // answers declared up to this size are checked whole before the head is sent
+    std::size_t callerBuffer = 256 * 1024;  // bytes waiting for a caller above which the upstream is not read
+    Duration slowCaller{10'000'000};        // time in all that a caller may keep the upstream waiting
+    std::size_t keptAnswer = 1024 * 1024;   // larger answers to keyed requests are not kept
+    int attempts = 3;                       // instances tried for one request
+};
+
+/// One per request, after its last event.
+struct FinishedRequest
+{
+    ServiceId service;  // empty: no service has the route
+    TenantId tenant;
+    RequestClass requestClass = RequestClass::Short;
+    Outcome outcome = Outcome::NotRun;
+    int status = 0;           // sent to the caller; 0: the caller was gone
+    int upstreamStatus = 0;   // 0: no answer
+    Duration queueWait{0};    // for permits, over all attempts
+    Duration serviceTime{0};  // of the last attempt
+    Duration totalTime{0};
+    int retries = 0;
+    bool callerGone = false;
+    bool cut = false;  // the response was aborted after its head
+};
+
+// [2] Routes ----------------------------------------------------------------------------------------------------------
+
+/// Finds the service by the longest route that is the path or ends at one of its slashes.
+class RouteTable
+{
+public:
+    void assign(const Sheet &sheet);
+    const ServiceSpec *find(std::string_view path) const;
+    const PoolSpec *pool(const PoolId &id) const;
+    /// Name under which sizes are learned: method, route and the next path segment. Segments with digits are ids and
+    /// are left out, and the number of names is bounded, because callers choose paths.
+    std::string learnedRoute(const ServiceSpec &service, std::string_view method, std::string_view path);
+
+private:
+    std::unordered_map<std::string, ServiceSpec> m_services;  // by route without a slash at the end
+    std::unordered_map<PoolId, PoolSpec> m_pools;
+    std::unordered_set<std::string> m_learned;
+};
+
+// [3] What the caller is told -----------------------------------------------------------------------------------------
+
+/// What a request asks for beside its method and target.
+struct RequestTerms
+{
+    TenantId tenant;
+    std::string requestId;  // empty: none was given
+    std::optional<Duration> timeout;
+    std::string idempotencyKey;  // empty: none
+};
+
+Result<RequestTerms> readTerms(const HttpRequest &request, Duration longestTimeout);
+bool idempotentMethod(std::string_view method);  // GET, HEAD, PUT, DELETE, OPTIONS
+/// Fields of an upstream's answer that are passed on.
+HttpFields answerFields(const HttpFields &upstream);
+void addOutcome(HttpFields &fields, Outcome outcome, const std::string &requestId);
+/// 429 for a quota, otherwise 503.
+int refusalStatus(const Error &error);
+
+// [4] The request path ------------------------------------------------------------------------------------------------
+
+/// The permit and order clients are parameters so that tests can use fakes. The object must outlive their callbacks.
+template<class Permits, class Orders>
+class BasicRequestPath
+{
+public:
+    using Finished = std::function<void(const FinishedRequest &)>;
+
+    BasicRequestPath(boost::asio::io_context &io, Permits &permits, Orders &orders, UpstreamClient &upstreams,
+                     RequestSettings settings)
+        : m_permits(permits)
+        , m_orders(orders)
+        , m_upstreams(upstreams)
+        , m_settings(settings)
+        , m_timers(io)
+    {
+    }
+
+    /// On each change of the sheet, the fleet, the instance list or the number of listed entries.
+    void configure(const Sheet &sheet, const Fleet &fleet, const std::vector<InstanceRecord> &records, int entries);
+    void handle(const std::shared_ptr<HttpExchange> &exchange);  // the HttpServer's handler
+    void onFinished(Finished finished)
+    {
+        m_finished = std::move(finished);
+    }
+    /// Requests that hold a permit, also when their caller has gone.
+    std::map<InstanceId, int> inFlight() const
+    {
+        return m_inFlight;
+    }
+    std::size_t open() const  // requests in any phase
+    {
+        return m_open;
+    }
+
+private:
+    enum class Phase { Claiming, Queued, Sending, Done };
+
+    struct Run
+    {
+        std::shared_ptr<HttpExchange> exchange;  // null once the response is complete or the caller is gone
+        Phase phase = Phase::Claiming;
+        RequestInfo info;
+        PoolId pool;
+        std::string requestId;
+        std::shared_ptr<const std::string> body;
+        std::optional<HeldClaim> claim;       // until it is settled
+        std::optional<GrantedPermit> permit;  // until it is released
+        InstanceId lastInstance;
+        std::vector<InstanceId> avoid;
+        UpstreamCall call;
+        bool sent = false;  // a byte went out in some attempt
+        TimePoint queuedAt;
+        TimePoint sentAt;
+
+        // The upstream's answer
+        HttpResponseHead head;
+        std::string contentType;
+        bool held = false;       // not yet passed on
+        bool committed = false;  // the head went to the caller
+        std::string heldBody;
+        std::string kept;  // for the claim
+        bool keptWhole = true;
+        Duration stallLeft{0};
+        TimePoint pausedAt;
+        Timers::Key stallTimer;
+        FinishedRequest report;
+    };
+    using RunPtr = std::shared_ptr<Run>;
+
+    void claim(const RunPtr &run, const std::string &key);
+    void claimed(const RunPtr &run, const ClaimResult &result);
+    void queue(const RunPtr &run);
+    void granted(const RunPtr &run, const Result<GrantedPermit> &result);
+    void send(const RunPtr &run);
+    void answerHead(const RunPtr &run, const HttpHead &head);
+    void answerBody(const RunPtr &run, std::string_view piece);
+    void pauseForCaller(const RunPtr &run);
+    void answerEnd(const RunPtr &run, UpstreamResult result);
+    void attemptFailed(const RunPtr &run, UpstreamResult result);
+    void commit(const RunPtr &run);
+    void callerGone(const RunPtr &run);
+    void release(const RunPtr &run, UpstreamResult result);
+    void settle(const RunPtr &run, OrderState state, KeptAnswer answer = {});
+    void settleUnanswered(const RunPtr &run);
+    void refuse(const RunPtr &run, int status, Outcome outcome, std::string_view message);
+    void finish(const RunPtr &run, Outcome outcome);
+
+    Permits &m_permits;
+    Orders &m_orders;
+    UpstreamClient &m_upstreams;
+    RequestSettings m_settings;
+    Timers m_timers;
+    RouteTable m_routes;
+    Finished m_finished;
+    std::map<InstanceId, int> m_inFlight;
+    std::size_t m_open = 0;
+    std::uint64_t m_sequence = 0;
+};
+
+template<Platform P>
+using RequestPath = BasicRequestPath<PermitClient<P>, OrderClient<P>>;
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::configure(const Sheet &sheet, const Fleet &fleet,
+                                                  const std::vector<InstanceRecord> &records, int entries)
+{
+    m_routes.assign(sheet);
+    std::map<InstanceId, UpstreamEndpoint> endpoints;
+    for (const InstanceRecord &record : records) {
+        if (record.presence == Presence::Gone) {
+            continue;
+        }
+        UpstreamEndpoint endpoint{record.address, record.port};
+        const auto member = fleet.instances.find(record.id);
+        const PoolSpec *pool = member == fleet.instances.end() ? nullptr : m_routes.pool(member->second.pool);
+        endpoint.connections
+            = std::max(1, (pool == nullptr ? PoolSpec().connections : pool->connections) / std::max(1, entries));
+        endpoints.emplace(record.id, endpoint);
+    }
+    m_upstreams.configure(std::move(endpoints));
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto run = std::make_shared<Run>();
+    ++m_open;
+    HttpRequest &request = exchange->request();
+    run->exchange = exchange;
+    run->info.arrived = steadyNow();
+    run->stallLeft = m_settings.slowCaller;
+    const Result<RequestTerms> terms = readTerms(request, m_settings.longestTimeout);
+    run->requestId = terms ? terms.value().requestId : std::string();
+    if (run->requestId.empty()) {
+        run->requestId = std::to_string(m_settings.startId) + "-" + std::to_string(++m_sequence);
+    }
+    if (!terms) {
+        refuse(run, 400, Outcome::NotRun, terms.error().message);
+        return;
+    }
+    const ServiceSpec *service = m_routes.find(request.path());
+    if (service == nullptr) {
+        refuse(run, 404, Outcome::NotRun, "no service has a route for this path");
+        return;
+    }
+    run->pool = service->pool;
+    run->info.service = service->id;
+    run->info.route = m_routes.learnedRoute(*service, request.method, request.path());
+    run->info.tenant = terms.value().tenant;
+    run->info.requestClass = service->requestClass;
+    run->info.idempotent = service->idempotent || idempotentMethod(request.method);
+    run->info.deadline = run->info.arrived + terms.value().timeout.value_or(service->deadline);
+    run->report.service = service->id;
+    run->report.tenant = run->info.tenant;
+    run->report.requestClass = service->requestClass;
+    request.fields.remove("Briarvane-Request-Id");
+    request.fields.add("Briarvane-Request-Id", run->requestId);
+    exchange->onGone([this, weak = std::weak_ptr<Run>(run)] {
+        if (const auto held = weak.lock()) {
+            callerGone(held);
+        }
+    });
+    if (!run->info.idempotent && !terms.value().idempotencyKey.empty()) {
+        claim(run, terms.value().idempotencyKey);
+    } else {
+        queue(run);
+    }
+}
+
+// Keys
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::claim(const RunPtr &run, const std::string &key)
+{
+    const HttpRequest &request = run->exchange->request();
+    m_orders.claim(hashOrderKey(run->info.service, run->info.tenant, key),
+                   hashOrderBody(request.method, request.target, request.body), orderKeyIssuedMs(key),
+                   run->info.deadline, [this, run](const ClaimResult &result) { claimed(run, result); });
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::claimed(const RunPtr &run, const ClaimResult &result)
+{
+    if (result.verdict == Verdict::Run) {
+        run->claim = result.claim;
+        if (run->phase == Phase::Done) {  // the caller went away meanwhile
+            settle(run, OrderState::Abandoned);
+        } else {
+            queue(run);
+        }
+        return;
+    }
+    if (run->phase == Phase::Done) {
+        return;
+    }
+    switch (result.verdict) {
+    case Verdict::Replay:
+        if (result.answer.bodyKept) {
+            HttpFields fields;
+            addOutcome(fields, Outcome::Answered, run->requestId);
+            fields.add("Briarvane-Replayed", "true");
+            run->report.status = result.answer.status;
+            const auto exchange = std::exchange(run->exchange, nullptr);
+            exchange->respond(result.answer.status, result.answer.contentType, result.answer.body, std::move(fields));
+            finish(run, Outcome::Answered);
+            return;
+        }
+        refuse(run, 502, Outcome::Unknown, "the request with this key has run, but its answer was not kept");
+        return;
+    case Verdict::InProgress:
+        refuse(run, 409, Outcome::InProgress, "a request with this key is in progress");
+        return;
+    case Verdict::KeyConflict:
+        refuse(run, 422, Outcome::KeyConflict, "this key was used for another request");
+        return;
+    case Verdict::Busy:
+        refuse(run, 503, Outcome::NotRun, "the key could not be recorded in time");
+        return;
+    default:
+        refuse(run, 502, Outcome::Unknown, "a request with this key may have run");
+    }
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::settle(const RunPtr &run, OrderState state, KeptAnswer answer)
+{
+    if (run->claim) {
+        const HeldClaim claim = *std::exchange(run->claim, std::nullopt);
+        m_orders.settle(claim, state, std::move(answer));
+    }
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::settleUnanswered(const RunPtr &run)
+{
+    settle(run, run->sent ? OrderState::Unknown : OrderState::Abandoned);
+}
+
+// Permits
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::queue(const RunPtr &run)
+{
+    run->phase = Phase::Queued;
+    run->info.id = ++m_sequence;
+    run->queuedAt = steadyNow();
+    m_permits.request(run->pool, run->info, run->avoid,
+                      [this, run](const Result<GrantedPermit> &result) { granted(run, result); });
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::granted(const RunPtr &run, const Result<GrantedPermit> &result)
+{
+    if (run->phase != Phase::Queued) {
+        if (result) {
+            m_permits.release(result.value(), run->info, UpstreamResult::NotSent, Duration{0});
+        }
+        return;
+    }
+    const TimePoint now = steadyNow();
+    run->report.queueWait += now - run->queuedAt;
+    if (!result) {
+        const bool mayHaveRun = run->sent;
+        settleUnanswered(run);
+        refuse(run, mayHaveRun ? 502 : refusalStatus(result.error()), mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+               result.error().message);
+        return;
+    }
+    run->permit = result.value();
+    run->lastInstance = run->permit->instance;
+    ++m_inFlight[run->permit->instance];
+    run->sentAt = now;
+    if (now >= run->info.deadline || !m_upstreams.knows(run->permit->instance)) {
+        release(run, UpstreamResult::NotSent);
+        attemptFailed(run, UpstreamResult::NotSent);
+        return;
+    }
+    send(run);
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::release(const RunPtr &run, UpstreamResult result)
+{
+    if (!run->permit) {
+        return;
+    }
+    const GrantedPermit permit = *std::exchange(run->permit, std::nullopt);
+    run->report.serviceTime = steadyNow() - run->sentAt;
+    const auto count = m_inFlight.find(permit.instance);
+    if (--count->second == 0) {
+        m_inFlight.erase(count);
+    }
+    m_permits.release(permit, run->info, result, run->report.serviceTime);
+}
+
+// The upstream
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::send(const RunPtr &run)
+{
+    run->phase = Phase::Sending;
+    HttpRequest &request = run->exchange->request();
+    if (run->body == nullptr && !request.body.empty()) {
+        run->body = std::make_shared<const std::string>(std::move(request.body));
+    }
+    UpstreamEvents events;
+    events.head = [this, run](const HttpHead &head) { answerHead(run, head); };
+    events.body = [this, run](std::string_view piece) { answerBody(run, piece); };
+    events.turn = [run] {
+        if (run->committed && run->exchange != nullptr) {
+            run->exchange->flush();
+        }
+    };
+    events.end = [this, run](UpstreamResult result) { answerEnd(run, result); };
+    run->call = m_upstreams.send(run->permit->instance, {request.method, request.target, request.fields, run->body},
+                                 run->info.deadline, std::move(events));
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::answerHead(const RunPtr &run, const HttpHead &head)
+{
+    run->report.upstreamStatus = head.status;
+    run->head = {};
+    run->head.status = head.status;
+    run->head.fields = answerFields(head.fields);
+    addOutcome(run->head.fields, Outcome::Answered, run->requestId);
+    if (head.framing == Framing::Length) {
+        run->head.length = head.length;
+    }
+    if (run->claim) {
+        const std::string *contentType = head.fields.find("Content-Type");
+        run->contentType = contentType == nullptr ? std::string() : *contentType;
+    }
+    run->heldBody.clear();
+    run->held = head.framing != Framing::Chunked && head.length <= m_settings.holdBack;
+    if (!run->held && run->exchange != nullptr) {
+        commit(run);
+    }
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::commit(const RunPtr &run)
+{
+    run->committed = true;
+    run->report.status = run->head.status;
+    run->exchange->head(std::move(run->head));
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::answerBody(const RunPtr &run, std::string_view piece)
+{
+    if (run->claim && run->keptWhole) {
+        run->keptWhole = run->kept.size() + piece.size() <= m_settings.keptAnswer;
+        run->kept.append(run->keptWhole ? piece : std::string_view());
+    }
+    if (run->held) {
+        run->heldBody.append(piece);
+    } else if (run->exchange != nullptr) {
+        run->exchange->body(piece);
+        if (run->exchange->waiting() > m_settings.callerBuffer) {
+            pauseForCaller(run);
+        }
+    }
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::pauseForCaller(const RunPtr &run)
+{
+    if (run->stallTimer.second != 0) {
+        return;
+    }
+    run->call.pause();
+    run->pausedAt = steadyNow();
+    const std::weak_ptr<Run> weak = run;
+    run->stallTimer = m_timers.at(run->pausedAt + run->stallLeft, [this, weak] {
+        if (const auto slow = weak.lock()) {
+            slow->stallTimer = {};
+            slow->report.cut = true;
+            const auto exchange = slow->exchange;
+            callerGone(slow);
+            if (exchange != nullptr) {
+                exchange->abort();
+            }
+        }
+    });
+    run->exchange->onDrained([this, weak] {
+        const auto waiting = weak.lock();
+        if (waiting != nullptr && waiting->stallTimer.second != 0) {
+            m_timers.cancel(waiting->stallTimer);
+            waiting->stallLeft -= steadyNow() - waiting->pausedAt;
+            waiting->call.resume();
+        }
+    });
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::answerEnd(const RunPtr &run, UpstreamResult result)
+{
+    run->sent = run->sent || run->call.sent();
+    run->call = {};  // its events refer to the run
+    m_timers.cancel(run->stallTimer);
+    release(run, result);
+    if (result != UpstreamResult::Completed && result != UpstreamResult::ServerError) {
+        attemptFailed(run, result);
+        return;
+    }
+    KeptAnswer answer{run->report.upstreamStatus, run->contentType, std::move(run->kept), run->keptWhole};
+    settle(run, OrderState::Finished, std::move(answer));
+    if (const auto exchange = run->exchange) {
+        if (run->held) {
+            commit(run);
+            exchange->body(run->heldBody);
+        }
+        run->exchange = nullptr;
+        exchange->end();
+    }
+    finish(run, Outcome::Answered);
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::attemptFailed(const RunPtr &run, UpstreamResult result)
+{
+    // A run whose attempt failed without a permit being used has sent nothing in this attempt.
+    const bool mayResend = run->info.idempotent || !run->sent;
+    const bool timeLeft = steadyNow() < run->info.deadline;
+    if (run->exchange != nullptr && !run->committed && mayResend && timeLeft
+        && run->report.retries + 1 < m_settings.attempts && m_permits.mayRetry(run->info)) {
+        ++run->report.retries;
+        run->report.upstreamStatus = 0;
+        run->avoid.push_back(run->lastInstance);
+        queue(run);
+        return;
+    }
+    const Outcome outcome = run->sent ? Outcome::Unknown : Outcome::NotRun;
+    settleUnanswered(run);
+    if (run->committed && run->exchange != nullptr) {
+        run->report.cut = true;
+        const auto exchange = std::exchange(run->exchange, nullptr);
+        exchange->abort();
+        finish(run, outcome);
+        return;
+    }
+    const int status = !run->sent ? 503 : result == UpstreamResult::TimedOut ? 504 : 502;
+    refuse(run, status, outcome,
+           run->sent ? "no whole answer from the upstream (" + std::string(toString(result)) + ")"
+                     : "no upstream could be reached in time");
+}
+
+// Ends
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::callerGone(const RunPtr &run)
+{
+    run->exchange = nullptr;
+    run->report.callerGone = true;
+    m_timers.cancel(run->stallTimer);
+    run->sent = run->sent || run->call.sent();
+    switch (run->phase) {
+    case Phase::Done:
+        return;
+    case Phase::Claiming:
+        break;  // settled when the verdict arrives
+    case Phase::Queued:
+        m_permits.cancel(run->pool, run->info.id);
+        settleUnanswered(run);
+        break;
+    case Phase::Sending:
+        if (run->claim && run->sent) {
+            run->call.resume();  // the answer is awaited for a retry with the same key
+            return;
+        }
+        run->call.cancel();
+        run->call = {};
+        release(run, run->sent ? UpstreamResult::Cancelled : UpstreamResult::NotSent);
+        settleUnanswered(run);
+    }
+    finish(run, run->sent ? Outcome::Unknown : Outcome::NotRun);
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::refuse(const RunPtr &run, int status, Outcome outcome, std::string_view message)
+{
+    if (const auto exchange = std::exchange(run->exchange, nullptr)) {
+        HttpFields fields;
+        addOutcome(fields, outcome, run->requestId);
+        if (status == 503 || status == 429 || status == 409) {
+            fields.add("Retry-After", "1");
+        }
+        run->report.status = status;
+        exchange->respond(status, "text/plain", std::string(message) + "\n", std::move(fields));
+    }
+    finish(run, outcome);
+}
+
+template<class Permits, class Orders>
+void BasicRequestPath<Permits, Orders>::finish(const RunPtr &run, Outcome outcome)
+{
+    if (run->phase == Phase::Done) {
+        return;
+    }
+    run->phase = Phase::Done;
+    --m_open;
+    run->report.outcome = outcome;
+    run->report.totalTime = steadyNow() - run->info.arrived;
+    if (m_finished) {
+        m_finished(run->report);
+    }
+}
+
+}
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -116,14 +116,14 @@
     void detach();
     bool wholeSent() const
     {
-        return written == head.size() + body.size();
+        return written == head.size() + body->size();
     }
 
     std::shared_ptr<UpstreamClient::Impl> impl;
     std::shared_ptr<Instance> instance;
     std::shared_ptr<Connection> connection;  // while it connects or is in use
     std::string head;                        // request line and fields
-    std::string body;
+    std::shared_ptr<const std::string> body;
     std::size_t written = 0;
     bool isHead = false;
     bool sent = false;
@@ -253,10 +253,10 @@
     }
     while (!call->wholeSent()) {
         const std::size_t headLeft = call->head.size() - std::min(call->written, call->head.size());
-        const std::size_t bodyLeft = call->head.size() + call->body.size() - call->written - headLeft;
+        const std::size_t bodyLeft = call->head.size() + call->body->size() - call->written - headLeft;
         const std::array<asio::const_buffer, 2> pieces{
             asio::buffer(call->head.data() + call->head.size() - headLeft, headLeft),
-            asio::buffer(call->body.data() + call->body.size() - bodyLeft, bodyLeft)};
+            asio::buffer(call->body->data() + call->body->size() - bodyLeft, bodyLeft)};
         error_code error;
         const std::size_t size = socket.write_some(pieces, error);
         if (size > 0) {
@@ -348,6 +348,9 @@
             break;
         }
     }
+    if (headPassed && call != nullptr) {
+        call->events.turn();
+    }
     waitReadable();
 }
 
@@ -606,19 +609,20 @@
     return m_impl->instances.contains(instance);
 }
 
-UpstreamCall UpstreamClient::send(const InstanceId &instance, UpstreamRequest request, TimePoint deadline,
+UpstreamCall UpstreamClient::send(const InstanceId &instance, const UpstreamRequest &request, TimePoint deadline,
                                   UpstreamEvents events)
 {
     const auto call = std::make_shared<Call>();
     call->impl = m_impl;
     call->events = std::move(events);
     call->isHead = request.method == "HEAD";
-    call->body = std::move(request.body);
+    static const auto noBody = std::make_shared<const std::string>();
+    call->body = request.body == nullptr ? noBody : request.body;
     call->head.reserve(512);
     call->head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     appendFields(call->head, request.fields);
-    if (!call->body.empty() || request.declareLength) {
-        call->head.append("Content-Length: ").append(std::to_string(call->body.size())).append("\r\n");
+    if (!call->body->empty() || (request.method != "GET" && request.method != "HEAD")) {
+        call->head.append("Content-Length: ").append(std::to_string(call->body->size())).append("\r\n");
     }
     call->head.append("\r\n");
     call->starting = true;
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -36,21 +36,23 @@
     bool operator==(const UpstreamEndpoint &) const = default;
 };
 
+/// The head is written out inside send(), so only the body has to outlive it.
 struct UpstreamRequest
 {
-    std::string method;
-    std::string target;
-    HttpFields fields;  // without Connection, Content-Length and Transfer-Encoding
-    std::string body;
-    bool declareLength = false;  // send Content-Length even when the body is empty
+    std::string_view method;
+    std::string_view target;
+    const HttpFields &fields;                 // without Connection, Content-Length and Transfer-Encoding
+    std::shared_ptr<const std::string> body;  // null: none
 };
 
 /// `head` comes at most once, then `body` any number of times, then `end` exactly once unless the call is cancelled.
-/// None of them is called from inside send().
+/// None of them is called from inside send(). `turn` follows when all that was received so far has been passed on and
+/// the answer is not complete.
 struct UpstreamEvents
 {
     std::function<void(const HttpHead &)> head;
     std::function<void(std::string_view)> body;
+    std::function<void()> turn;
     std::function<void(UpstreamResult)> end;
 };
 
@@ -101,7 +103,8 @@
     /// Sends once. A connection on which nothing could be sent is replaced by another one, which is not a resend; after
     /// the first byte the request is never sent again. An answer without a declared end counts as Truncated before its
     /// head is passed on, because its completeness cannot be checked.
-    UpstreamCall send(const InstanceId &instance, UpstreamRequest request, TimePoint deadline, UpstreamEvents events);
+    UpstreamCall send(const InstanceId &instance, const UpstreamRequest &request, TimePoint deadline,
+                      UpstreamEvents events);
     std::map<InstanceId, UpstreamLoad> load() const;
 
     struct Impl;
