Let a paused entry hold drains until the platform's list shows it gone

Cause: an entry whose lease lapsed while it was paused still has requests in flight; a drain that is confirmed without it lets the reboot cut them. Ruled out: longer leases (a longer pause breaks them as well). Change: a lapsed entry holds drains while the platform lists it; one that is missing in the list is gone and also no longer counts for majorities.

--- a/src/entry_cluster_state.h
+++ b/src/entry_cluster_state.h
@@ -125,11 +125,27 @@
     void onTick()
     {
         membership.tick(now());
+        reportPresent();
         checkWaiters();
         forgetPeers();
         after(tickTimer, TickPeriod, [this] { onTick(); });
     }
 
+    /// An entry that is missing in the platform's list is gone. Before the first list nobody is known to be gone.
+    void reportPresent()
+    {
+        if (!instancesAsOf) {
+            return;
+        }
+        std::set<EntryId> present;
+        for (const InstanceRecord &record : instances) {
+            if (record.presence != Presence::Gone) {
+                present.insert(EntryId{record.id.value});
+            }
+        }
+        membership.setPresent(present);
+    }
+
     // Registration
 
     std::string ownKey() const
@@ -684,11 +700,6 @@
         }
         instances = std::move(list);
         instancesDigest = digestOf(instances);
-        for (const InstanceRecord &record : instances) {
-            if (record.presence == Presence::Gone) {
-                membership.gone(EntryId{record.id.value});
-            }
-        }
         const std::vector<std::function<void()>> called = instanceHandlers;
         for (const std::function<void()> &handler : called) {
             handler();
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -103,11 +103,9 @@
     m_everListed = m_everListed || listed.contains(m_self);
 }
 
-void Membership::gone(const EntryId &id)
+void Membership::setPresent(const std::set<EntryId> &present)
 {
-    if (id != m_self) {
-        m_lapsed.erase(id);
-    }
+    std::erase_if(m_lapsed, [&present](const auto &lapsed) { return !present.contains(lapsed.first); });
 }
 
 void Membership::tick(TimePoint now)
@@ -248,7 +246,11 @@
                                               TimePoint now) const
 {
     std::vector<EntryId> ids;
-    for (const EntryId &id : confirming(now)) {
+    std::set<EntryId> holders = confirming(now);
+    for (const auto &[id, since] : m_lapsed) {
+        holders.insert(id);
+    }
+    for (const EntryId &id : holders) {
         const EntryStatus *status = entry(id);
         if (!status || status->countedFleet < fleetVersion) {
             ids.push_back(id);
--- a/src/membership.h
+++ b/src/membership.h
@@ -119,7 +119,9 @@
     /// `status.echo` is the round of ours that the sender echoed; `storeContactAge` as sent.
     void heartbeat(const EntryStatus &status, Duration storeContactAge, TimePoint now);
     void setListed(const std::set<EntryId> &listed, TimePoint now);  // entries with a lease in the store
-    void gone(const EntryId &id);                                    // the platform's list shows that it ended
+    /// Ids in the platform's list that are live or leaving. An entry whose lease lapsed and that is missing there is
+    /// gone; one that is still there may be paused with requests in flight, so it goes on holding drains.
+    void setPresent(const std::set<EntryId> &present);
     void tick(TimePoint now);                                        // each loop turn; finds pauses
 
     // Decisions
