Add sheet parsing, checks, differences and maintenance windows

One CSV table with a kind column, read by Boost.Tokenizer with its own tokenizer function: escaped_list_separator drops doubled quotes, so it was ruled out. All errors are reported at once. Truncation is found by the end row's row count; a budget is refused when a window or a move needs one instance down and the availability allows none.

Windows follow the wall clock of their zone, so skipped local times never open and repeated ones open twice. Boost reads the signs of a POSIX TZ string the other way round, so strings are translated.

--- a/src/sheet.h
+++ b/src/sheet.h
@@ -57,8 +57,8 @@
     PoolId pool;
     std::string timeZone;     // IANA name of the built-in table or a POSIX TZ string
     std::uint8_t days = 127;  // bit 0 is Monday
-    int startMinute = 0;      // minutes after local midnight
-    int endMinute = 0;
+    int startMinute = 0;      // minutes after the local midnight that begins the day, 0..1439
+    int endMinute = 0;        // exclusive; above 1440 the window ends on the next day; at most 24 h after the start
 };
 
 struct MoveSpec
@@ -103,8 +103,16 @@
     std::vector<SheetError> errors;
 };
 
+/// Reads a sheet as described in docs/sheet.md. Errors are in the order of rows.
 SheetCheck parseSheet(std::string_view text);
 
+/// "row 3, column class: "fast" is not accepted; accepted: urgent, short, long"
+std::string describe(const SheetError &error);
+
+/// How many instances of a pool of `size` a service lets down at once: floor(size x (1 - availability)).
+/// A share that is a whole number but for rounding of the product counts as that number.
+int allowedDown(int size, double availability);
+
 /// 32 hexadecimal digits (XXH3, 128 bits) of the file's bytes; also used for alert rule files.
 std::string textDigest(std::string_view text);
 
@@ -122,7 +130,17 @@
 
 // [4] Maintenance windows ---------------------------------------------------------------------------------------------
 
-/// True when `now` lies in the window, in the window's own time zone with daylight saving.
+/// True when the wall clock of the window's time zone reads a time from the start up to the end, counted from the
+/// midnight of one of the window's days. On the days that daylight saving switches this means: a time that is skipped
+/// never comes, so a window loses it; a time that is repeated is in the window both times.
+/// A time zone that timeZoneOffset() refuses never opens.
 bool windowIsOpen(const WindowSpec &window, WallTime now);
 
+/// Local time minus UTC at `now`. Error: Invalid, with what is accepted. POSIX TZ strings have the signs of POSIX
+/// ("EET-2EEST,M3.5.0/3,M10.5.0/4" is east of Greenwich).
+Result<std::chrono::seconds> timeZoneOffset(std::string_view timeZone, WallTime now);
+
+/// What a time zone may be, for error messages.
+std::string_view acceptedTimeZones();
+
 }
--- /dev/null
+++ b/src/sheet_csv.cpp
@@ -0,0 +1,130 @@
+#include "sheet_csv.h"
+
+#include <boost/tokenizer.hpp>
+
+namespace briarvane
+{
+
+namespace
+{
+
+/// Tokenizer function for boost::tokenizer after RFC 4180: a quote within quotes is doubled, and quoted fields may
+/// contain line breaks. escaped_list_separator cannot be used since it drops doubled quotes.
+class CsvFields
+{
+public:
+    explicit CsvFields(char separator)
+        : m_separator(separator)
+    {
+    }
+
+    void reset()
+    {
+    }
+
+    template<class Iterator>
+    bool operator()(Iterator &next, Iterator end, CsvField &field)
+    {
+        field = CsvField{};
+        if (next == end && !m_openRow) {
+            return false;
+        }
+        bool quoted = false;
+        if (next != end && *next == '"') {
+            quoted = true;
+            ++next;
+            readQuoted(next, end, field);
+        }
+        for (; next != end && *next != m_separator && *next != '\n'; ++next) {
+            if (*next == '\r' && next + 1 != end && next[1] == '\n') {
+                continue;
+            }
+            if (quoted && field.fault.empty()) {
+                field.fault = "a separator after the closing quote";
+            } else if (!quoted && *next == '"') {
+                field.fault = "quotes only around a whole field, doubled inside it";
+            }
+            field.text += *next;
+        }
+        m_openRow = next != end && *next == m_separator;  // a field follows, even if it is empty at the end of the text
+        field.lastOfRow = !m_openRow;
+        if (next != end) {
+            ++next;
+        }
+        return true;
+    }
+
+private:
+    template<class Iterator>
+    static void readQuoted(Iterator &next, Iterator end, CsvField &field)
+    {
+        for (; next != end; ++next) {
+            if (*next == '"') {
+                ++next;
+                if (next == end || *next != '"') {
+                    return;
+                }
+            }
+            field.text += *next;
+        }
+        field.fault = "a closing quote (the file may be truncated)";
+    }
+
+    char m_separator;
+    bool m_openRow = false;
+};
+
+/// Length of the UTF-8 sequence at the start of `text`, 0 when it is not valid.
+std::size_t sequenceLength(std::string_view text)
+{
+    const auto byte = [&](std::size_t i) { return static_cast<unsigned char>(text[i]); };
+    const unsigned char lead = byte(0);
+    if (lead < 0x80) {
+        return 1;
+    }
+    const std::size_t length = lead >= 0xC2 && lead < 0xE0 ? 2 : lead >= 0xE0 && lead < 0xF0 ? 3 : 4;
+    if (lead < 0xC2 || lead > 0xF4 || text.size() < length) {
+        return 0;
+    }
+    for (std::size_t i = 1; i < length; ++i) {
+        if ((byte(i) & 0xC0) != 0x80) {
+            return 0;
+        }
+    }
+    const bool overlong = (lead == 0xE0 && byte(1) < 0xA0) || (lead == 0xF0 && byte(1) < 0x90);
+    const bool surrogate = lead == 0xED && byte(1) >= 0xA0;
+    return overlong || surrogate || (lead == 0xF4 && byte(1) >= 0x90) ? 0 : length;
+}
+
+}
+
+bool isText(std::string_view text)
+{
+    while (!text.empty()) {
+        const std::size_t length = sequenceLength(text);
+        const char lead = text.front();
+        if (length == 0 || (lead >= 0 && lead < ' ' && lead != '\t' && lead != '\n' && lead != '\r') || lead == 127) {
+            return false;
+        }
+        text.remove_prefix(length);
+    }
+    return true;
+}
+
+std::vector<CsvRow> splitCsv(std::string_view text, char separator)
+{
+    const boost::tokenizer<CsvFields, std::string_view::const_iterator, CsvField> fields(text.begin(), text.end(),
+                                                                                         CsvFields(separator));
+    std::vector<CsvRow> rows;
+    CsvRow row;
+    for (const CsvField &field : fields) {
+        row.push_back(field);
+        if (field.lastOfRow) {
+            rows.push_back(std::move(row));
+            row.clear();
+        }
+    }
+    return rows;
+}
+
+}
