--- /dev/null
+++ b/src/entry.cpp
@@ -0,0 +1,337 @@
+#include "entry.h"
+
+#include "entry_control.h"
+#include "entry_requests.h"
+#include "log.h"
+#include "operator_api.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <random>
+
+namespace briarvane
+{
+
+namespace
+{
+
+constexpr Duration StopPoll{50'000};
+
+std::uint64_t randomStartId()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+ClusterSettings clusterSettings(const EntrySettings &settings, std::uint64_t startId)
+{
+    ClusterSettings cluster;
+    cluster.self = settings.id;
+    cluster.startId = startId;
+    cluster.dataCentre = settings.dataCentre;
+    for (const NamedEndpoint &peer : settings.peers) {
+        cluster.peers[EntryId{peer.name}] = "tcp://" + formatEndpoint(peer.endpoint);
+    }
+    return cluster;
+}
+
+HttpServerSettings callerServerSettings(const EntrySettings &settings)
+{
+    HttpServerSettings server;
+    server.address = settings.listen.address;
+    server.port = settings.listen.port;
+    server.bodyLimit = settings.bodyLimit;
+    server.connections = settings.callerConnections;
+    server.idleTimeout = settings.idleTimeout;
+    server.writeTimeout = settings.slowCaller;
+    return server;
+}
+
+HttpServerSettings operatorServerSettings(const EntrySettings &settings)
+{
+    HttpServerSettings server;
+    server.address = settings.operatorListen.address;
+    server.port = settings.operatorListen.port;
+    server.bodyLimit = 8UL << 20U;  // a sheet of the two-year size is below 1 MB
+    server.connections = 256;
+    return server;
+}
+
+RequestSettings requestSettings(const EntrySettings &settings, std::uint64_t startId)
+{
+    RequestSettings requests;
+    requests.startId = startId;
+    requests.slowCaller = settings.slowCaller;
+    return requests;
+}
+
+/// The daemon's parts and their wiring; everything runs on the I/O thread.
+template<Platform P>
+class Entry
+{
+public:
+    Entry(boost::asio::io_context &io, P &platform, const EntrySettings &settings);
+
+    int run();
+
+private:
+    bool open();
+    void wire();
+    void reconfigure();
+    void onFinished(const FinishedRequest &finished);
+    void handleOperator(const std::shared_ptr<HttpExchange> &exchange);
+    std::map<InstanceId, int> inFlight() const;
+    boost::json::object requestSummary() const;
+    std::string metricsText() const;
+    void waitSignal();
+    void beginStop();
+    void finishStop();
+    void awaitRequests();
+
+    boost::asio::io_context &m_io;
+    EntrySettings m_settings;
+    std::uint64_t m_startId = randomStartId();
+    Peers m_peers;
+    Cluster<P> m_cluster;
+    PermitClient<P> m_permits;
+    OrderClient<P> m_orders;
+    UpstreamClient m_upstreams;
+    RequestPath<P> m_path;
+    Controller<P> m_control;
+    OperatorApi<P> m_api;
+    HttpServer m_callers;
+    HttpServer m_operators;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_stopLimit;
+    std::map<std::string, std::uint64_t> m_outcomes;
+    bool m_stopping = false;
+    bool m_callersClosed = false;
+    int m_exitCode = 0;
+};
+
+template<Platform P>
+Entry<P>::Entry(boost::asio::io_context &io, P &platform, const EntrySettings &settings)
+    : m_io(io)
+    , m_settings(settings)
+    , m_peers(io, {settings.id, m_startId, "tcp://" + formatEndpoint(settings.peerBind)})
+    , m_cluster(io, platform, m_peers, clusterSettings(settings, m_startId))
+    , m_permits(m_cluster)
+    , m_orders(m_cluster, settings.orders)
+    , m_upstreams(io, {})
+    , m_path(io, m_permits, m_orders, m_upstreams, requestSettings(settings, m_startId))
+    , m_control(
+          m_cluster,
+          {.inFlight = [this] { return inFlight(); }, .samples = [](TimePoint) { return std::vector<AlertSample>(); }})
+    , m_api(m_cluster, settings.operatorToken,
+            {.stopping = [this] { return m_stopping; },
+             .metricsText = [this] { return metricsText(); },
+             .metricsSummary = [this] { return requestSummary(); }})
+    , m_callers(io, callerServerSettings(settings), [this](const auto &exchange) { m_path.handle(exchange); })
+    , m_operators(io, operatorServerSettings(settings), [this](const auto &exchange) { handleOperator(exchange); })
+    , m_signals(io, SIGTERM, SIGINT)
+    , m_stopTimer(io)
+    , m_stopLimit(io)
+{
+    wire();
+}
+
+template<Platform P>
+void Entry<P>::wire()
+{
+    const auto changed = [this](const StoreValue &) { reconfigure(); };
+    m_cluster.onChanged("config/sheet", changed);
+    m_cluster.onChanged("fleet", changed);
+    m_cluster.onInstances([this] { reconfigure(); });
+    m_path.onFinished([this](const FinishedRequest &finished) { onFinished(finished); });
+}
+
+template<Platform P>
+int Entry<P>::run()
+{
+    if (!open()) {
+        return 1;
+    }
+    waitSignal();
+    m_cluster.start();
+    m_orders.start();
+    m_control.start();
+    logEvent(LogLevel::Info, "entry-started",
+             {{"entry", m_settings.id.value},
+              {"listen", formatEndpoint(m_settings.listen)},
+              {"operator_listen", formatEndpoint(m_settings.operatorListen)}});
+    m_io.run();
+    logEvent(LogLevel::Info, "entry-ended",
+             {{"entry", m_settings.id.value}, {"exit_code", std::to_string(m_exitCode)}});
+    return m_exitCode;
+}
+
+template<Platform P>
+bool Entry<P>::open()
+{
+    const auto peers = m_peers.open();
+    if (!peers) {
+        logEvent(LogLevel::Error, "listen-failed", {{"port", "peer"}, {"reason", peers.error().message}});
+        return false;
+    }
+    for (const auto &[name, server] : {std::pair{"callers", &m_callers}, std::pair{"operators", &m_operators}}) {
+        const auto port = server->open();
+        if (!port) {
+            logEvent(LogLevel::Error, "listen-failed", {{"port", name}, {"reason", port.error().message}});
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Runs on each change of the sheet, the fleet value or the instance list, before anything else is handled.
+template<Platform P>
+void Entry<P>::reconfigure()
+{
+    m_permits.configure(m_control.sheet(), m_control.fleet());
+    const int entries = static_cast<int>(m_cluster.membership().listed().size());
+    m_path.configure(m_control.sheet(), m_control.fleet(), m_cluster.instances(), std::max(1, entries));
+}
+
+template<Platform P>
+std::map<InstanceId, int> Entry<P>::inFlight() const
+{
+    std::map<InstanceId, int> counts = m_permits.inFlight();
+    for (const auto &[id, count] : m_path.inFlight()) {
+        counts[id] = std::max(counts[id], count);
+    }
+    return counts;
+}
+
+template<Platform P>
+void Entry<P>::onFinished(const FinishedRequest &finished)
+{
+    ++m_outcomes["service=\"" + finished.service.value + "\",outcome=\"" + std::string(toString(finished.outcome))
+                 + "\""];
+}
+
+template<Platform P>
+boost::json::object Entry<P>::requestSummary() const
+{
+    boost::json::object summary;
+    for (const auto &[labels, count] : m_outcomes) {
+        summary[labels] = count;
+    }
+    return summary;
+}
+
+template<Platform P>
+std::string Entry<P>::metricsText() const
+{
+    std::string text = "# TYPE briarvane_requests_total counter\n";
+    for (const auto &[labels, count] : m_outcomes) {
+        text += "briarvane_requests_total{" + labels + "} " + std::to_string(count) + "\n";
+    }
+    return text;
+}
+
+template<Platform P>
+void Entry<P>::handleOperator(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const HttpRequest &request = exchange->request();
+    const std::string *authorization = request.fields.find("Authorization");
+    m_api.handle(
+        {request.method, request.target, authorization == nullptr ? std::string() : *authorization, request.body},
+        [exchange](const OperatorReply &reply) { exchange->respond(reply.status, reply.contentType, reply.body); });
+}
+
+// Planned stop
+
+template<Platform P>
+void Entry<P>::waitSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int) {
+        if (error) {
+            return;
+        }
+        if (m_stopping) {
+            std::string open;
+            for (const std::string &request : m_callers.load().open) {
+                open += (open.empty() ? "" : ", ") + request;
+            }
+            logEvent(LogLevel::Warn, "stop-waits",
+                     {{"requests", std::to_string(m_path.open())},
+                      {"unsettled_keys", std::to_string(m_orders.unsettled())},
+                      {"open", open}});
+        } else {
+            beginStop();
+        }
+        waitSignal();
+    });
+}
+
+/// Not ready at once, so that the balancer turns away; duties move to the other entries with the next heartbeat.
+template<Platform P>
+void Entry<P>::beginStop()
+{
+    m_stopping = true;
+    m_cluster.membership().setStopping();
+    logEvent(LogLevel::Info, "stop-begun",
+             {{"entry", m_settings.id.value}, {"requests", std::to_string(m_path.open())}});
+    m_stopLimit.expires_after(m_settings.stopLimit);
+    m_stopLimit.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            logEvent(LogLevel::Error, "stop-limit", {{"cut_requests", std::to_string(m_path.open())}});
+            m_exitCode = 1;
+            m_io.stop();
+        }
+    });
+    m_stopTimer.expires_after(m_settings.grace);
+    m_stopTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            m_callers.stop([this] { m_callersClosed = true; });
+            awaitRequests();
+        }
+    });
+}
+
+/// A request whose caller has gone may still wait for its upstream, and its key is settled after that.
+template<Platform P>
+void Entry<P>::awaitRequests()
+{
+    if (m_callersClosed && m_path.open() == 0 && m_orders.unsettled() == 0) {
+        finishStop();
+        return;
+    }
+    m_stopTimer.expires_after(StopPoll);
+    m_stopTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            awaitRequests();
+        }
+    });
+}
+
+template<Platform P>
+void Entry<P>::finishStop()
+{
+    m_control.stop();
+    m_cluster.stop([this] {
+        m_operators.closeAll();
+        m_io.stop();
+    });
+}
+
+}
+
+int runEntry(const EntrySettings &settings)
+{
+    openLog(settings.logLevel);
+    boost::asio::io_context io(1);
+    if (settings.embedded) {
+        EmbeddedPlatform platform(io);
+        for (const NamedEndpoint &instance : settings.instances) {
+            platform.records.push_back(
+                {{instance.name}, instance.endpoint.address, instance.endpoint.port, settings.dataCentre, "rack-1"});
+        }
+        return Entry<EmbeddedPlatform>(io, platform, settings).run();
+    }
+    HttpPlatform platform(io, {settings.platform.address, settings.platform.port});
+    return Entry<HttpPlatform>(io, platform, settings).run();
+}
+
+}
--- a/src/entry_control.h
+++ b/src/entry_control.h
@@ -54,6 +54,8 @@
 
     void start();
     void stop();
+    const Fleet &fleet() const;
+    const Sheet &sheet() const;
 
 private:
     struct RebootProgress
@@ -137,6 +139,18 @@
     m_alive.reset();
 }
 
+template<Platform P>
+const Fleet &Controller<P>::fleet() const
+{
+    return m_fleet;
+}
+
+template<Platform P>
+const Sheet &Controller<P>::sheet() const
+{
+    return m_sheet;
+}
+
 template<Platform P>
 void Controller<P>::tick()
 {
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -68,13 +68,20 @@
 
 // [3] A fleet of stand-ins and entries --------------------------------------------------------------------------------
 
+struct Instance
+{
+    std::string id;
+    std::string pool;
+    std::uint16_t port = 0;
+};
+
 struct FleetOptions
 {
     std::string bin;   // folder of the programs
     std::string work;  // folder for logs
     std::uint16_t basePort = 21000;
     int entries = 8;
-    std::vector<std::pair<std::string, int>> pools;  // name and number of instances
+    std::vector<Instance> instances;  // ports are filled in
     int dataCentres = 3;
     int slots = 8;
     int graceMs = 300;
@@ -83,13 +90,6 @@
     int readLimit = 2000;
 };
 
-struct Instance
-{
-    std::string id;
-    std::string pool;
-    std::uint16_t port = 0;
-};
-
 /// Platform stand-in, upstream stand-in with all executors, entries. Ports follow from `basePort`.
 class Fleet
 {
