Test the HTTP server and the upstream client

Cause: a caller that does not read was cut off late, because each wake-up without progress renewed its time limit. Change: only bytes that the kernel took count as progress. Tests of refused shapes, pipelining, cut responses, slow and idle callers, graceful stop; of truncated, reset, late and unsolicited answers, reuse and the connection bound.

--- a/src/http.cpp
+++ b/src/http.cpp
@@ -416,6 +416,7 @@
 void HttpExchange::Connection::head(HttpResponseHead response)
 {
     headSent = true;
+    lastProgress = steadyNow();
     noBody = isHead || hasNoBody(response.status);
     chunked = !response.length && !http10 && !hasNoBody(response.status);
     untilClose = !response.length && http10 && !noBody;
@@ -482,7 +483,6 @@
 void HttpExchange::Connection::writeRest()
 {
     writePending = true;
-    lastProgress = steadyNow();
     socket.async_wait(Socket::wait_write, [self = shared_from_this()](const error_code &error) {
         self->writePending = false;
         if (self->state == State::Closed) {
@@ -506,6 +506,9 @@
 void HttpExchange::Connection::wrote(std::size_t size)
 {
     outBegin += size;
+    if (size > 0) {
+        lastProgress = steadyNow();
+    }
     if (outBegin == out.size()) {
         out.clear();
         outBegin = 0;
--- /dev/null
+++ b/tests/run_http.cpp
@@ -0,0 +1,533 @@
+#include "http.h"
+#include "upstream.h"
+#include "wire_peer.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace briarvane;
+using namespace briarvane::testing;
+
+namespace
+{
+
+/// A server whose requests wait in `requests` for the test to answer them.
+struct ServerBench
+{
+    explicit ServerBench(HttpServerSettings settings = {})
+        : server(io, settings, [this](const auto &exchange) { requests.push_back(exchange); })
+    {
+        port = server.open().value();
+    }
+    std::shared_ptr<HttpExchange> next()
+    {
+        if (!pumpUntil(io, [&] { return !requests.empty(); })) {
+            throw std::runtime_error("no request arrived");
+        }
+        auto exchange = requests.front();
+        requests.pop_front();
+        return exchange;
+    }
+
+    boost::asio::io_context io;
+    std::deque<std::shared_ptr<HttpExchange>> requests;
+    HttpServer server;
+    std::uint16_t port = 0;
+};
+
+const std::string Get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+}
+
+TEST_CASE("Requests that two parsers could read differently are refused", "[http]")
+{
+    // Guards against request smuggling: a shape that is let through here could be split differently by an upstream.
+    struct Shape
+    {
+        const char *name;
+        std::string bytes;
+        int status;
+    };
+    const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
+    const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Shape> shapes = {
+        {"length and coding", post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", 400},
+        {"coding and length", post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc", 400},
+        {"two equal lengths", post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400},
+        {"two lengths", post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 400},
+        {"length list", post + "Content-Length: 3, 3\r\n\r\nabc", 400},
+        {"signed length", post + "Content-Length: +3\r\n\r\nabc", 400},
+        {"hexadecimal length", post + "Content-Length: 0x3\r\n\r\nabc", 400},
+        {"empty length", post + "Content-Length:\r\n\r\n", 400},
+        {"huge length", post + "Content-Length: 99999999999999999999\r\n\r\n", 400},
+        {"bare LF", "GET / HTTP/1.1\nHost: x\n\n", 400},
+        {"bare LF at the end", "GET / HTTP/1.1\r\nHost: x\r\n\n", 400},
+        {"bare CR", "GET / HTTP/1.1\r\nHost: x\rA: b\r\n\r\n", 400},
+        {"folded line", "GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n", 400},
+        {"folded line with tab", "GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n\tc\r\n\r\n", 400},
+        {"space before the colon", "GET / HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc", 400},
+        {"NUL", std::string("GET / HTTP/1.1\r\nHost: x\r\nA: b") + '\0' + "c\r\n\r\n", 400},
+        {"no host", "GET / HTTP/1.1\r\n\r\n", 400},
+        {"two hosts", "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", 400},
+        {"absolute target", "GET http://y/ HTTP/1.1\r\nHost: x\r\n\r\n", 400},
+        {"unknown coding", post + "Transfer-Encoding: gzip\r\n\r\n", 501},
+        {"coding chain", post + "Transfer-Encoding: gzip, chunked\r\n\r\n", 501},
+        {"chunked twice", post + "Transfer-Encoding: chunked, chunked\r\n\r\n", 501},
+        {"two coding fields", post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+        {"coding in HTTP/1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+        {"bare LF in a chunk header", chunked + "3\nabc\r\n0\r\n\r\n", 400},
+        {"signed chunk size", chunked + "+3\r\nabc\r\n0\r\n\r\n", 400},
+        {"chunk size with prefix", chunked + "0x3\r\nabc\r\n0\r\n\r\n", 400},
+        {"chunk size overflow", chunked + "10000000000000003\r\nabc\r\n0\r\n\r\n", 400},
+        {"chunk longer than its size", chunked + "3\r\nabcd\r\n0\r\n\r\n", 400},
+        {"header section too large", "GET / HTTP/1.1\r\nHost: x\r\nA: " + std::string(17'000, 'a'), 431},
+        {"declared body too large", post + "Content-Length: 2000\r\n\r\n", 413},
+        {"chunked body too large", chunked + "7d0\r\n" + std::string(2000, 'a') + "\r\n0\r\n\r\n", 413},
+        {"tunnel", "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n", 405},
+        {"unknown expectation", post + "Expect: x\r\nContent-Length: 1\r\n\r\na", 417},
+        {"unknown version", "GET / HTTP/2.0\r\nHost: x\r\n\r\n", 505},
+    };
+    HttpServerSettings settings;
+    settings.bodyLimit = 1000;
+    ServerBench bench(settings);
+    for (const Shape &shape : shapes) {
+        INFO(shape.name);
+        WirePeer caller(bench.io, bench.port);
+        caller.send(shape.bytes);
+        CHECK(caller.waitFor("HTTP/1.1 " + std::to_string(shape.status) + " "));
+        CHECK(caller.waitFor("Connection: close"));
+        CHECK(caller.waitClosed());
+        CHECK(bench.requests.empty());
+    }
+}
+
+TEST_CASE("Requests on one connection", "[http]")
+{
+    ServerBench bench;
+    WirePeer caller(bench.io, bench.port);
+
+    SECTION("pipelined requests are answered in order, so that no caller gets another request's response")
+    {
+        caller.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcPOST /2 HTTP/1.1\r\nHost: x\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n2\r\nde\r\n1;e=1\r\nf\r\n0\r\nT: 1\r\n\r\nHEAD /3 "
+                    "HTTP/1.1\r\nHost: x\r\n\r\n");
+        const auto first = bench.next();
+        CHECK(first->request().body == "abc");
+        settleLoop(bench.io);
+        CHECK(bench.requests.empty());
+        first->respond(200, "", "one");
+        const auto second = bench.next();
+        CHECK(second->request().body == "def");
+        CHECK(second->request().fields.find("T") == nullptr);
+        second->respond(201, "", "two");
+        const auto third = bench.next();
+        third->respond(200, "", "three");
+        CHECK(caller.waitFor("Content-Length: 5\r\n\r\n"));
+        CHECK(caller.received()
+              == "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noneHTTP/1.1 201 Created\r\nContent-Length: 3\r\n\r\ntwo"
+                 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    }
+    SECTION("a request that arrives byte by byte is read like any other")
+    {
+        for (const char c :
+             "PUT /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n" + Get) {
+            caller.send(std::string_view(&c, 1));
+            settleLoop(bench.io);
+            if (!bench.requests.empty() && bench.requests.front()->request().method == "PUT") {
+                CHECK(bench.next()->request().body == "abcd");
+                break;
+            }
+        }
+    }
+    SECTION("hop-by-hop fields end here, also those that Connection names")
+    {
+        caller.send(
+            "GET / HTTP/1.1\r\nHost: x\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTE: a\r\n"
+            "Upgrade: b\r\nX-End: 2\r\n\r\n");
+        const auto exchange = bench.next();
+        REQUIRE(exchange->request().fields.list.size() == 2);
+        CHECK(exchange->request().fields.list[1].name == "X-End");
+    }
+    SECTION("a caller that waits for 100 Continue gets it before it sends the body")
+    {
+        caller.send("POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        CHECK(caller.waitFor("HTTP/1.1 100 Continue\r\n\r\n"));
+        caller.send("ab");
+        CHECK(bench.next()->request().body == "ab");
+    }
+    SECTION("the handler hears once that the caller went away, so that its work can be cancelled")
+    {
+        caller.send(Get);
+        const auto exchange = bench.next();
+        int notices = 0;
+        exchange->onGone([&] { ++notices; });
+        caller.close();
+        CHECK(pumpUntil(bench.io, [&] { return notices == 1; }));
+        exchange->respond(200, "", "late");
+        settleLoop(bench.io);
+        CHECK(notices == 1);
+        CHECK(bench.server.load().inFlight == 0);
+    }
+}
+
+TEST_CASE("A response that does not end well is visibly cut", "[http]")
+{
+    ServerBench bench;
+    WirePeer caller(bench.io, bench.port);
+    HttpResponseHead head;
+
+    SECTION("with a declared length the connection closes before that length")
+    {
+        caller.send(Get + Get);
+        auto exchange = bench.next();
+        head.length = 10;
+        exchange->head(head);
+        exchange->body("12345");
+        GIVEN("an abort")
+        {
+            exchange->abort();
+        }
+        GIVEN("an end before the declared length")
+        {
+            exchange->end();
+        }
+        GIVEN("more than the declared length")
+        {
+            exchange->body("1234567890");
+        }
+        GIVEN("an exchange that the handler drops")
+        {
+            exchange = nullptr;
+        }
+        CHECK(caller.waitClosed());
+        const std::string &text = caller.received();
+        CHECK(text.size() - std::min(text.size(), text.find("\r\n\r\n") + 4) < 10);
+        CHECK(bench.requests.empty());
+    }
+    SECTION("with chunks the last chunk is missing")
+    {
+        caller.send(Get);
+        const auto exchange = bench.next();
+        exchange->head(head);
+        exchange->body("12345");
+        exchange->abort();
+        CHECK(caller.waitClosed());
+        CHECK(caller.received().ends_with("5\r\n12345\r\n"));
+    }
+    SECTION("an HTTP/1.0 caller, whose response ends with the connection, gets a reset")
+    {
+        caller.send("GET / HTTP/1.0\r\n\r\n");
+        const auto exchange = bench.next();
+        exchange->head(head);
+        exchange->body("12345");
+        exchange->flush();
+        exchange->abort();
+        CHECK(caller.waitClosed());
+        CHECK(caller.wasReset());
+    }
+    SECTION("a response whose declared bytes are all written is reset when it is aborted")
+    {
+        caller.send(Get);
+        const auto exchange = bench.next();
+        head.length = 5;
+        exchange->head(head);
+        exchange->body("12345");
+        exchange->abort();
+        CHECK(caller.waitClosed());
+        CHECK(caller.received().empty());
+        CHECK(caller.wasReset());
+    }
+}
+
+TEST_CASE("Slow and idle callers do not hold resources", "[http]")
+{
+    HttpServerSettings settings;
+    settings.idleTimeout = settings.readTimeout = settings.writeTimeout = Duration{40'000};
+    ServerBench bench(settings);
+    WirePeer caller(bench.io, bench.port);
+
+    SECTION("an idle connection is closed")
+    {
+        CHECK(caller.waitClosed());
+        CHECK(caller.received().empty());
+    }
+    SECTION("a request that does not complete is refused")
+    {
+        caller.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na");
+        CHECK(caller.waitFor("HTTP/1.1 408 "));
+        CHECK(caller.waitClosed());
+    }
+    SECTION("a caller that does not read is cut off, and the handler is told")
+    {
+        caller.send(Get);
+        const auto exchange = bench.next();
+        bool gone = false;
+        exchange->onGone([&] { gone = true; });
+        exchange->head({});
+        while (exchange->waiting() < 1'000'000) {
+            exchange->body(std::string(100'000, 'a'));
+        }
+        CHECK(pumpUntil(bench.io, [&] { return gone; }));
+    }
+    SECTION("a request in the handler's hands has no timeout of its own")
+    {
+        caller.send(Get);
+        const auto exchange = bench.next();
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        settleLoop(bench.io);
+        exchange->respond(200, "", "done");
+        CHECK(caller.waitFor("done"));
+    }
+}
+
+TEST_CASE("A stopping server cuts off nothing", "[http]")
+{
+    HttpServerSettings settings;
+    settings.stopGrace = Duration{50'000};
+    ServerBench bench(settings);
+    WirePeer busy(bench.io, bench.port);
+    WirePeer idle(bench.io, bench.port);
+    busy.send("GET /busy HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto exchange = bench.next();
+    bool stopped = false;
+    WirePeer early(bench.io, bench.port);  // in the listener's queue when the server stops
+    early.send(Get);
+    bench.server.stop([&] { stopped = true; });
+    const auto other = bench.next();
+    other->respond(200, "", "early");
+    CHECK(early.waitFor("Connection: close"));
+    CHECK(idle.waitClosed());
+    settleLoop(bench.io);
+    CHECK_FALSE(stopped);
+    CHECK(bench.server.load().open == std::vector<std::string>{"GET /busy"});
+    exchange->respond(200, "", "whole");
+    CHECK(busy.waitFor("whole"));
+    busy.close();
+    early.close();
+    CHECK(pumpUntil(bench.io, [&] { return stopped; }));
+}
+
+// Upstream client -----------------------------------------------------------------------------------------------------
+
+namespace
+{
+
+struct CallRecord
+{
+    UpstreamCall call;
+    int status = 0;
+    std::string body;
+    std::vector<UpstreamResult> ends;
+};
+
+struct ClientBench
+{
+    ClientBench()
+        : listener(io)
+        , client(io, {})
+    {
+        client.configure({{instance, {"127.0.0.1", listener.port(), 2}}});
+    }
+    std::shared_ptr<CallRecord> send(std::string_view method = "POST", Duration timeout = Duration{9'000'000})
+    {
+        const auto record = std::make_shared<CallRecord>();
+        const HttpFields fields{{{"Host", "x"}}};
+        record->call = client.send(instance, {method, "/", fields, nullptr},
+                                   std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()) + timeout,
+                                   {[record](const HttpHead &head) { record->status = head.status; },
+                                    [record](std::string_view piece) { record->body += piece; }, [] {},
+                                    [record](UpstreamResult result) { record->ends.push_back(result); }});
+        return record;
+    }
+    /// Accepts, checks that the request arrived and answers with `bytes`.
+    WirePeer answer(std::string_view bytes)
+    {
+        WirePeer peer = listener.accept();
+        CHECK(peer.waitFor("\r\n\r\n"));
+        peer.send(bytes);
+        return peer;
+    }
+    bool ended(const std::shared_ptr<CallRecord> &record, UpstreamResult result)
+    {
+        return pumpUntil(io, [&] { return !record->ends.empty(); })
+            && record->ends == std::vector<UpstreamResult>{result};
+    }
+
+    boost::asio::io_context io;
+    InstanceId instance{"i1"};
+    WireListener listener;
+    UpstreamClient client;
+};
+
+}
+
+TEST_CASE("An upstream's answer is checked strictly", "[upstream]")
+{
+    ClientBench bench;
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+
+    SECTION("whole answers")
+    {
+        const std::vector<std::pair<std::string, UpstreamResult>> answers = {
+            {ok + "Content-Length: 2\r\n\r\nab", UpstreamResult::Completed},
+            {ok + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n", UpstreamResult::Completed},
+            {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nab",
+             UpstreamResult::Completed},
+            {"HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nab", UpstreamResult::ServerError},
+        };
+        for (const auto &[bytes, result] : answers) {
+            ClientBench fresh;
+            const auto call = fresh.send();
+            const WirePeer peer = fresh.answer(bytes);
+            CHECK(fresh.ended(call, result));
+            CHECK(call->body == "ab");
+            CHECK(fresh.client.load()[fresh.instance].idle == 1);
+        }
+    }
+    SECTION("an answer that is cut, or whose end cannot be checked, is never taken for a whole one")
+    {
+        const std::vector<std::string> answers = {
+            ok + "Content-Length: 5\r\n\r\nab",
+            ok + "Content-Length: 5\r\n",
+            ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+            ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+            ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n",
+            ok + "\r\nab",
+            ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nab",
+            ok + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nab",
+            "HTTP/1.1 101 Switching\r\n\r\n",
+            "nonsense\r\n\r\n",
+        };
+        for (const std::string &bytes : answers) {
+            INFO(bytes);
+            ClientBench fresh;
+            const auto call = fresh.send();
+            fresh.answer(bytes).close();
+            CHECK(fresh.ended(call, UpstreamResult::Truncated));
+            CHECK(call->call.sent());
+            CHECK(fresh.client.load()[fresh.instance].open == 0);
+        }
+    }
+    SECTION("a connection that breaks before the answer is a reset, and the request is not sent again")
+    {
+        const auto call = bench.send("GET");
+        bench.answer("").close(true);
+        CHECK(bench.ended(call, UpstreamResult::Reset));
+        CHECK(call->call.sent());
+        settleLoop(bench.io);
+        CHECK_FALSE(bench.listener.pending());
+    }
+    SECTION("a refused connection is an attempt in which no byte was sent")
+    {
+        std::uint16_t closedPort = 0;
+        {
+            const WireListener other(bench.io);
+            closedPort = other.port();
+        }
+        bench.client.configure({{bench.instance, {"127.0.0.1", closedPort, 2}}});
+        const auto call = bench.send();
+        CHECK(call->ends.empty());
+        CHECK(bench.ended(call, UpstreamResult::ConnectFailed));
+        CHECK_FALSE(call->call.sent());
+    }
+    SECTION("a late answer ends the call and its connection, so that it cannot reach another caller")
+    {
+        const auto call = bench.send("POST", Duration{30'000});
+        WirePeer peer = bench.answer("");
+        CHECK(bench.ended(call, UpstreamResult::TimedOut));
+        peer.send(ok + "Content-Length: 2\r\n\r\nab");
+        CHECK(peer.waitClosed());
+        settleLoop(bench.io);
+        CHECK(call->body.empty());
+        CHECK(bench.client.load()[bench.instance].open == 0);
+    }
+    SECTION("a cancelled call closes its connection and reports nothing")
+    {
+        const auto call = bench.send();
+        WirePeer peer = bench.answer(ok + "Content-Length: 5\r\n\r\nab");
+        CHECK(pumpUntil(bench.io, [&] { return call->body == "ab"; }));
+        call->call.cancel();
+        CHECK(peer.waitClosed());
+        CHECK(call->ends.empty());
+        CHECK(bench.client.load()[bench.instance].open == 0);
+    }
+}
+
+TEST_CASE("Connections to an upstream are reused only while nothing is amiss", "[upstream]")
+{
+    ClientBench bench;
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+    const auto first = bench.send();
+
+    SECTION("a sound one is reused")
+    {
+        WirePeer peer = bench.answer(ok + "ab");
+        CHECK(bench.ended(first, UpstreamResult::Completed));
+        peer.forget();
+        const auto second = bench.send();
+        CHECK(peer.waitFor("\r\n\r\n"));
+        peer.send(ok + "cd");
+        CHECK(bench.ended(second, UpstreamResult::Completed));
+        CHECK(second->body == "cd");
+        CHECK_FALSE(bench.listener.pending());
+    }
+    SECTION("bytes after the answer, together with it or later, are not taken for the next answer")
+    {
+        const bool together = GENERATE(true, false);
+        WirePeer peer = bench.answer(ok + "ab" + (together ? ok + "zz" : ""));
+        CHECK(bench.ended(first, UpstreamResult::Completed));
+        if (!together) {
+            peer.send(ok + "zz");  // the loop does not run before the next request
+        }
+        const auto second = bench.send();
+        WirePeer other = bench.answer(ok + "cd");
+        CHECK(bench.ended(second, UpstreamResult::Completed));
+        CHECK(second->body == "cd");
+        CHECK(peer.waitClosed());
+    }
+    SECTION("one that the upstream closed while idle is replaced before a byte is sent")
+    {
+        bench.answer(ok + "ab").close();
+        CHECK(bench.ended(first, UpstreamResult::Completed));
+        const auto second = bench.send();
+        WirePeer other = bench.answer(ok + "cd");
+        CHECK(bench.ended(second, UpstreamResult::Completed));
+    }
+    SECTION("one that the upstream closes on receipt of the request is a reset, never a silent resend")
+    {
+        WirePeer peer = bench.answer(ok + "ab");
+        CHECK(bench.ended(first, UpstreamResult::Completed));
+        peer.forget();
+        const auto second = bench.send();
+        CHECK(peer.waitFor("\r\n\r\n"));
+        peer.close();
+        CHECK(bench.ended(second, UpstreamResult::Reset));
+        CHECK(second->call.sent());
+        settleLoop(bench.io);
+        CHECK_FALSE(bench.listener.pending());
+    }
+    SECTION("an upstream that announces a close is taken at its word")
+    {
+        WirePeer peer = bench.answer("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab");
+        CHECK(bench.ended(first, UpstreamResult::Completed));
+        CHECK(bench.client.load()[bench.instance].open == 0);
+    }
+    SECTION("no more are opened than the bound; a further call waits its turn or ends unsent")
+    {
+        WirePeer peer = bench.answer("");
+        const auto second = bench.send();
+        const WirePeer otherPeer = bench.answer("");
+        const auto third = bench.send();
+        const auto fourth = bench.send("POST", Duration{20'000});
+        CHECK(bench.ended(fourth, UpstreamResult::NotSent));
+        CHECK_FALSE(bench.listener.pending());
+        peer.forget();
+        peer.send(ok + "ab");
+        CHECK(peer.waitFor("\r\n\r\n"));
+        CHECK(first->ends.size() == 1);
+        peer.send(ok + "cd");
+        CHECK(bench.ended(third, UpstreamResult::Completed));
+        CHECK(second->ends.empty());
+    }
+}
