Exchange slot permits between entries

PermitClient is a thin layer over PermitExchange, a template over the cluster type, so that tests run several entries in one process with injected time.

--- a/src/entry_permits.h
+++ b/src/entry_permits.h
@@ -1,41 +1,67 @@
 #pragma once
 
 // Slot permits over the peers: asks the entry responsible for a pool, or answers when this entry is responsible.
-// Runs on the I/O thread.
+// Runs on the I/O thread. `request`, `cancel`, `release`, `mayRetry` and `inFlight` are in permit_exchange.h.
 
 #include "entry_cluster.h"
 #include "fleet.h"
-#include "routing.h"
+#include "permit_exchange.h"
 
 namespace briarvane
 {
 
-struct GrantedPermit
+/// Parts of each tenant's slots for one pool. The router of a pool sees only that pool, so the tenant's slots are
+/// divided evenly; a tenant with fewer slots than pools keeps one in each.
+inline std::map<TenantId, int> quotasPerPool(const Sheet &sheet)
 {
-    std::uint64_t id = 0;
-    PoolId pool;
-    InstanceId instance;
-};
+    const auto serving = std::count_if(sheet.pools.begin(), sheet.pools.end(), [&](const PoolSpec &pool) {
+        return std::any_of(sheet.services.begin(), sheet.services.end(),
+                           [&](const ServiceSpec &service) { return service.pool == pool.id; });
+    });
+    std::map<TenantId, int> quotas;
+    for (const QuotaSpec &quota : sheet.quotas) {
+        const int part = quota.slots / std::max(1, static_cast<int>(serving));
+        quotas[quota.tenant] = quota.slots > 0 ? std::max(1, part) : 0;
+    }
+    return quotas;
+}
 
 template<Platform P>
-class PermitClient
+class PermitClient : public PermitExchange<Cluster<P>>
 {
 public:
-    /// Errors: Refused (deadline, quota, nothing can run it), Unavailable (view not usable).
-    using Granted = std::function<void(Result<GrantedPermit>)>;
-
-    PermitClient(Cluster<P> &cluster);
+    explicit PermitClient(Cluster<P> &cluster)
+        : PermitExchange<Cluster<P>>(cluster)
+        , m_cluster(cluster)
+    {
+        this->startTimer();
+    }
 
-    void configure(const Sheet &sheet, const Fleet &fleet);  // on each change of either or of the instance list
-    void request(const PoolId &pool, const RequestInfo &info, std::vector<InstanceId> avoid, Granted granted);
-    void cancel(const PoolId &pool, std::uint64_t requestId);  // the callback of the request is not called any more
-    void release(const GrantedPermit &permit, const RequestInfo &info, UpstreamResult result, Duration serviceTime);
-    bool mayRetry(const RequestInfo &info);      // takes one from the service's retry budget
-    std::map<InstanceId, int> inFlight() const;  // permits in use by this entry
+    /// On each change of either or of the instance list.
+    void configure(const Sheet &sheet, const Fleet &fleet)
+    {
+        const std::vector<InstanceRecord> &records = m_cluster.instances();
+        const std::map<TenantId, int> quotas = quotasPerPool(sheet);
+        std::vector<PermitPool> pools;
+        for (const PoolSpec &spec : sheet.pools) {
+            PermitPool pool{spec.id, spec.slots, {}, 0, {}, quotas};
+            for (const InstanceId &id : admitted(fleet, spec.id, records)) {
+                const auto record = std::find_if(records.begin(), records.end(),
+                                                 [&](const InstanceRecord &line) { return line.id == id; });
+                pool.admitted.push_back({id, record == records.end() ? std::string() : record->rack});
+            }
+            pool.members = static_cast<std::size_t>(
+                std::count_if(fleet.instances.begin(), fleet.instances.end(),
+                              [&](const auto &line) { return line.second.pool == spec.id; }));
+            std::copy_if(sheet.services.begin(), sheet.services.end(), std::back_inserter(pool.services),
+                         [&](const ServiceSpec &service) { return service.pool == spec.id; });
+            pools.push_back(std::move(pool));
+        }
+        this->configurePools(std::move(pools));
+    }
 
 private:
-    struct State;
-    std::shared_ptr<State> m_state;
+    Cluster<P> &m_cluster;
 };
 
 }
--- a/src/routing.h
+++ b/src/routing.h
@@ -263,6 +263,7 @@
     Decisions enqueue(const PermitRequest &request, TimePoint now);
     Decisions cancel(const RequestKey &key, TimePoint now);
     /// `permit` 0 only reports a result, of a reused permit.
+    /// The class is only used for permits that this router did not grant.
     Decisions release(const Asker &asker, std::uint64_t permit, const InstanceId &instance, const ServiceId &service,
                       const std::string &route, RequestClass requestClass, UpstreamResult result, Duration serviceTime,
                       TimePoint now);
@@ -274,7 +275,7 @@
     // Permits after a change of responsibility, lost releases
     void gather(const std::set<EntryId> &entries, TimePoint now);  // grants nothing before these have reported
     Decisions adopt(const Asker &asker, const std::vector<HeldPermit> &held, TimePoint now);
-    /// Entries to be asked for their permits now: unconfirmed permits, queued requests, unanswered gathering.
+    /// Entries to be asked for their permits now: old permits, queued requests, unanswered gathering.
     std::vector<EntryId> queries(TimePoint now);
 
     // State
--- a/src/routing_pool.cpp
+++ b/src/routing_pool.cpp
@@ -13,6 +13,9 @@
 constexpr double TrustedSamples = 20;
 /// Time between two queries to the same entry.
 constexpr Duration QueryPeriod{500'000};
+/// Entries without queued requests or old permits are asked this often, because they may hold permits that another
+/// entry or their static share gave them.
+constexpr Duration AskEverybodyPeriod{10'000'000};
 /// Adopted permits carry no deadline; reconciliation ends them long before.
 constexpr Duration AdoptedDeadline{3'600'000'000};
 
@@ -146,15 +149,17 @@
     // A request that timed out ran at least this long, which is better than to learn nothing of stragglers.
     const bool measured = result == UpstreamResult::Completed || result == UpstreamResult::ServerError
         || result == UpstreamResult::TimedOut;
-    if (measured) {
-        sizesOf({service, route, requestClass}).estimate.add(serviceTime, now);
-        if (requestClass != RequestClass::Long) {
-            m_shortSizes.add(serviceTime, now);
+    SizeKey size{service, route, requestClass};
+    if (const auto found = m_permits.find({asker, permit}); permit != 0 && found != m_permits.end()) {
+        if (!found->second.adopted) {
+            size = found->second.size;
         }
+        removePermit(found);
     }
-    if (permit != 0) {
-        if (const auto found = m_permits.find({asker, permit}); found != m_permits.end()) {
-            removePermit(found);
+    if (measured) {
+        sizesOf(size).estimate.add(serviceTime, now);
+        if (std::get<RequestClass>(size) != RequestClass::Long) {
+            m_shortSizes.add(serviceTime, now);
         }
     }
     dispatch(now, out);
@@ -166,6 +171,8 @@
     Decisions out;
     m_awaited.erase(entry);
     m_asked.erase(entry);
+    m_lastQuery.erase(entry);
+    m_starts.erase(entry);
     orphan(now, [&](const Asker &asker) { return asker.entry == entry; });
     dispatch(now, out);
     return out;
@@ -272,6 +279,12 @@
             wanted.insert(key.first.entry);
         }
     }
+    for (const auto &[entry, start] : m_starts) {
+        const auto last = m_lastQuery.find(entry);
+        if (last == m_lastQuery.end() || now - last->second >= AskEverybodyPeriod) {
+            wanted.insert(entry);
+        }
+    }
     // Entries with queued requests see by the query that this router is at work.
     for (const auto &[key, place] : m_waiting) {
         wanted.insert(key.asker.entry);
