Keep a lost entry's permits known when only its link was cut

Causes seen in the new tests: the slots of an entry that came back were freed before it was asked (60 s case: 0 instead of 1 in service), and an entry that left its static share was granted slots on top of those it held (10 instead of 8 in service on one instance). A lost entry is now asked at once and again when it is heard, and an entry reports its permits before it sends requests to a responsible entry that it found again.

--- a/src/permit_exchange_impl.h
+++ b/src/permit_exchange_impl.h
@@ -67,6 +67,11 @@
         deliver(pool, pool.router->setInstances(pool.config.admitted, pool.config.members, now), now);
         query(pool, now);
     }
+    // The new responsible entry must know what this one holds before it grants more. Should it have a query on the way,
+    // it takes this for the answer and may free a grant that crosses it; the real answer corrects that.
+    if (mode == Mode::Remote && !responsible.empty() && !heldOf(pool.config.id, now).empty()) {
+        sendState(pool.config.id, responsible, now);
+    }
     for (auto &[id, pending] : pool.pending) {
         if (pending.permit != 0) {
             continue;
@@ -378,10 +383,10 @@
         }
     } else if (message.has_permit_state_query()) {
         const PoolId id{message.permit_state_query().pool()};
+        sendState(id, sender.entry, now);  // before requests that may follow, so that the slots are known as taken
         if (Pool *pool = find(id.value)) {
             heardResponsible(*pool, sender.entry, now);
         }
-        sendState(id, sender.entry, now);
     }
 }
 
@@ -503,6 +508,11 @@
                     deliver(pool, pool.router->entryLost(entry, now), now);
                 }
             }
+            for (const EntryId &entry : liveNow) {
+                if (!live.contains(entry)) {
+                    pool.router->entryFound(entry);
+                }
+            }
             deliver(pool, pool.router->tick(now), now);
             query(pool, now);
         }
--- a/src/routing.h
+++ b/src/routing.h
@@ -270,6 +270,7 @@
     /// The entry's queued requests are dropped. Its running work keeps the slots for a time, because the entry may be
     /// alive behind a cut link and an upstream may finish work whose caller is gone.
     Decisions entryLost(const EntryId &entry, TimePoint now);
+    void entryFound(const EntryId &entry);  // it is asked for its permits at the next query
     Decisions tick(TimePoint now);
 
     // Permits after a change of responsibility, lost releases
@@ -396,6 +397,7 @@
     std::set<EntryId> m_awaited;  // entries that have not reported since gather()
     TimePoint m_gatherUntil;
     std::map<EntryId, std::uint64_t> m_starts;
+    std::set<EntryId> m_known;  // entries that are asked now and then
     std::map<EntryId, TimePoint> m_asked;  // the oldest query without an answer
     std::map<EntryId, TimePoint> m_lastQuery;
 };
--- a/src/routing_pool.cpp
+++ b/src/routing_pool.cpp
@@ -172,7 +172,7 @@
     m_awaited.erase(entry);
     m_asked.erase(entry);
     m_lastQuery.erase(entry);
-    m_starts.erase(entry);
+    m_known.erase(entry);
     orphan(now, [&](const Asker &asker) { return asker.entry == entry; });
     dispatch(now, out);
     return out;
@@ -185,9 +185,16 @@
     return out;
 }
 
+void PoolRouter::entryFound(const EntryId &entry)
+{
+    m_known.insert(entry);
+    m_lastQuery.erase(entry);
+}
+
 /// A new start of an entry means that the process of the older start has ended.
 void PoolRouter::supersede(const Asker &asker, TimePoint now)
 {
+    m_known.insert(asker.entry);
     const auto [known, isNew] = m_starts.try_emplace(asker.entry, asker.startId);
     if (isNew || known->second == asker.startId) {
         return;
@@ -213,8 +220,9 @@
             continue;
         }
         const Duration rest = 3 * sizesOf(permit.size).estimate.remaining(now - permit.granted);
-        const Duration hold = std::min(m_settings.orphanHold, std::max(shortBound(), rest));
+        const Duration hold = std::min(m_settings.orphanHold, std::max(m_settings.confirmAfter, rest));
         permit.orphan = true;
+        permit.confirmed = TimePoint{};  // asked after at once, in case only the heartbeats are lost
         permit.orphanUntil = std::min(permit.deadline, now + hold);
     }
 }
@@ -224,6 +232,7 @@
 void PoolRouter::gather(const std::set<EntryId> &entries, TimePoint now)
 {
     m_awaited = entries;
+    m_known.insert(entries.begin(), entries.end());
     m_gatherUntil = now + m_settings.gatherTimeout;
 }
 
@@ -279,7 +288,7 @@
             wanted.insert(key.first.entry);
         }
     }
-    for (const auto &[entry, start] : m_starts) {
+    for (const EntryId &entry : m_known) {
         const auto last = m_lastQuery.find(entry);
         if (last == m_lastQuery.end() || now - last->second >= AskEverybodyPeriod) {
             wanted.insert(entry);
--- a/tests/run_permits.cpp
+++ b/tests/run_permits.cpp
@@ -257,5 +257,255 @@
         f.at("b").release(*answer->permit, request, UpstreamResult::ServerError, 5ms);
         f.run(10ms);
         CHECK(f.at("a").router(Carts)->inService() == 0);
+        SECTION("and a second release of the same use frees nothing that another request holds")
+        {
+            const auto next = f.ask("b");
+            f.run(10ms);
+            f.at("b").release(*answer->permit, request, UpstreamResult::Completed, 5ms);
+            f.run(10ms);
+            CHECK(f.at("a").router(Carts)->inService() == 1);
+        }
+    }
+    SECTION("at light load a kept permit saves the round trip, and is given back when it is not used")
+    {
+        const RequestInfo first = f.info();
+        const auto answer = f.ask("b", first);
+        f.run(10ms);
+        f.at("b").release(*answer->permit, first, UpstreamResult::Completed, 5ms);
+        const std::size_t sent = f.net.requestsSent;
+        const RequestInfo second = f.info();
+        const auto again = f.ask("b", second);
+        f.net.io.restart();
+        f.net.io.poll();
+        REQUIRE(again->permit);
+        CHECK(f.net.requestsSent == sent);
+        CHECK(f.inFlight("i1") + f.inFlight("i2") == 1);
+        f.at("b").release(*again->permit, second, UpstreamResult::Completed, 5ms);
+        f.run(400ms);
+        CHECK(f.at("a").router(Carts)->inService() == 0);
+    }
+    SECTION("a stale view starts no work, whether it is noticed before or after the grant")
+    {
+        f.membership("b").usable = false;
+        const auto before = f.ask("b");
+        f.run(5ms);
+        REQUIRE(before->error);
+        CHECK(before->error->code == ErrorCode::Unavailable);
+        f.membership("b").usable = true;
+        const auto after = f.ask("b");
+        f.membership("b").usable = false;
+        f.run(20ms);
+        REQUIRE(after->error);
+        CHECK(after->error->code == ErrorCode::Unavailable);
+        CHECK(f.at("a").router(Carts)->inService() == 0);
+    }
+    SECTION("an instance that left the fleet in the asking entry's view gets no work from a granting entry that lags")
+    {
+        f.at("b").configurePools({Fixture::pool({"i2"})});
+        std::vector<std::shared_ptr<Answer>> answers;
+        for (int count = 0; count < 6; ++count) {
+            answers.push_back(f.ask("b"));
+        }
+        f.run(200ms);
+        for (const auto &answer : answers) {
+            REQUIRE(answer->permit);
+            CHECK(answer->permit->instance == InstanceId{"i2"});
+        }
+        CHECK(f.at("a").router(Carts)->inService(InstanceId{"i1"}) == 0);
+    }
+    SECTION("a request that cannot be answered in time is refused once, also when the grant is lost")
+    {
+        f.net.drop = [](const Network::Line &line) { return line.message.has_permit_decision(); };
+        const auto answer = f.ask("b", f.info(300ms));
+        f.run(2s);
+        REQUIRE(answer->error);
+        CHECK(answer->error->code == ErrorCode::Refused);
+        CHECK(answer->error->message.starts_with("deadline"));
+        CHECK(answer->calls == 1);
+    }
+}
+
+TEST_CASE("Lost and late messages", "[permits]")
+{
+    Fixture f;
+
+    SECTION("a grant that comes after the cancellation is given back and the callback is not run")
+    {
+        const RequestInfo request = f.info();
+        const auto answer = f.ask("b", request);
+        f.run(1ms);  // the request has left, the grant is on its way
+        f.net.drop = [](const Network::Line &line) { return line.message.has_permit_cancel(); };
+        f.at("b").cancel(Carts, request.id);
+        f.run(50ms);
+        CHECK(answer->calls == 0);
+        CHECK(f.at("a").router(Carts)->inService() == 0);
+    }
+    SECTION("a lost grant is sent again, and its copy does not free the slot in use")
+    {
+        int lost = 0;
+        f.net.drop = [&](const Network::Line &line) { return line.message.has_permit_decision() && ++lost <= 1; };
+        const auto answer = f.ask("b");
+        f.run(1500ms);
+        REQUIRE(answer->permit);
+        CHECK(lost == 2);
+        wire::Envelope copy;
+        copy.mutable_permit_decision()->set_request_id(1);
+        copy.mutable_permit_decision()->set_pool("carts");
+        copy.mutable_permit_decision()->set_permit_id((std::uint64_t{7 + 'a'} << 44) + 1);
+        copy.mutable_permit_decision()->set_instance("i1");
+        f.entries.at(EntryId{"a"})->cluster.link.send(EntryId{"b"}, copy);
+        f.run(50ms);
+        CHECK(f.at("a").router(Carts)->inService() == 1);
+        CHECK(answer->calls == 1);
+    }
+    SECTION("a lost release does not keep the slot: the holder is asked and no longer lists the permit")
+    {
+        const RequestInfo request = f.info();
+        const auto answer = f.ask("b", request);
+        const auto other = f.ask("b");  // stays in use and must keep its slot
+        f.run(10ms);
+        f.net.drop = [](const Network::Line &line) { return line.message.has_permit_release(); };
+        f.at("b").release(*answer->permit, request, UpstreamResult::Reset, 5ms);
+        f.run(100ms);
+        CHECK(f.at("a").router(Carts)->inService() == 2);
+        f.run(5s);
+        CHECK(f.at("a").router(Carts)->inService() == 1);
+        CHECK(f.inFlight("i1") + f.inFlight("i2") == 1);
+    }
+    SECTION("with no answer from the responsible entry only the static share is used, until it is heard again")
+    {
+        f.net.drop = [](const Network::Line &line) { return line.from == EntryId{"a"} || line.to == EntryId{"a"}; };
+        for (int count = 0; count < 20; ++count) {
+            f.ask("b");
+        }
+        f.run(3s);
+        CHECK(f.inFlight("i1") == 2);  // 8 slots, 3 listed entries
+        CHECK(f.inFlight("i2") == 2);
+        f.net.drop = [](const Network::Line &) { return false; };
+        f.run(3s);
+        CHECK(f.at("b").router(Carts) == nullptr);
+        CHECK(f.inFlight("i1") == 8);
+        CHECK(f.at("a").router(Carts)->inService() == 16);
+    }
+    SECTION("an entry that hears only a minority does not grant all slots, because others may grant as well")
+    {
+        f.membership("c").heard = std::set<EntryId>{};
+        for (int count = 0; count < 20; ++count) {
+            f.ask("c");
+        }
+        f.run(2s);
+        CHECK(f.inFlight("i1") == 2);
+        CHECK(f.inFlight("i2") == 2);
+    }
+}
+
+TEST_CASE("Loss of entries", "[permits]")
+{
+    Fixture f;
+
+    SECTION("a lost entry's slots stay taken while its work may run, and are freed by its deadline")
+    {
+        for (int count = 0; count < 20; ++count) {
+            f.ask("b", f.info(3s));
+        }
+        f.run(10ms);
+        CHECK(f.at("a").router(Carts)->inService() == 16);
+        f.stop("b");
+        f.run(100ms);
+        CHECK(f.at("a").router(Carts)->inService() == 16);
+        CHECK(f.at("a").router(Carts)->queued() == 0);
+        f.run(4s);
+        CHECK(f.at("a").router(Carts)->inService() == 0);
+    }
+    SECTION("a new responsible entry grants nothing before it knows the permits of the others")
+    {
+        std::vector<std::pair<RequestInfo, std::shared_ptr<Answer>>> held;
+        for (int count = 0; count < 16; ++count) {
+            const RequestInfo request = f.info();
+            held.emplace_back(request, f.ask("c", request));
+        }
+        f.run(10ms);
+        const auto waitingAtB = f.ask("b");
+        const auto waitingAtC = f.ask("c");
+        f.run(10ms);
+        f.stop("a");
+        f.run(1200ms);
+        REQUIRE(f.at("b").router(Carts));
+        CHECK(f.at("b").router(Carts)->inService() == 16);
+        CHECK(f.inFlight("i1") == 8);
+        CHECK(waitingAtB->calls == 0);
+        for (std::size_t index = 0; index < 2; ++index) {
+            f.at("c").release(*held[index].second->permit, held[index].first, UpstreamResult::Completed, 1s);
+        }
+        f.run(20ms);
+        CHECK(waitingAtB->permit);
+        CHECK(waitingAtC->permit);
+        CHECK(f.inFlight("i1") == 8);
+    }
+    SECTION("an entry that was only unreachable keeps the permits that it still lists")
+    {
+        const auto answer = f.ask("b");
+        f.run(10ms);
+        f.net.running.erase(EntryId{"b"});
+        f.membership("b").heard = std::set<EntryId>{{"a"}, {"b"}, {"c"}};
+        f.run(100ms);
+        f.net.running.insert(EntryId{"b"});
+        f.run(60s);
+        CHECK(f.at("a").router(Carts)->inService() == 1);
+    }
+}
+
+TEST_CASE("Random losses, cancellations and restarts", "[permits]")
+{
+    // Guards against double callbacks, slots above the limit and slots that never come back.
+    for (const std::uint32_t seed : {1U, 2U, 3U, 4U}) {
+        Fixture f;
+        std::mt19937 random(seed);
+        const auto chance = [&](int percent) { return static_cast<int>(random() % 100) < percent; };
+        f.net.drop = [&](const Network::Line &) { return chance(3); };
+        struct Job
+        {
+            std::string entry;
+            RequestInfo info;
+            std::shared_ptr<Answer> answer;
+            bool cancelled = false;
+            bool ended = false;
+        };
+        std::vector<Job> jobs;
+        for (int step = 0; step < 2500; ++step) {
+            if (chance(40)) {
+                const std::string entry(1, static_cast<char>('a' + random() % 3));
+                const RequestInfo request = f.info(1ms * (50 + random() % 3000));
+                jobs.push_back({entry, request, f.ask(entry, request)});
+            }
+            f.run(1ms * (1 + random() % 4));
+            for (Job &job : jobs) {
+                if (job.ended) {
+                    continue;
+                }
+                if (job.answer->permit && chance(2)) {
+                    f.at(job.entry).release(*job.answer->permit, job.info, UpstreamResult::Completed, 20ms);
+                    job.ended = true;
+                } else if (!job.answer->calls && !job.cancelled && chance(1)) {
+                    f.at(job.entry).cancel(Carts, job.info.id);
+                    job.cancelled = true;
+                    job.ended = true;
+                }
+            }
+            REQUIRE(f.inFlight("i1") <= 8);
+            REQUIRE(f.inFlight("i2") <= 8);
+        }
+        f.net.drop = [](const Network::Line &) { return false; };
+        f.run(4s);
+        for (Job &job : jobs) {
+            INFO("seed " << seed << " request " << job.info.id);
+            REQUIRE(job.answer->calls == (job.cancelled ? 0 : 1));
+            if (job.answer->permit && !job.ended) {
+                f.at(job.entry).release(*job.answer->permit, job.info, UpstreamResult::Completed, 20ms);
+            }
+        }
+        f.run(15s);
+        CHECK(f.at("a").router(Carts)->inService() == 0);
+        CHECK(f.at("a").router(Carts)->queued() == 0);
     }
 }
