--- a/src/routing.h
+++ b/src/routing.h
@@ -263,18 +263,20 @@
     Decisions enqueue(const PermitRequest &request, TimePoint now);
     Decisions cancel(const RequestKey &key, TimePoint now);
     /// `permit` 0 only reports a result, of a reused permit.
+    /// The class is only used for permits that this router did not grant.
     Decisions release(const Asker &asker, std::uint64_t permit, const InstanceId &instance, const ServiceId &service,
                       const std::string &route, RequestClass requestClass, UpstreamResult result, Duration serviceTime,
                       TimePoint now);
     /// The entry's queued requests are dropped. Its running work keeps the slots for a time, because the entry may be
     /// alive behind a cut link and an upstream may finish work whose caller is gone.
     Decisions entryLost(const EntryId &entry, TimePoint now);
+    void entryFound(const EntryId &entry);  // it is asked for its permits at the next query
     Decisions tick(TimePoint now);
 
     // Permits after a change of responsibility, lost releases
     void gather(const std::set<EntryId> &entries, TimePoint now);  // grants nothing before these have reported
     Decisions adopt(const Asker &asker, const std::vector<HeldPermit> &held, TimePoint now);
-    /// Entries to be asked for their permits now: unconfirmed permits, queued requests, unanswered gathering.
+    /// Entries to be asked for their permits now: old permits, queued requests, unanswered gathering.
     std::vector<EntryId> queries(TimePoint now);
 
     // State
@@ -395,6 +397,7 @@
     std::set<EntryId> m_awaited;  // entries that have not reported since gather()
     TimePoint m_gatherUntil;
     std::map<EntryId, std::uint64_t> m_starts;
+    std::set<EntryId> m_known;  // entries that are asked now and then
     std::map<EntryId, TimePoint> m_asked;  // the oldest query without an answer
     std::map<EntryId, TimePoint> m_lastQuery;
 };
