Add the platform stand-in

The wire form of section 3.3 over the same in-memory store that EmbeddedPlatform uses, with rate limits, a lagging instance list, reboots and faults on command. The class is in a header so that tests can also run it in process.

--- /dev/null
+++ b/tests/standin_platform.cpp
@@ -0,0 +1,37 @@
+#include "standin_platform.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+
+using namespace briarvane;
+using namespace briarvane::standin;
+
+int main(int argc, char **argv)
+{
+    standin::PlatformOptions options;
+    CLI::App app("Stand-in of the platform for tests");
+    app.add_option("--port", options.port, "Port on 127.0.0.1; 0 takes a free one, which is printed");
+    app.add_option("--write-limit", options.writeLimit, "Writes a second; more are answered with 429");
+    app.add_option("--read-limit", options.readLimit, "Reads a second; more are answered with 429");
+    app.add_option("--list-lag-ms", options.listLagMs, "Lag of the instance list");
+    app.add_option("--upstream-control", options.upstreamControl, "ip:port told of reboots");
+    CLI11_PARSE(app, argc, argv);
+
+    try {
+        asio::io_context io(1);
+        PlatformStandIn platform(io, options);
+        tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), options.port));
+        std::cout << "platform stand-in listens on 127.0.0.1:" << acceptor.local_endpoint().port() << std::endl;
+        platform.start();
+        accept(acceptor, platform);
+        asio::signal_set signals(io, SIGTERM, SIGINT);
+        signals.async_wait([&io](const boost::system::error_code &, int) { io.stop(); });
+        io.run();
+    } catch (const std::exception &error) {
+        std::cerr << "platform stand-in: " << error.what() << std::endl;
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/tests/standin_platform.h
@@ -0,0 +1,607 @@
+#pragma once
+
+// Stand-in of the platform: the wire form of section 3.3 of the design page over a store in memory. Used by the program
+// of the same name and, in process, by tests. One thread; a session per connection.
+
+#include "platform_store.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <boost/json.hpp>
+
+namespace briarvane::standin
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using tcp = asio::ip::tcp;
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+constexpr Duration GoneTime{2'000'000};  // of a reboot, unless reboot_ms is set
+
+struct PlatformOptions
+{
+    std::uint16_t port = 0;
+    int writeLimit = 500;  // a second, as the platform sustains
+    int readLimit = 2000;
+    int listLagMs = 0;
+    std::string upstreamControl;
+};
+
+struct Faults
+{
+    bool down = false;
+    int slowMs = 0;
+    int loseAnswers = 0;  // the next writes take effect, and their connection is closed without an answer
+    int failWrites = 0;   // the next writes answer 503 without effect
+    int rebootMs = static_cast<int>(GoneTime.count() / 1000);
+};
+
+inline TimePoint steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+/// Calls allowed in the present second.
+struct RateLimit
+{
+    int limit = 0;
+    int used = 0;
+    std::int64_t second = 0;
+
+    bool take()
+    {
+        const std::int64_t present
+            = std::chrono::duration_cast<std::chrono::seconds>(steadyNow().time_since_epoch()).count();
+        if (present != second) {
+            second = present;
+            used = 0;
+        }
+        return ++used <= limit;
+    }
+};
+
+inline std::string decode(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            decoded += static_cast<char>(std::strtol(std::string(text.substr(i + 1, 2)).c_str(), nullptr, 16));
+            i += 2;
+        } else {
+            decoded += text[i];
+        }
+    }
+    return decoded;
+}
+
+struct Target
+{
+    std::string path;
+    std::map<std::string, std::string> query;
+
+    std::string text(const std::string &name) const
+    {
+        const auto place = query.find(name);
+        return place == query.end() ? "" : place->second;
+    }
+    bool has(const std::string &name) const
+    {
+        return query.contains(name);
+    }
+    std::uint64_t number(const std::string &name) const
+    {
+        return std::strtoull(text(name).c_str(), nullptr, 10);
+    }
+};
+
+inline Target parseTarget(std::string_view text)
+{
+    Target target;
+    const std::size_t mark = text.find('?');
+    target.path = decode(text.substr(0, mark));
+    while (mark != std::string_view::npos) {
+        std::string_view rest = text.substr(mark + 1);
+        while (!rest.empty()) {
+            const std::string_view pair = rest.substr(0, rest.find('&'));
+            rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+            const std::size_t equals = pair.find('=');
+            const std::string_view value = equals == std::string_view::npos ? "" : pair.substr(equals + 1);
+            target.query[decode(pair.substr(0, equals))] = decode(value);
+        }
+        break;
+    }
+    return target;
+}
+
+inline json::object toJson(const StoreValue &value)
+{
+    return {{"key", value.key}, {"value", value.value}, {"version", value.version}};
+}
+
+inline json::array toJson(const std::vector<StoreValue> &values)
+{
+    json::array array;
+    for (const StoreValue &value : values) {
+        array.push_back(toJson(value));
+    }
+    return array;
+}
+
+struct Answer
+{
+    unsigned status = 200;
+    json::value body = json::object{};
+};
+
+inline Answer errorAnswer(unsigned status, const std::string &reason)
+{
+    return {status, json::object{{"error", reason}}};
+}
+
+inline Answer errorAnswer(const Error &error)
+{
+    switch (error.code) {
+    case ErrorCode::Conflict:
+        return errorAnswer(409, error.message);
+    case ErrorCode::NotFound:
+        return errorAnswer(404, error.message);
+    case ErrorCode::Invalid:
+        return errorAnswer(400, error.message);
+    default:
+        return errorAnswer(503, error.message);
+    }
+}
+
+class PlatformStandIn
+{
+public:
+    using Reply = std::function<void(std::optional<Answer>)>;  // nothing: the connection is closed
+
+    PlatformStandIn(asio::io_context &io, PlatformOptions options)
+        : m_io(io)
+        , m_options(std::move(options))
+        , m_timer(io)
+        , m_reads{m_options.readLimit}
+        , m_writes{m_options.writeLimit}
+    {
+    }
+
+    void start()
+    {
+        m_timer.expires_after(std::chrono::milliseconds(10));
+        m_timer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                onTimer();
+                start();
+            }
+        });
+    }
+
+    void handle(const Request &request, const Reply &reply)
+    {
+        const Target target = parseTarget({request.target().data(), request.target().size()});
+        if (target.path == "/fault" || target.path == "/stats") {
+            reply(target.path == "/stats" ? stats() : fault(target));
+            return;
+        }
+        // Records are filled by tests, not by the daemon: no fault applies.
+        if (request.method() == http::verb::put && target.path.starts_with("/v1/instances/")) {
+            reply(putInstance(target.path.substr(14), request.body()));
+            return;
+        }
+        if (m_faults.slowMs > 0) {
+            const auto timer = std::make_shared<asio::steady_timer>(m_io, std::chrono::milliseconds(m_faults.slowMs));
+            timer->async_wait([this, timer, request, target, reply](const boost::system::error_code &) {
+                serve(request, target, reply);
+            });
+            return;
+        }
+        serve(request, target, reply);
+    }
+
+private:
+    struct Watch
+    {
+        std::string prefixes;
+        std::uint64_t after = 0;
+        TimePoint until;
+        Reply reply;
+    };
+    struct Listed
+    {
+        InstanceRecord record;
+        std::deque<std::pair<TimePoint, Presence>> history;  // the list shows the newest that is older than its lag
+        std::optional<TimePoint> backAt;
+    };
+
+    void serve(const Request &request, const Target &target, const Reply &reply)
+    {
+        const std::string kind = kindOf(request, target);
+        ++m_counts[kind];
+        if (m_faults.down) {
+            reply(errorAnswer(503, "the platform is down"));
+            return;
+        }
+        const bool write = request.method() != http::verb::get;
+        if (!(write ? m_writes : m_reads).take()) {
+            ++m_counts["limited"];
+            reply(errorAnswer(429, "too many calls"));
+            return;
+        }
+        m_store.expire(steadyNow());
+        if (kind == "watch") {
+            const TimePoint until = steadyNow() + Duration(1000 * target.number("timeout_ms"));
+            m_watches.push_back({target.text("prefix"), target.number("after"), until, reply});
+            wakeWatches();
+            return;
+        }
+        const bool valueWrite = kind == "swap" || kind == "remove";
+        if (valueWrite && m_faults.failWrites > 0) {
+            --m_faults.failWrites;
+            reply(errorAnswer(503, "the write failed"));
+            return;
+        }
+        Answer answer = call(kind, request, target);
+        if (valueWrite && m_faults.loseAnswers > 0) {
+            --m_faults.loseAnswers;
+            reply(std::nullopt);
+        } else {
+            reply(std::move(answer));
+        }
+        wakeWatches();
+    }
+
+    static std::string kindOf(const Request &request, const Target &target)
+    {
+        const bool get = request.method() == http::verb::get;
+        if (target.path == "/v1/kv") {
+            if (get) {
+                return target.has("key") ? "read" : "list";
+            }
+            return request.method() == http::verb::put    ? "swap"
+                : request.method() == http::verb::delete_ ? "remove"
+                                                          : "bad";
+        }
+        if (target.path == "/v1/watch" && get) {
+            return "watch";
+        }
+        if (target.path == "/v1/leases" && !get) {
+            return "grant";
+        }
+        if (target.path.starts_with("/v1/leases/") && target.path.ends_with("/renew") && !get) {
+            return "renew";
+        }
+        if (target.path == "/v1/instances" && get) {
+            return "instances";
+        }
+        if (target.path.starts_with("/v1/instances/") && target.path.ends_with("/reboot") && !get) {
+            return "reboot";
+        }
+        return "bad";
+    }
+
+    Answer call(const std::string &kind, const Request &request, const Target &target)
+    {
+        if (kind == "read") {
+            return {200, toJson(m_store.read(target.text("key")))};
+        }
+        if (kind == "list") {
+            return {200, json::object{{"values", toJson(m_store.list(target.text("prefix")))}}};
+        }
+        if (kind == "swap") {
+            const auto version
+                = m_store.swap({target.text("key"), target.number("expected"), request.body(), target.text("lease")});
+            return version ? Answer{200, json::object{{"version", version.value()}}} : errorAnswer(version.error());
+        }
+        if (kind == "remove") {
+            const auto removed = m_store.remove(target.text("key"), target.number("expected"));
+            return removed ? Answer{200, json::object{{"removed", true}}} : errorAnswer(removed.error());
+        }
+        if (kind == "grant") {
+            const std::string lease = m_store.grantLease(Duration(1000 * target.number("ttl_ms")), steadyNow());
+            return {200, json::object{{"lease", lease}}};
+        }
+        if (kind == "renew") {
+            const std::string lease = target.path.substr(11, target.path.size() - 11 - 6);
+            return {200, json::object{{"renewed", m_store.renewLease(lease, steadyNow())}}};
+        }
+        if (kind == "instances") {
+            return {200, json::object{{"instances", instances()}}};
+        }
+        if (kind == "reboot") {
+            return reboot(target.path.substr(14, target.path.size() - 14 - 7));
+        }
+        return errorAnswer(400, "no such call");
+    }
+
+    json::array instances() const
+    {
+        const TimePoint seen = steadyNow() - Duration(1000 * static_cast<std::int64_t>(m_options.listLagMs));
+        json::array array;
+        for (const auto &[id, listed] : m_instances) {
+            Presence presence = listed.history.front().second;
+            for (const auto &[since, then] : listed.history) {
+                presence = since <= seen ? then : presence;
+            }
+            const InstanceRecord &record = listed.record;
+            array.push_back(json::object{{"id", id},
+                                         {"address", record.address},
+                                         {"port", record.port},
+                                         {"data_centre", record.dataCentre},
+                                         {"rack", record.rack},
+                                         {"presence", toString(presence)}});
+        }
+        return array;
+    }
+
+    Answer putInstance(const std::string &id, const std::string &body)
+    {
+        boost::system::error_code error;
+        const json::value parsed = json::parse(body, error);
+        if (error || !parsed.is_object()) {
+            return errorAnswer(400, "the record is no JSON object");
+        }
+        const json::object &object = parsed.as_object();
+        const auto text = [&object](std::string_view name) {
+            const json::value *value = object.if_contains(name);
+            return value && value->is_string() ? std::string(value->as_string()) : std::string();
+        };
+        const json::value *port = object.if_contains("port");
+        const std::string presence = text("presence").empty() ? "live" : text("presence");
+        if (!parseEnum<Presence>(presence) || !port || !port->is_number()) {
+            return errorAnswer(400, "the record needs a port, and its presence is one of " + acceptedNames<Presence>());
+        }
+        Listed &listed = m_instances[id];
+        listed.record = {InstanceId{id},      text("address"), port->to_number<std::uint16_t>(),
+                         text("data_centre"), text("rack"),    Presence::Live};
+        setPresence(listed, *parseEnum<Presence>(presence));
+        return {};
+    }
+
+    static void setPresence(Listed &listed, Presence presence)
+    {
+        listed.history.emplace_back(steadyNow(), presence);
+        constexpr std::size_t Kept = 16;
+        if (listed.history.size() > Kept) {
+            listed.history.pop_front();
+        }
+    }
+
+    Answer reboot(const std::string &id)
+    {
+        const auto place = m_instances.find(id);
+        if (place == m_instances.end()) {
+            return errorAnswer(404, "no such instance");
+        }
+        setPresence(place->second, Presence::Gone);
+        place->second.backAt = steadyNow() + Duration(1000 * static_cast<std::int64_t>(m_faults.rebootMs));
+        m_reboots.push_back(id);
+        controlUpstream(id);
+        return {200, json::object{{"accepted", true}}};
+    }
+
+    /// Tells the stand-in of the upstreams that the instance is down for the time of the reboot.
+    void controlUpstream(const std::string &id)
+    {
+        const std::size_t colon = m_options.upstreamControl.rfind(':');
+        if (colon == std::string::npos) {
+            return;
+        }
+        struct Call
+        {
+            explicit Call(asio::io_context &io)
+                : stream(io)
+            {
+            }
+            boost::beast::tcp_stream stream;
+            http::request<http::empty_body> request;
+            Response response;
+            boost::beast::flat_buffer buffer;
+        };
+        const auto call = std::make_shared<Call>(m_io);
+        const std::string host = m_options.upstreamControl.substr(0, colon);
+        const auto port = static_cast<std::uint16_t>(std::stoi(m_options.upstreamControl.substr(colon + 1)));
+        call->request = {http::verb::post,
+                         "/fault?instance=" + id + "&kind=reboot&value=" + std::to_string(m_faults.rebootMs), 11};
+        call->request.set(http::field::host, host);
+        call->request.keep_alive(false);
+        call->request.prepare_payload();
+        call->stream.expires_after(std::chrono::seconds(2));
+        call->stream.async_connect(
+            tcp::endpoint(asio::ip::make_address(host), port), [this, call](const boost::system::error_code &refused) {
+                if (refused) {
+                    ++m_counts["upstream_control_failed"];
+                    return;
+                }
+                http::async_write(
+                    call->stream, call->request, [this, call](const boost::system::error_code &cut, std::size_t) {
+                        if (cut) {
+                            ++m_counts["upstream_control_failed"];
+                            return;
+                        }
+                        http::async_read(call->stream, call->buffer, call->response,
+                                         [this, call](const boost::system::error_code &lost, std::size_t) {
+                                             if (lost || call->response.result_int() != 200) {
+                                                 ++m_counts["upstream_control_failed"];
+                                             }
+                                         });
+                    });
+            });
+    }
+
+    Answer fault(const Target &target)
+    {
+        for (const auto &[name, text] : target.query) {
+            const int value = static_cast<int>(target.number(name));
+            if (name == "down") {
+                m_faults.down = value != 0;
+            } else if (name == "slow_ms") {
+                m_faults.slowMs = value;
+            } else if (name == "lose_answers") {
+                m_faults.loseAnswers = value;
+            } else if (name == "fail_writes") {
+                m_faults.failWrites = value;
+            } else if (name == "reboot_ms") {
+                m_faults.rebootMs = value;
+            } else if (name == "list_lag_ms") {
+                m_options.listLagMs = value;
+            } else if (name == "write_limit") {
+                m_writes.limit = value;
+            } else if (name == "read_limit") {
+                m_reads.limit = value;
+            } else if (name == "cut_watches") {
+                cutWatches();
+            } else {
+                return errorAnswer(400, "no such fault: " + name);
+            }
+        }
+        if (m_faults.down) {
+            cutWatches();
+        }
+        return {};
+    }
+
+    void cutWatches()
+    {
+        std::vector<Watch> cut;
+        cut.swap(m_watches);
+        for (const Watch &watch : cut) {
+            watch.reply(std::nullopt);
+        }
+    }
+
+    Answer stats() const
+    {
+        json::object calls;
+        std::uint64_t total = 0;
+        for (const auto &[kind, count] : m_counts) {
+            calls[kind] = count;
+            total += kind == "limited" || kind == "upstream_control_failed" ? 0 : count;
+        }
+        json::array reboots;
+        for (const std::string &id : m_reboots) {
+            reboots.push_back(json::value(id));
+        }
+        return {200,
+                json::object{{"calls", calls},
+                             {"total", total},
+                             {"waiting_watches", m_watches.size()},
+                             {"version", m_store.version()},
+                             {"reboots", reboots}}};
+    }
+
+    void wakeWatches()
+    {
+        std::vector<Watch> waiting;
+        waiting.swap(m_watches);
+        for (Watch &watch : waiting) {
+            const Result<WatchBatch> batch = m_store.changes(watch.prefixes, watch.after);
+            if (!batch) {
+                watch.reply(errorAnswer(410, batch.error().message));
+            } else if (!batch.value().values.empty() || watch.until <= steadyNow()) {
+                watch.reply(Answer{
+                    200, json::object{{"version", batch.value().version}, {"values", toJson(batch.value().values)}}});
+            } else {
+                m_watches.push_back(std::move(watch));
+            }
+        }
+    }
+
+    void onTimer()
+    {
+        const TimePoint now = steadyNow();
+        // Leases that ran out while the store was down lapse all at once when it is back.
+        if (!m_faults.down) {
+            m_store.expire(now);
+        }
+        for (auto &[id, listed] : m_instances) {
+            if (listed.backAt && *listed.backAt <= now) {
+                listed.backAt.reset();
+                setPresence(listed, Presence::Live);
+            }
+        }
+        wakeWatches();
+    }
+
+    asio::io_context &m_io;
+    PlatformOptions m_options;
+    Faults m_faults;
+    asio::steady_timer m_timer;
+    MemoryStore m_store;
+    std::vector<Watch> m_watches;
+    std::map<std::string, Listed> m_instances;
+    std::map<std::string, std::uint64_t> m_counts;
+    std::vector<std::string> m_reboots;
+    RateLimit m_reads;
+    RateLimit m_writes;
+};
+
+struct Session : std::enable_shared_from_this<Session>
+{
+    Session(tcp::socket accepted, PlatformStandIn &standIn)
+        : socket(std::move(accepted))
+        , platform(standIn)
+    {
+    }
+
+    void read()
+    {
+        parser.emplace();
+        parser->body_limit(2 * MemoryStore::ValueLimit);
+        http::async_read(socket, buffer, *parser,
+                         [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                             if (!error) {
+                                 self->handle();
+                             }
+                         });
+    }
+
+    void handle()
+    {
+        const Request request = parser->release();
+        platform.handle(request,
+                        [self = shared_from_this(), keep = request.keep_alive()](std::optional<Answer> answer) {
+                            if (!answer) {
+                                boost::system::error_code ignored;
+                                self->socket.close(ignored);
+                                return;
+                            }
+                            self->response = Response(static_cast<http::status>(answer->status), 11);
+                            self->response.set(http::field::content_type, "application/json");
+                            self->response.keep_alive(keep);
+                            self->response.body() = json::serialize(answer->body);
+                            self->response.prepare_payload();
+                            http::async_write(self->socket, self->response,
+                                              [self, keep](const boost::system::error_code &error, std::size_t) {
+                                                  if (!error && keep) {
+                                                      self->read();
+                                                  }
+                                              });
+                        });
+    }
+
+    tcp::socket socket;
+    PlatformStandIn &platform;
+    boost::beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    Response response;
+};
+
+inline void accept(tcp::acceptor &acceptor, PlatformStandIn &platform)
+{
+    acceptor.async_accept([&](const boost::system::error_code &error, tcp::socket socket) {
+        if (!error) {
+            boost::system::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            std::make_shared<Session>(std::move(socket), platform)->read();
+        }
+        if (error != asio::error::operation_aborted) {
+            accept(acceptor, platform);
+        }
+    });
+}
+
+}
