Name executors in the stand-in; end the harness's children on a signal

Cause: a reboot names the instance, the stand-in knew numbers only; a driver that was stopped left its children running (seen in the first run of the demo).

--- a/tests/demo.cpp
+++ b/tests/demo.cpp
@@ -43,8 +43,7 @@
 {
     int sent = 0;
     std::map<std::string, int> outcomes;
-    int notWhole = 0;  // another request's answer or a partial one
-    int duplicateRefused = 0;
+    int notWhole = 0;            // another request's answer or a partial one
     std::vector<double> waitMs;  // total time without the work itself
 };
 
@@ -53,7 +52,6 @@
     std::mutex mutex;
     std::map<std::string, Tally> tallies;
     std::set<std::string> notRun;  // request ids told "not-run"
-    std::set<std::string> notRunKeys;
     std::atomic<bool> stop = false;
 };
 
@@ -68,7 +66,7 @@
     return it == response.headers.end() ? std::string() : it->second;
 }
 
-void record(Shared &shared, const Kind &kind, const Response &response, const std::string &key, double totalMs)
+void record(Shared &shared, const Kind &kind, const Response &response, double totalMs)
 {
     const std::lock_guard lock(shared.mutex);
     Tally &tally = shared.tallies[kind.name];
@@ -110,7 +108,7 @@
                 const auto begun = std::chrono::steady_clock::now();
                 const Response response
                     = harness::request(fleet.callerPort(entry), kind.method, kind.target, headers, "body", timeoutMs);
-                record(shared, kind, response, key, elapsedMs(begun));
+                record(shared, kind, response, elapsedMs(begun));
             });
         }
         for (std::thread &thread : threads) {
@@ -290,10 +288,10 @@
         }
     }
     std::this_thread::sleep_for(std::chrono::seconds(seconds / 2));
-    verdict.require(step(fleet, 2, {"instance", "move", "depot-1", "--to", "orders", "--wait-s", "60"}, output),
+    verdict.require(step(fleet, 2, {"instance", "move", "depot-9", "--to", "takings", "--wait-s", "60"}, output),
                     "the move did not end");
     const auto waveBegun = std::chrono::steady_clock::now();
-    verdict.require(step(fleet, 3, {"wave", "start", "friday", "--pool", "rosters", "--wait-s", "300"}, output),
+    verdict.require(step(fleet, 3, {"wave", "start", "friday", "--pool", "spinheads", "--wait-s", "300"}, output),
                     "the wave did not end");
     const double waveSeconds = elapsedMs(waveBegun) / 1000.0;
     std::this_thread::sleep_for(std::chrono::seconds(seconds / 2));
@@ -303,7 +301,7 @@
     }
     verdict.require(step(fleet, 4, {"status"}, output), "the status was not shown");
     printTable(shared);
-    std::cout << "moves: 1; wave over the pool rosters: " << waveSeconds << " s\n";
+    std::cout << "moves: 1; wave over the pool spinheads: " << waveSeconds << " s\n";
     checkExecutions(fleet, shared, verdict);
     for (const auto &[name, tally] : shared.tallies) {
         verdict.require(tally.notWhole == 0, name + ": a caller got a partial answer or another request's answer");
--- a/tests/harness.cpp
+++ b/tests/harness.cpp
@@ -10,6 +10,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <chrono>
 #include <cstring>
 #include <fstream>
@@ -32,6 +34,31 @@
 constexpr const char *Token = "harness-operator-token";
 constexpr std::chrono::milliseconds PollPeriod{20};
 
+/// Children of this process, so that a driver that is told to stop leaves none behind.
+constexpr std::size_t MostChildren = 64;
+std::array<std::atomic<pid_t>, MostChildren> children;
+
+extern "C" void endChildren(int)
+{
+    for (const auto &child : children) {
+        const pid_t pid = child.load();
+        if (pid > 0) {
+            ::kill(pid, SIGKILL);
+        }
+    }
+    ::_exit(1);
+}
+
+void replaceChild(pid_t before, pid_t after)
+{
+    for (auto &child : children) {
+        pid_t expected = before;
+        if (child.compare_exchange_strong(expected, after)) {
+            return;
+        }
+    }
+}
+
 int spawn(const std::vector<std::string> &command, const std::vector<std::string> &environment,
           const std::string &outputFile)
 {
@@ -60,6 +87,9 @@
         std::cerr << "cannot start " << command[0] << ": " << std::strerror(error) << '\n';
         return 0;
     }
+    std::signal(SIGTERM, endChildren);
+    std::signal(SIGINT, endChildren);
+    replaceChild(0, pid);
     return pid;
 }
 
@@ -87,6 +117,7 @@
     if (m_pid > 0) {
         ::kill(m_pid, SIGKILL);
         ::waitpid(m_pid, nullptr, 0);
+        replaceChild(m_pid, 0);
     }
 }
 
@@ -103,6 +134,7 @@
     while (m_pid > 0) {
         int status = 0;
         if (::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            replaceChild(m_pid, 0);
             m_pid = 0;
             return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
         }
@@ -187,13 +219,12 @@
 
 Fleet::Fleet(FleetOptions options)
     : m_options(std::move(options))
+    , m_instances(m_options.instances)
     , m_entries(static_cast<std::size_t>(m_options.entries))
 {
     std::uint16_t port = upstreamControlPort();
-    for (const auto &[pool, count] : m_options.pools) {
-        for (int i = 1; i <= count; ++i) {
-            m_instances.push_back({pool + "-" + std::to_string(i), pool, ++port});
-        }
+    for (Instance &instance : m_instances) {
+        instance.port = ++port;
     }
 }
 
@@ -215,10 +246,15 @@
     constexpr int limitMs = 20'000;
     constexpr int perRack = 4;
     const std::string ip = "127.0.0.1:";
-    m_upstream = Process({m_options.bin + "/standin_upstream", "--control-port", std::to_string(upstreamControlPort()),
-                          "--base-port", std::to_string(upstreamControlPort() + 1), "--count",
-                          std::to_string(m_instances.size()), "--slots", std::to_string(m_options.slots)},
-                         {}, m_options.work + "/upstream.log");
+    std::string names;
+    for (const Instance &instance : m_instances) {
+        names += (names.empty() ? "" : ",") + instance.id;
+    }
+    m_upstream
+        = Process({m_options.bin + "/standin_upstream", "--control-port", std::to_string(upstreamControlPort()),
+                   "--base-port", std::to_string(upstreamControlPort() + 1), "--count",
+                   std::to_string(m_instances.size()), "--slots", std::to_string(m_options.slots), "--names", names},
+                  {}, m_options.work + "/upstream.log");
     m_platform = Process({m_options.bin + "/standin_platform", "--port", std::to_string(platformPort()),
                           "--write-limit", std::to_string(m_options.writeLimit), "--read-limit",
                           std::to_string(m_options.readLimit), "--list-lag-ms", std::to_string(m_options.listLagMs),
@@ -341,14 +377,8 @@
 
 void Fleet::upstreamFault(const std::string &instance, const std::string &kind, int value) const
 {
-    std::string number = instance;
-    for (std::size_t i = 0; i < m_instances.size(); ++i) {
-        if (m_instances[i].id == instance) {
-            number = std::to_string(i);
-        }
-    }
     request(upstreamControlPort(), "POST",
-            "/fault?instance=" + number + "&kind=" + kind + "&value=" + std::to_string(value), {}, "", 5000);
+            "/fault?instance=" + instance + "&kind=" + kind + "&value=" + std::to_string(value), {}, "", 5000);
 }
 
 boost::json::value Fleet::upstream(const std::string &target) const
--- a/tests/standin_upstream.cpp
+++ b/tests/standin_upstream.cpp
@@ -47,6 +47,7 @@
     int slots = 8;
     bool queue = false;  // above the slots: wait instead of 503
     std::string prefix = "i";
+    std::vector<std::string> names;  // of the executors in order; without them the prefix and a number
     std::size_t records = 1'000'000;
 };
 
@@ -140,7 +141,7 @@
             settings.bodiesLimit = 1UL << 30U;
             executor.server = std::make_unique<HttpServer>(
                 m_io, settings, [this, &executor](const auto &exchange) { arrive(executor, exchange); });
-            if (!report(executor.server->open(), m_options.prefix + std::to_string(i))) {
+            if (!report(executor.server->open(), nameOf(i))) {
                 return false;
             }
         }
@@ -157,6 +158,23 @@
         return settings;
     }
 
+    std::string nameOf(int index) const
+    {
+        const auto place = static_cast<std::size_t>(index);
+        return place < m_options.names.size() ? m_options.names[place] : m_options.prefix + std::to_string(index);
+    }
+
+    /// Index of an executor by its name or number; the number of executors when there is none.
+    std::size_t indexOf(const std::string &name) const
+    {
+        const auto found = std::find(m_options.names.begin(), m_options.names.end(), name);
+        if (found != m_options.names.end()) {
+            return static_cast<std::size_t>(found - m_options.names.begin());
+        }
+        const std::size_t digits = name.find_last_not_of("0123456789") + 1;  // "i7" and "7" are the same executor
+        return digits == name.size() ? m_executors.size() : std::strtoul(name.c_str() + digits, nullptr, 10);
+    }
+
     static bool report(const Result<std::uint16_t> &port, const std::string &name)
     {
         if (!port) {
@@ -316,9 +334,8 @@
         const HttpRequest &request = exchange->request();
         const std::string name = request.query("instance");
         const auto kind = parseEnum<Fault>(request.query("kind"));
-        const std::size_t digits = name.find_last_not_of("0123456789") + 1;  // "i7" and "7" are the same executor
-        const auto index = std::strtoul(name.c_str() + digits, nullptr, 10);
-        if (!kind || digits == name.size() || index >= m_executors.size()) {
+        const std::size_t index = indexOf(name);
+        if (!kind || index >= m_executors.size()) {
             exchange->respond(400, "text/plain", "instance and kind (" + acceptedNames<Fault>() + ") are required\n");
             return;
         }
@@ -361,7 +378,7 @@
                             {"key", execution.key},
                             {"method", execution.method},
                             {"target", execution.target},
-                            {"instance", m_options.prefix + std::to_string(execution.instance)},
+                            {"instance", nameOf(execution.instance)},
                             {"start_ms", execution.startMs},
                             {"end_ms", execution.endMs},
                             {"state", stateName(execution.state)}});
@@ -380,7 +397,7 @@
                         {{"request", execution.request}, {"since_drain_ms", execution.drainedForMs}});
                 }
             }
-            list.push_back({{"instance", m_options.prefix + std::to_string(executor.index)},
+            list.push_back({{"instance", nameOf(executor.index)},
                             {"in_service", executor.running.size()},
                             {"max_in_service", executor.maxInService},
                             {"rejected", executor.rejected},
@@ -414,6 +431,7 @@
     app.add_option("--count", options.count, "executors")->check(CLI::Range(1, 4000));
     app.add_option("--slots", options.slots, "requests in service per executor");
     app.add_flag("--queue", options.queue, "queue requests above the slots instead of answering 503");
+    app.add_option("--names", options.names, "names of the executors in order")->delimiter(',');
     app.add_option("--prefix", options.prefix, "instance names are the prefix and a number");
     app.add_option("--records", options.records, "most executions recorded");
     CLI11_PARSE(app, argc, argv);
