Read from upstream connections only while a call is in progress

Cause: waiting for readability between calls cost one epoll_ctl per request. The safety argument is unchanged: no read can complete between the probe and the request.

--- a/src/http.cpp
+++ b/src/http.cpp
@@ -699,8 +699,7 @@
         return;
     }
     sweeping = true;
-    const Duration shortest
-        = std::min({settings.idleTimeout, settings.readTimeout, settings.writeTimeout, settings.stopGrace});
+    const Duration shortest = std::min({settings.idleTimeout, settings.readTimeout, settings.writeTimeout});
     timers.at(steadyNow() + std::clamp(shortest / 4, ShortestSweep, LongestSweep), [this] {
         sweeping = false;
         sweep();
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -22,6 +22,7 @@
 namespace
 {
 
+constexpr std::size_t SmallRead = 2048;      // part of each connection; fits most answers
 constexpr std::size_t ReadSize = 64 * 1024;  // of the buffer that all connections share
 constexpr int ReadsPerTurn = 8;              // so that one large answer does not hold up the event loop
 constexpr int InterimAnswers = 8;            // 1xx answers accepted before the final one
@@ -34,8 +35,9 @@
 namespace upstream
 {
 
-/// Waits for readability instead of reading ahead: bytes that arrive on an idle connection stay in the socket, where
-/// the probe before reuse finds them, so they can never be taken for the answer to the next request.
+/// Reads only while a call is in progress: bytes that arrive on an idle connection stay in the socket, where the probe
+/// before reuse finds them. A read that is pending on an idle connection could complete before the next request is sent
+/// and be handled after it, and its bytes would be taken for that request's answer.
 struct Connection : std::enable_shared_from_this<Connection>
 {
     Connection(UpstreamClient::Impl &client, std::shared_ptr<struct Instance> target);
@@ -43,8 +45,9 @@
     void connect();
     void begin(const std::shared_ptr<Call> &next);
     void write();
-    void waitReadable();
-    void readable();
+    void read();
+    bool received(const char *data, std::size_t size);  // false: nothing more is to be read now
+    void broken();
     bool parse(std::string_view &data);  // false: the call has ended or the connection is closed
     bool parseHead(std::string_view &data);
     void complete(bool bytesLeft);
@@ -58,6 +61,7 @@
     std::shared_ptr<Call> call;
     bool closed = false;
     bool reused = false;
+    std::array<char, SmallRead> small;
     bool readPending = false;
     bool writePending = false;
     bool writeFailed = false;
@@ -192,7 +196,7 @@
     if (m_state != nullptr && m_state->paused) {
         m_state->paused = false;
         if (m_state->connection != nullptr) {
-            m_state->connection->waitReadable();
+            m_state->connection->read();
         }
     }
 }
@@ -230,8 +234,8 @@
             self->fail(UpstreamResult::ConnectFailed);
             return;
         }
-        self->waitReadable();
         self->write();
+        self->read();
     });
 }
 
@@ -289,69 +293,74 @@
     }
 }
 
-void Connection::waitReadable()
+void Connection::read()
 {
-    if (closed || readPending || (call != nullptr && call->paused)) {
+    if (closed || readPending || call == nullptr || call->paused) {
         return;
     }
     readPending = true;
-    socket.async_wait(Socket::wait_read, [self = shared_from_this()](const error_code &error) {
-        self->readPending = false;
-        if (!self->closed && !error) {
-            self->readable();
-        }
-    });
-}
-
-void Connection::readable()
-{
-    std::vector<char> &buffer = impl->readBuffer;
-    for (int turn = 0; turn < ReadsPerTurn && !closed; ++turn) {
-        if (call != nullptr && call->paused) {
-            return;
-        }
-        error_code error;
-        const std::size_t size = socket.read_some(asio::buffer(buffer), error);
-        if (error == asio::error::would_block) {
-            break;
-        }
-        if (call == nullptr) {  // closed by the upstream, or bytes that nobody asked for
-            close();
+    socket.async_read_some(asio::buffer(small), [self = shared_from_this()](const error_code &error, std::size_t size) {
+        // The flag stays set while what arrived is handled, so that no second read starts below this one.
+        if (self->closed) {
             return;
         }
         if (error) {
-            fail(!call->sent       ? UpstreamResult::ConnectFailed
-                     : anyReceived ? UpstreamResult::Truncated
-                                   : UpstreamResult::Reset);
+            self->broken();
             return;
         }
-        anyReceived = true;
-        std::string_view data(buffer.data(), size);
-        if (!in.empty()) {
-            in.append(data);
-            data = in;
-        }
-        if (!parse(data)) {
-            break;
-        }
-        // `data` is the unparsed rest, in the shared buffer or in `in`.
-        if (in.empty()) {
-            in = data;
-        } else {
-            in.erase(0, in.size() - data.size());
-        }
-        if (in.size() > impl->settings.headerLimit) {
-            fail(UpstreamResult::Truncated);
-            return;
+        bool more = self->received(self->small.data(), size) && size == SmallRead;
+        for (int turn = 0; turn < ReadsPerTurn && more; ++turn) {
+            std::vector<char> &buffer = self->impl->readBuffer;
+            error_code failure;
+            size = self->socket.read_some(asio::buffer(buffer), failure);
+            if (failure == asio::error::would_block) {
+                break;
+            }
+            if (failure) {
+                self->broken();
+                return;
+            }
+            more = self->received(buffer.data(), size) && size == buffer.size();
         }
-        if (size < buffer.size()) {
-            break;
+        if (self->headPassed && self->call != nullptr) {
+            self->call->events.turn();
         }
+        self->readPending = false;
+        self->read();
+    });
+}
+
+void Connection::broken()
+{
+    if (call != nullptr) {
+        fail(!call->sent       ? UpstreamResult::ConnectFailed
+                 : anyReceived ? UpstreamResult::Truncated
+                               : UpstreamResult::Reset);
+    }
+}
+
+bool Connection::received(const char *bytes, std::size_t size)
+{
+    anyReceived = true;
+    std::string_view data(bytes, size);
+    if (!in.empty()) {
+        in.append(data);
+        data = in;
+    }
+    if (!parse(data)) {
+        return false;
     }
-    if (headPassed && call != nullptr) {
-        call->events.turn();
+    // `data` is the unparsed rest, in the read buffer or in `in`.
+    if (in.empty()) {
+        in = data;
+    } else {
+        in.erase(0, in.size() - data.size());
+    }
+    if (in.size() > impl->settings.headerLimit) {
+        fail(UpstreamResult::Truncated);
+        return false;
     }
-    waitReadable();
+    return !call->paused;
 }
 
 bool Connection::parseHead(std::string_view &data)
@@ -498,8 +507,8 @@
             continue;
         }
         connection->begin(call);
-        connection->waitReadable();
         connection->write();
+        connection->read();
         return;
     }
     if (static_cast<int>(instance.open.size()) >= std::max(1, instance.endpoint.connections)) {
@@ -538,7 +547,7 @@
         for (const auto &[id, instance] : instances) {
             const auto idle = instance->idle;
             for (const auto &connection : idle) {
-                if (connection->idleSince <= limit) {
+                if (connection->idleSince <= limit || !connection->stillUsable()) {
                     connection->close();
                 }
             }
