Test the router against a plain model

The state test found that a pool that shrinks could keep more than a third of its instances ejected; those due first come back now. The test on starvation found that stragglers of short work used up the reserve for aged long work (not granted within 60 s; now within 3 s): the reserve counts only work that was known to be long.

--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -129,6 +129,13 @@
     for (const InstanceId &instance : instances) {
         m_records.try_emplace(instance);
     }
+    // In a pool that shrank, those that were to come back first do so now.
+    while (3 * ejected() > static_cast<int>(m_records.size())) {
+        const auto first = std::min_element(m_records.begin(), m_records.end(), [](const auto &a, const auto &b) {
+            return std::tuple(!a.second.out, a.second.until) < std::tuple(!b.second.out, b.second.until);
+        });
+        first->second.out = false;
+    }
 }
 
 void Ejection::eject(Record &record, TimePoint now)
@@ -241,7 +248,7 @@
 {
     refill(now);
     double &tokens = m_floorTokens >= 1 ? m_floorTokens : m_shareTokens;
-    if (tokens < 1) {
+    if (tokens < 1 - 1e-6) {  // the sum of many tenths is not exact
         return false;
     }
     tokens -= 1;
--- a/src/routing.h
+++ b/src/routing.h
@@ -329,7 +329,8 @@
         std::string rack;
         bool admitted = false;
         int inService = 0;
-        int longInService = 0;
+        int longInService = 0;        // with work that outlived the short bound
+        int grantedLong = 0;          // without
         std::uint64_t lastGrant = 0;  // permit id
     };
     struct Permit
@@ -343,6 +344,7 @@
         TimePoint deadline;
         bool adopted = false;
         bool countsLong = false;
+        bool grantedLong = false;
         bool reusable = false;
         bool orphan = false;  // its entry is lost
         TimePoint orphanUntil;
@@ -397,7 +399,7 @@
     std::set<EntryId> m_awaited;  // entries that have not reported since gather()
     TimePoint m_gatherUntil;
     std::map<EntryId, std::uint64_t> m_starts;
-    std::set<EntryId> m_known;  // entries that are asked now and then
+    std::set<EntryId> m_known;             // entries that are asked now and then
     std::map<EntryId, TimePoint> m_asked;  // the oldest query without an answer
     std::map<EntryId, TimePoint> m_lastQuery;
 };
--- a/src/routing_pool.cpp
+++ b/src/routing_pool.cpp
@@ -465,6 +465,7 @@
     Instance &instance = m_instances[permit.instance];
     ++instance.inService;
     instance.longInService += permit.countsLong ? 1 : 0;
+    instance.grantedLong += permit.grantedLong ? 1 : 0;
     if (!permit.adopted) {
         ++tenantOf(permit.tenant).inService;
     }
@@ -481,6 +482,7 @@
     const auto instance = m_instances.find(permit.instance);
     --instance->second.inService;
     instance->second.longInService -= permit.countsLong ? 1 : 0;
+    instance->second.grantedLong -= permit.grantedLong ? 1 : 0;
     if (!instance->second.admitted && instance->second.inService == 0) {
         m_instances.erase(instance);
     }
@@ -563,6 +565,7 @@
         permit.confirmed = now;
         permit.deadline = info.deadline;
         permit.countsLong = choice->isLong;
+        permit.grantedLong = choice->isLong;
         addPermit(m_nextPermit, permit);
         removeWaiting(key);
         Permit &stored = m_permits.at({key.asker, m_nextPermit});
@@ -585,6 +588,10 @@
         return std::nullopt;
     }
     const int longs = longInService();
+    int grantedLong = 0;  // the reserve is for work known to be long; stragglers of short work do not use it up
+    for (const auto &[id, instance] : m_instances) {
+        grantedLong += instance.admitted ? instance.grantedLong : 0;
+    }
     const int longMost = longLimit();
     const int longReserved = std::max(1, static_cast<int>(m_settings.longReserve * totalSlots()));
     using Rank = std::tuple<int, double, double, TimePoint>;
@@ -598,16 +605,18 @@
             continue;
         }
         const bool longWork = isLong(*group->second.sizes, now);
-        if (longWork && longs >= longMost) {
-            continue;
-        }
+        const bool reserved = longWork && grantedLong < longReserved;
         const Duration waited = now - head.since;
         // Half of the time until the deadline is the last moment at which aging still helps.
         const Duration aging = std::min(m_settings.longAging, (info.deadline - head.since) / 2);
+        const bool aged = reserved && waited >= aging;
+        if (longWork && longs >= longMost && !aged) {
+            continue;
+        }
         int rank = info.requestClass == RequestClass::Urgent ? 1 : longWork ? 4 : 3;
-        if (waited >= m_settings.starvation && (!longWork || longs < longReserved)) {
+        if (waited >= m_settings.starvation && (!longWork || reserved)) {
             rank = 0;
-        } else if (rank == 4 && waited >= aging && longs < longReserved) {
+        } else if (rank == 4 && aged) {
             rank = 2;
         }
         // The highest response ratio goes first: short work ahead of long, until the long one has waited in proportion.
--- /dev/null
+++ b/tests/core_routing.cpp
@@ -0,0 +1,484 @@
+#include "routing.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+using namespace briarvane;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const TimePoint Start{100s};
+const Asker Self{EntryId{"a"}, 1};
+
+std::vector<PoolInstance> instances(int count)
+{
+    std::vector<PoolInstance> list;
+    for (int index = 0; index < count; ++index) {
+        list.push_back({InstanceId{"i" + std::to_string(index)}, "rack" + std::to_string(index / 2)});
+    }
+    return list;
+}
+
+PermitRequest request(std::uint64_t id, TimePoint now, RequestClass requestClass = RequestClass::Short,
+                      Duration timeout = 60s, const std::string &tenant = "t")
+{
+    PermitRequest made;
+    made.asker = Self;
+    made.info = {id, ServiceId{"s"}, "/" + std::string(toString(requestClass)), TenantId{tenant}, requestClass, true};
+    made.info.arrived = now;
+    made.info.deadline = now + timeout;
+    return made;
+}
+
+/// Releases what `request` was granted.
+PoolRouter::Decisions finish(PoolRouter &router, const PermitDecision &grant, const RequestInfo &info,
+                             UpstreamResult result, Duration time, TimePoint now)
+{
+    return router.release(grant.key.asker, grant.permit, grant.instance, info.service, info.route, info.requestClass,
+                          result, time, now);
+}
+
+/// What a router may do, kept in the plainest way: lists of requests and grants.
+struct Model
+{
+    struct Entry
+    {
+        PermitRequest request;
+        int decisions = 0;
+        bool cancelled = false;
+        std::optional<PermitDecision> grant;
+        bool released = false;
+    };
+    std::map<std::uint64_t, Entry> requests;
+    std::set<InstanceId> admitted;
+    std::size_t pool = 0;
+
+    int inService(const InstanceId &instance) const
+    {
+        return static_cast<int>(std::count_if(requests.begin(), requests.end(), [&](const auto &line) {
+            return line.second.grant && !line.second.released && line.second.grant->instance == instance;
+        }));
+    }
+    int inService(const TenantId &tenant) const
+    {
+        return static_cast<int>(std::count_if(requests.begin(), requests.end(), [&](const auto &line) {
+            return line.second.grant && !line.second.released && line.second.request.info.tenant == tenant;
+        }));
+    }
+    void apply(const PoolRouter::Decisions &decisions)
+    {
+        for (const PermitDecision &decision : decisions) {
+            Entry &entry = requests.at(decision.key.request);
+            RC_ASSERT(!entry.cancelled);
+            RC_ASSERT(++entry.decisions == 1);
+            if (decision.permit != 0) {
+                RC_ASSERT(admitted.contains(decision.instance));
+                entry.grant = decision;
+            }
+        }
+    }
+};
+
+constexpr int Slots = 2;
+constexpr int Quota = 3;
+
+void runCommands(const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>> &commands)
+{
+    RouterSettings settings;
+    settings.slots = Slots;
+    PoolRouter router(settings);
+    Model model;
+    TimePoint now = Start;
+    std::uint64_t nextId = 1;
+    const auto use = [&](std::size_t count) {
+        const std::vector<PoolInstance> list = instances(static_cast<int>(count));
+        model.admitted.clear();
+        for (const PoolInstance &instance : list) {
+            model.admitted.insert(instance.id);
+        }
+        model.apply(router.setInstances(list, 6, now));
+    };
+    router.setQuotas({{TenantId{"limited"}, Quota}});
+    use(4);
+    for (const auto &[command, choice, detail] : commands) {
+        if (command % 8 < 3) {
+            const auto requestClass = EnumNames<RequestClass>::names[choice % 3].first;
+            const std::string tenant = detail % 3 == 0 ? "limited" : detail % 3 == 1 ? "t" : "u";
+            PermitRequest made = request(nextId, now, requestClass, 100ms * (1 + choice), tenant);
+            if (detail > 200) {
+                made.avoid = {InstanceId{"i0"}, InstanceId{"i" + std::to_string(choice % 4)}};
+            }
+            model.requests[nextId++].request = made;
+            model.apply(router.enqueue(made, now));
+        } else if (command % 8 == 3 && nextId > 1) {
+            const std::uint64_t id = 1 + choice % (nextId - 1);
+            Model::Entry &entry = model.requests.at(id);
+            entry.cancelled = entry.decisions == 0;
+            model.apply(router.cancel({Self, id}, now));
+        } else if (command % 8 < 6 && nextId > 1) {
+            // The oldest running work ends, or the one picked.
+            auto picked = model.requests.find(1 + choice % (nextId - 1));
+            if (!picked->second.grant || picked->second.released) {
+                picked = std::find_if(model.requests.begin(), model.requests.end(),
+                                      [](const auto &line) { return line.second.grant && !line.second.released; });
+            }
+            if (picked != model.requests.end()) {
+                Model::Entry &entry = picked->second;
+                entry.released = true;
+                // i0 and i1 fail most of the time, so that ejection takes part.
+                const bool bad = entry.grant->instance.value <= "i1" && detail % 8 != 0;
+                model.apply(finish(router, *entry.grant, entry.request.info,
+                                   bad ? UpstreamResult::Reset : UpstreamResult::Completed, 1ms * detail, now));
+            }
+        } else if (command % 8 == 6) {
+            now += 1ms * (choice * detail / 8);
+            model.apply(router.tick(now));
+        } else if (command % 16 == 7) {
+            use(choice % 7);
+        } else if (nextId > 1) {
+            // A copy of a request gets the same grant, or nothing.
+            const Model::Entry &entry = model.requests.at(1 + choice % (nextId - 1));
+            if (!entry.released && !entry.cancelled && (entry.grant || entry.decisions == 0)) {
+                const PoolRouter::Decisions copies = router.enqueue(entry.request, now);
+                for (const PermitDecision &copy : copies) {
+                    if (entry.grant && copy.key.request == entry.request.info.id) {
+                        RC_ASSERT(copy.permit == entry.grant->permit);
+                    } else {
+                        model.apply({copy});
+                    }
+                }
+            }
+        }
+        for (int index = 0; index < 7; ++index) {
+            RC_ASSERT(model.inService(InstanceId{"i" + std::to_string(index)}) <= Slots);
+        }
+        RC_ASSERT(model.inService(TenantId{"limited"}) <= Quota);
+        RC_ASSERT(3 * router.ejected() <= static_cast<int>(model.admitted.size()));
+    }
+    now += 60s;
+    model.apply(router.tick(now));
+    for (auto &[id, entry] : model.requests) {
+        RC_ASSERT(entry.decisions == (entry.cancelled ? 0 : 1));
+        if (entry.grant && !entry.released) {
+            entry.released = true;
+            model.apply(finish(router, *entry.grant, entry.request.info, UpstreamResult::Completed, 1ms, now));
+        }
+    }
+    RC_ASSERT(router.inService() == 0U);
+    RC_ASSERT(router.queued() == 0U);
+}
+
+}
+
+TEST_CASE("A router keeps its promises under any order of events", "[routing]")
+{
+    // Guards against slots above the limit, double grants, requests without a decision, quotas that are passed, work
+    // on instances that left, and more than a third of the pool ejected.
+    CHECK(rc::check("state test", [] {
+        runCommands(*rc::gen::scale(
+            4.0, rc::gen::arbitrary<std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>>()));
+    }));
+}
+
+TEST_CASE("With one tenant, route and class the router is a plain queue", "[routing]")
+{
+    // Differential test: the same events into a FIFO queue with a count of free slots.
+    CHECK(rc::check("grants come in order of arrival", [](const std::vector<bool> &arrivals) {
+        PoolRouter router;
+        router.setInstances(instances(2), 2, Start);
+        std::deque<std::uint64_t> reference;
+        std::deque<PermitDecision> running;
+        int freeSlots = 16;
+        TimePoint now = Start;
+        std::uint64_t id = 0;
+        for (std::size_t step = 0; step < 4 * arrivals.size(); ++step) {
+            now += 1ms;
+            PoolRouter::Decisions decisions;
+            if (arrivals[step % arrivals.size()] || running.empty()) {
+                reference.push_back(++id);
+                decisions = router.enqueue(request(id, now), now);
+            } else {
+                ++freeSlots;
+                const PermitDecision grant = running.front();
+                running.pop_front();
+                decisions
+                    = finish(router, grant, request(grant.key.request, now).info, UpstreamResult::Completed, 10ms, now);
+            }
+            for (const PermitDecision &decision : decisions) {
+                RC_ASSERT(decision.permit != 0U);
+                RC_ASSERT(decision.key.request == reference.front());
+                reference.pop_front();
+                --freeSlots;
+                running.push_back(decision);
+            }
+            RC_ASSERT(freeSlots >= 0);
+            RC_ASSERT(freeSlots == 0 || reference.empty());
+        }
+    }));
+}
+
+TEST_CASE("Classes and sizes", "[routing]")
+{
+    PoolRouter router;
+    router.setInstances(instances(1), 1, Start);
+    TimePoint now = Start;
+    std::uint64_t id = 0;
+    std::map<std::uint64_t, PermitDecision> grants;
+    const auto take = [&](const PoolRouter::Decisions &decisions) {
+        for (const PermitDecision &decision : decisions) {
+            grants[decision.key.request] = decision;
+        }
+    };
+    const auto ask = [&](RequestClass requestClass, Duration timeout = 100s, const std::string &tenant = "t") {
+        take(router.enqueue(request(++id, now, requestClass, timeout, tenant), now));
+        return id;
+    };
+    const auto end = [&](std::uint64_t ended, RequestClass requestClass, Duration time) {
+        const PermitDecision grant = grants.at(ended);
+        grants.erase(ended);
+        take(finish(router, grant, request(ended, now, requestClass).info, UpstreamResult::Completed, time, now));
+    };
+
+    SECTION("long work leaves a quarter of the slots to short work")
+    {
+        for (int count = 0; count < 10; ++count) {
+            ask(RequestClass::Long);
+        }
+        CHECK(grants.size() == 6);
+        ask(RequestClass::Short);
+        ask(RequestClass::Short);
+        CHECK(grants.size() == 8);
+    }
+    SECTION("short work that runs on counts as long, so that stragglers cannot be joined by long work in every slot")
+    {
+        for (int count = 0; count < 4; ++count) {
+            ask(RequestClass::Short);
+        }
+        now += 10s;
+        for (int count = 0; count < 4; ++count) {
+            ask(RequestClass::Long);
+        }
+        CHECK(router.inService() == 6);
+        CHECK(router.longInService() == 6);
+    }
+    SECTION("learned times replace a declared class that is wrong")
+    {
+        for (int count = 0; count < 30; ++count) {
+            end(ask(RequestClass::Long), RequestClass::Long, 1ms);
+        }
+        for (int count = 0; count < 8; ++count) {
+            ask(RequestClass::Long);
+        }
+        CHECK(grants.size() == 8);
+    }
+    SECTION("urgent work goes first, and long work is not starved by a steady excess of short work")
+    {
+        std::deque<std::uint64_t> running;
+        for (int count = 0; count < 8; ++count) {
+            running.push_back(ask(RequestClass::Short));
+        }
+        const std::uint64_t longId = ask(RequestClass::Long);
+        ask(RequestClass::Short);
+        const std::uint64_t urgentId = ask(RequestClass::Urgent);
+        end(running.front(), RequestClass::Short, 10ms);
+        running.pop_front();
+        CHECK(grants.contains(urgentId));
+        CHECK_FALSE(grants.contains(longId));
+        const TimePoint begin = now;
+        while (!grants.contains(longId) && now - begin < 60s) {
+            now += 10ms;
+            for (int count = 0; count < 2; ++count) {
+                running.push_back(ask(RequestClass::Short));
+            }
+            const auto next = std::find_if(running.begin(), running.end(),
+                                           [&](std::uint64_t candidate) { return grants.contains(candidate); });
+            const std::uint64_t ended = *next;
+            running.erase(next);
+            end(ended, RequestClass::Short, 10ms);
+        }
+        CHECK(now - begin <= 3s);
+    }
+    SECTION("a tenant with many requests does not hold up another one's few")
+    {
+        std::vector<std::uint64_t> first;
+        for (int count = 0; count < 100; ++count) {
+            first.push_back(ask(RequestClass::Short, 100s, "many"));
+        }
+        const std::uint64_t few = ask(RequestClass::Short, 100s, "few");
+        end(first[0], RequestClass::Short, 10ms);
+        CHECK(grants.contains(few));
+    }
+}
+
+TEST_CASE("Admission", "[routing]")
+{
+    PoolRouter router;
+    TimePoint now = Start;
+
+    SECTION("a pool without instances refuses at once, one whose instances are away for a time does not")
+    {
+        router.setInstances({}, 0, now);
+        const auto refused = router.enqueue(request(1, now), now);
+        REQUIRE(refused.size() == 1);
+        CHECK(refused[0].refusal == Refusal::NoInstance);
+        router.setInstances({}, 2, now);
+        CHECK(router.enqueue(request(2, now), now).empty());
+        CHECK(router.setInstances(instances(1), 2, now).size() == 1);
+    }
+    SECTION("what cannot start before its deadline is refused at once, and at the deadline at the latest")
+    {
+        router.setInstances(instances(1), 1, now);
+        router.setDeclared(ServiceId{"s"}, 1s);
+        std::uint64_t id = 0;
+        for (int count = 0; count < 88; ++count) {
+            router.enqueue(request(++id, now), now);
+        }
+        const auto refused = router.enqueue(request(++id, now, RequestClass::Short, 5s), now);
+        REQUIRE(refused.size() == 1);
+        CHECK(refused[0].refusal == Refusal::Deadline);
+        CHECK(router.enqueue(request(++id, now, RequestClass::Short, 30s), now).empty());
+        const auto late = router.tick(now + 30s);
+        REQUIRE(late.size() == 1);
+        CHECK(late[0].key.request == id);
+        CHECK(late[0].refusal == Refusal::Deadline);
+    }
+    SECTION("a retry goes to another instance, and to the same one only when there is no other")
+    {
+        router.setInstances(instances(2), 2, now);
+        PermitRequest retry = request(1, now);
+        retry.avoid = {InstanceId{"i0"}};
+        CHECK(router.enqueue(retry, now).at(0).instance == InstanceId{"i1"});
+        router.setInstances(instances(1), 1, now);
+        retry.info.id = 2;
+        CHECK(router.enqueue(retry, now).at(0).instance == InstanceId{"i0"});
+    }
+}
+
+TEST_CASE("Ejection", "[routing]")
+{
+    Ejection ejection;
+    std::set<InstanceId> pool;
+    for (const PoolInstance &instance : instances(6)) {
+        pool.insert(instance.id);
+    }
+    ejection.setInstances(pool);
+    const InstanceId bad{"i0"};
+    const auto fail = [&](const InstanceId &instance, TimePoint now) {
+        for (int count = 0; count < 5; ++count) {
+            ejection.outcome(instance, UpstreamResult::Reset, now);
+        }
+    };
+    fail(bad, Start);
+
+    SECTION("the time out of use doubles from 1 s to 60 s, each ended by one probe")
+    {
+        TimePoint now = Start;
+        for (const Duration time : {1s, 2s, 4s, 8s, 16s, 32s, 60s, 60s}) {
+            CHECK(ejection.use(bad, now + time - 1ms) == Ejection::Use::Ejected);
+            now += time;
+            CHECK(ejection.use(bad, now) == Ejection::Use::Probe);
+            ejection.outcome(bad, UpstreamResult::ConnectFailed, now);
+        }
+        now += 60s;
+        ejection.outcome(bad, UpstreamResult::Completed, now);
+        CHECK(ejection.use(bad, now) == Ejection::Use::Normal);
+    }
+    SECTION("callers that go away and unused permits are no failures")
+    {
+        for (int count = 0; count < 20; ++count) {
+            ejection.outcome(InstanceId{"i1"}, UpstreamResult::Cancelled, Start);
+            ejection.outcome(InstanceId{"i1"}, UpstreamResult::NotSent, Start);
+        }
+        CHECK(ejection.use(InstanceId{"i1"}, Start) == Ejection::Use::Normal);
+    }
+    SECTION("when every instance fails, two thirds stay in use")
+    {
+        for (const InstanceId &instance : pool) {
+            fail(instance, Start);
+        }
+        CHECK(ejection.ejected() == 2);
+        CHECK(ejection.use(InstanceId{"i5"}, Start) == Ejection::Use::Suspect);
+    }
+    SECTION("an instance on probe gets one request at a time")
+    {
+        PoolRouter router;
+        router.setInstances(instances(3), 3, Start);
+        for (int count = 0; count < 5; ++count) {
+            router.release(Self, 0, bad, ServiceId{"s"}, "/", RequestClass::Short, UpstreamResult::Reset, 1ms, Start);
+        }
+        std::uint64_t id = 0;
+        const auto toBad = [&](TimePoint now) {
+            for (int count = 0; count < 6; ++count) {
+                router.enqueue(request(++id, now), now);
+            }
+            return router.inService(bad);
+        };
+        CHECK(toBad(Start + 500ms) == 0);
+        CHECK(toBad(Start + 1100ms) == 1);
+    }
+}
+
+TEST_CASE("Retry budget", "[routing]")
+{
+    RetryBudget budget;
+    TimePoint now = Start;
+    const auto taken = [&] {
+        int count = 0;
+        while (budget.take(now)) {
+            ++count;
+        }
+        return count;
+    };
+    SECTION("ten a second without traffic, so that a quiet service can still retry")
+    {
+        CHECK(taken() == 10);
+        now += 1s;
+        CHECK(taken() == 10);
+    }
+    SECTION("a tenth of the requests with traffic, so that retries cannot multiply an overload")
+    {
+        taken();
+        for (int count = 0; count < 1000; ++count) {
+            budget.request(now);
+        }
+        CHECK(taken() == 100);
+    }
+}
+
+TEST_CASE("Learned service times", "[routing]")
+{
+    SizeEstimate estimate(10s, 60s);
+    std::mt19937 random(20261204);
+    std::lognormal_distribution<double> times(10, 1);
+    std::vector<double> exact;
+    for (int count = 0; count < 5000; ++count) {
+        exact.push_back(times(random));
+        estimate.add(Duration{static_cast<std::int64_t>(exact.back())}, Start);
+    }
+    std::sort(exact.begin(), exact.end());
+
+    SECTION("quantiles agree with the sorted samples within the width of a bucket, whatever was declared")
+    {
+        for (const double share : {0.1, 0.5, 0.9, 0.99}) {
+            const double ratio
+                = static_cast<double>(estimate.quantile(share).count()) / exact[static_cast<std::size_t>(share * 5000)];
+            CHECK(ratio > 0.7);
+            CHECK(ratio < 1.45);
+        }
+    }
+    SECTION("old samples lose their weight")
+    {
+        const TimePoint later = Start + 20min;
+        for (int count = 0; count < 100; ++count) {
+            estimate.add(1s, later);
+        }
+        CHECK(estimate.quantile(0.05) > 800ms);
+        CHECK(estimate.weight(later) == Approx(100).margin(2));
+    }
+}
