--- /dev/null
+++ b/bench/policies.h
@@ -0,0 +1,158 @@
+#pragma once
+
+// Routing policies that only serve as comparison.
+
+#include "routing.h"
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+namespace briarvane
+{
+
+/// What the naive set-up does: one queue in order of arrival, instances in turn, 8 slots each.
+class FifoRouter
+{
+public:
+    using Decisions = std::vector<PermitDecision>;
+
+    Decisions setInstances(const std::vector<PoolInstance> &admitted, std::size_t, TimePoint)
+    {
+        m_instances.clear();
+        for (const PoolInstance &instance : admitted) {
+            m_instances.push_back(instance.id);
+        }
+        return dispatch();
+    }
+    Decisions enqueue(const PermitRequest &request, TimePoint)
+    {
+        m_queue.push_back({request.asker, request.info.id});
+        return dispatch();
+    }
+    Decisions cancel(const RequestKey &key, TimePoint)
+    {
+        std::erase(m_queue, key);
+        return dispatch();
+    }
+    Decisions release(const Asker &, std::uint64_t, const InstanceId &instance, const ServiceId &, const std::string &,
+                      RequestClass, UpstreamResult, Duration, TimePoint)
+    {
+        --m_inService[instance];
+        return dispatch();
+    }
+    Decisions tick(TimePoint)
+    {
+        return {};
+    }
+
+private:
+    Decisions dispatch()
+    {
+        Decisions out;
+        std::size_t full = 0;
+        while (!m_queue.empty() && full < m_instances.size()) {
+            const InstanceId &instance = m_instances[m_turn++ % m_instances.size()];
+            int &inService = m_inService[instance];
+            if (inService >= Slots) {
+                ++full;
+                continue;
+            }
+            full = 0;
+            ++inService;
+            out.push_back({m_queue.front(), ++m_permit, instance});
+            m_queue.pop_front();
+        }
+        return out;
+    }
+
+    static constexpr int Slots = 8;
+    std::vector<InstanceId> m_instances;
+    std::map<InstanceId, int> m_inService;
+    std::deque<RequestKey> m_queue;
+    std::size_t m_turn = 0;
+    std::uint64_t m_permit = 0;
+};
+
+/// Knows the true size of every request, stragglers included: the smallest goes first, and work above the bound holds
+/// at most the same share of the slots as in PoolRouter. It does not preempt and does not know the future.
+class ClairvoyantRouter
+{
+public:
+    using Decisions = std::vector<PermitDecision>;
+
+    ClairvoyantRouter(const std::map<std::uint64_t, Duration> &sizes, Duration longBound)
+        : m_sizes(&sizes)
+        , m_longBound(longBound)
+    {
+    }
+    Decisions setInstances(const std::vector<PoolInstance> &admitted, std::size_t, TimePoint)
+    {
+        m_instances = admitted;
+        return dispatch();
+    }
+    Decisions enqueue(const PermitRequest &request, TimePoint)
+    {
+        m_queue.insert({m_sizes->at(request.info.id), {request.asker, request.info.id}});
+        return dispatch();
+    }
+    Decisions cancel(const RequestKey &key, TimePoint)
+    {
+        m_queue.erase({m_sizes->at(key.request), key});
+        return dispatch();
+    }
+    Decisions release(const Asker &, std::uint64_t permit, const InstanceId &instance, const ServiceId &,
+                      const std::string &, RequestClass, UpstreamResult, Duration, TimePoint)
+    {
+        --m_inService[instance];
+        m_longs.erase(permit);
+        return dispatch();
+    }
+    Decisions tick(TimePoint)
+    {
+        return {};
+    }
+
+private:
+    Decisions dispatch()
+    {
+        Decisions out;
+        const auto longMost = static_cast<std::size_t>(LongShare * Slots * static_cast<double>(m_instances.size()));
+        while (!m_queue.empty()) {
+            // Everything behind the first is larger, so when it is too long nothing else may start either.
+            const auto next = m_queue.begin();
+            const bool isLong = next->first > m_longBound;
+            if (isLong && m_longs.size() >= longMost) {
+                return out;
+            }
+            const auto least = std::min_element(
+                m_instances.begin(), m_instances.end(),
+                [&](const PoolInstance &a, const PoolInstance &b) { return m_inService[a.id] < m_inService[b.id]; });
+            if (least == m_instances.end() || m_inService[least->id] >= Slots) {
+                return out;
+            }
+            ++m_inService[least->id];
+            out.push_back({next->second, ++m_permit, least->id});
+            if (isLong) {
+                m_longs.insert(m_permit);
+            }
+            m_queue.erase(next);
+        }
+        return out;
+    }
+
+    static constexpr int Slots = 8;
+    static constexpr double LongShare = 0.75;
+    const std::map<std::uint64_t, Duration> *m_sizes;
+    Duration m_longBound;
+    std::vector<PoolInstance> m_instances;
+    std::map<InstanceId, int> m_inService;
+    std::set<std::pair<Duration, RequestKey>> m_queue;
+    std::set<std::uint64_t> m_longs;
+    std::uint64_t m_permit = 0;
+};
+
+static_assert(RouterPolicy<FifoRouter>);
+static_assert(RouterPolicy<ClairvoyantRouter>);
+
+}
