Order shards: property test over racing owners, and three faults it found

Seed found: a claim that was sent to two owners and abandoned at the one that still had it queued stayed recorded at the other (the abandoning is now written unless the claim was sent to that owner alone); a claim recorded by a delayed swap counted as not sent after the reload; a Finished settle was dropped when another claim's abandoned record had replaced an expired one.

--- a/src/entry_orders.h
+++ b/src/entry_orders.h
@@ -97,7 +97,8 @@
         std::uint32_t shard = 0;
         ClaimOrder order;
         std::function<void(ClaimResult)> done;
-        int sends = 0;  // to this entry's own shard or to another entry
+        int sends = 0;   // to this entry's own shard or to another entry
+        EntryId target;  // of the last send
         bool local = false;
         TimePoint started;
         TimePoint resendAt;
@@ -115,6 +116,7 @@
     {
         std::uint32_t shard = 0;
         SettleOrder order;
+        EntryId onlyTarget;  // abandoned claim: the one entry that it was sent to; empty: more than one
         bool local = false;
         TimePoint started;
         TimePoint resendAt;
@@ -252,8 +254,10 @@
     const TimePoint now = cluster.now();
     const EntryId target = responsible(item.shard);
     ++item.sends;
+    item.target = target;
     item.resendAt = now + OrderResend;
     if (forceLocal || target.empty() || target == self.entry) {
+        item.target = self.entry;
         item.local = true;
         const std::uint32_t shard = item.shard;
         shards[shard].usedAt = now;
@@ -280,6 +284,7 @@
     settling.resendAt = now + OrderResend;
     if (forceLocal || target.empty() || target == self.entry) {
         settling.local = true;
+        settling.order.onlyHere = settling.onlyTarget == self.entry;
         const std::uint32_t shard = settling.shard;
         shards[shard].usedAt = now;
         run(shard, shards[shard].shard.settle(settling.order, view()));
@@ -290,6 +295,7 @@
     settle->set_shard(settling.shard);
     settle->set_key_hash(keyBytes(settling.order.key));
     settle->set_body_hash(settling.order.bodyHash);
+    settle->set_only_here(settling.onlyTarget == target);
     settle->set_claim_sequence(settling.order.claim.sequence);
     settle->set_state(std::string(toString(settling.order.state)));
     if (const auto &answer = settling.order.answer) {
@@ -307,6 +313,7 @@
     Settling &settling = settles[sequence];
     settling.shard = item.shard;
     settling.order = {item.order.key, item.order.bodyHash, {self, sequence}, OrderState::Abandoned, nullptr};
+    settling.onlyTarget = item.sends == 1 ? item.target : EntryId{};
     settling.started = cluster.now();
     sendSettle(settling, item.local);
 }
@@ -486,7 +493,8 @@
         if (!key || !state || settle.shard() != shardOf(*key)) {
             return;
         }
-        SettleOrder order{*key, settle.body_hash(), {sender, settle.claim_sequence()}, *state, nullptr};
+        SettleOrder order{*key,    settle.body_hash(), {sender, settle.claim_sequence()}, *state,
+                          nullptr, settle.only_here()};
         if (*state == OrderState::Finished) {
             order.answer = std::make_shared<const KeptAnswer>(KeptAnswer{
                 static_cast<int>(settle.status()), settle.content_type(), settle.body(), settle.body_kept()});
--- a/src/orders.cpp
+++ b/src/orders.cpp
@@ -30,6 +30,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
 }
 
+bool isClaim(const OrderRecord &record, const ClaimId &claim)
+{
+    return record.sequence == claim.sequence && *record.origin == claim.origin;
+}
+
 std::int64_t milliseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -259,7 +264,7 @@
         const OrderRecord *record = find(order.key, view);
         const Decision decision = decide(order, record, view);
         const bool recent = view.now - m_confirmedAt <= m_settings.staleAfter;
-        const bool own = record && record->sequence == order.claim.sequence && *record->origin == order.claim.origin;
+        const bool own = record && isClaim(*record, order.claim);
         if (!decision.record && !own && (decision.verdict == Verdict::Replay || (recent && record))) {
             commands.push_back(GiveVerdict{order.claim, order.key, decision.verdict, decision.answer});
             return commands;
@@ -281,13 +286,12 @@
 {
     OrderCommands commands;
     if (order.state == OrderState::Abandoned) {
-        // A claim that no swap carried yet is dropped without a write.
-        const auto unsent = std::find_if(m_queue.begin(), m_queue.end(), [&](const Operation &operation) {
+        const std::size_t dropped = std::erase_if(m_queue, [&](const Operation &operation) {
             const auto *claim = std::get_if<ClaimOrder>(&operation.order);
             return claim && !operation.sent && claim->claim == order.claim;
         });
-        if (unsent != m_queue.end()) {
-            m_queue.erase(unsent);
+        // No write is needed for a claim that no swap carried yet, unless another owner may have recorded it.
+        if (dropped > 0 && order.onlyHere) {
             commands.push_back(GiveVerdict{order.claim, order.key, Verdict::Busy, nullptr});
             commands.push_back(ConfirmSettle{order.claim});
             return commands;
@@ -580,7 +584,6 @@
     m_refs = std::move(m_batchSegment.sealed);
     m_headBytes = m_batchBytes;
     std::erase_if(m_removed, [&](std::uint64_t number) { return !refersTo(number); });
-    m_uncertain = false;
     m_loaded = true;
     m_confirmedAt = view.now;
     m_batchDone = view.now;
@@ -616,9 +619,7 @@
     if (!m_queue.empty()) {
         m_queuedAt = view.now;
     }
-    for (Operation &operation : m_queue) {
-        operation.sent = false;
-    }
+    resolveSent(view);
 }
 
 void OrderShard::answerInFlight(OrderCommands &commands)
@@ -662,12 +663,6 @@
         }
         requeue(true);
     }
-    if (m_uncertain && value.version > m_uncertainVersion) {
-        m_uncertain = false;
-        for (Operation &operation : m_queue) {
-            operation.sent = false;
-        }
-    }
     m_version = value.version;
     m_next = head.next;
     m_headBytes = recordBytes(value.value, head);
@@ -683,9 +678,7 @@
     }
     findMissingSegment();
     if (m_readNumber == 0) {
-        m_loaded = true;
-        m_confirmedAt = m_callStarted;
-        m_damage.clear();
+        finishLoad(view);
     }
 }
 
@@ -716,9 +709,29 @@
     }
     findMissingSegment();
     if (m_readNumber == 0) {
-        m_loaded = true;
-        m_confirmedAt = m_callStarted;
-        m_damage.clear();
+        finishLoad(view);
+    }
+}
+
+void OrderShard::finishLoad(const OrderView &view)
+{
+    m_loaded = true;
+    m_confirmedAt = m_callStarted;
+    m_damage.clear();
+    resolveSent(view);
+}
+
+void OrderShard::resolveSent(const OrderView &view)
+{
+    if (m_uncertain && m_version <= m_uncertainVersion) {
+        return;
+    }
+    // Every earlier swap has failed or is part of the records in memory.
+    m_uncertain = false;
+    for (Operation &operation : m_queue) {
+        const auto *claim = std::get_if<ClaimOrder>(&operation.order);
+        const OrderRecord *record = claim ? find(claim->key, view) : nullptr;
+        operation.sent = record && isClaim(*record, claim->claim);
     }
 }
 
@@ -779,7 +792,7 @@
 OrderShard::Decision OrderShard::decide(const ClaimOrder &order, const OrderRecord *record, const OrderView &view) const
 {
     if (!record || record->state == OrderState::Abandoned) {
-        const bool own = record && record->sequence == order.claim.sequence && *record->origin == order.claim.origin;
+        const bool own = record && isClaim(*record, order.claim);
         if (own) {
             return {Verdict::Busy};
         }
@@ -791,7 +804,7 @@
         }
         return {Verdict::Run, nullptr, true};
     }
-    const bool own = record->sequence == order.claim.sequence && *record->origin == order.claim.origin;
+    const bool own = isClaim(*record, order.claim);
     if (own) {
         return {record->state == OrderState::Claimed ? Verdict::Run : Verdict::Unknown};
     }
@@ -817,8 +830,9 @@
 bool OrderShard::applySettle(const SettleOrder &order, const OrderView &view)
 {
     const OrderRecord *record = findWithChanges(order.key, view);
-    const bool own = record && record->sequence == order.claim.sequence && *record->origin == order.claim.origin;
-    if (record && !own) {
+    const bool own = record && isClaim(*record, order.claim);
+    const bool ran = order.state == OrderState::Finished || order.state == OrderState::Unknown;
+    if (record && !own && !(ran && record->state == OrderState::Abandoned)) {
         return false;  // the key belongs to another claim by now
     }
     switch (order.state) {
@@ -842,7 +856,7 @@
     }
     OrderRecord changed{order.key,   order.bodyHash, shared(order.claim.origin), order.claim.sequence, m_batchMs,
                         order.state, nullptr};
-    if (record) {
+    if (record && own) {
         changed.bodyHash = record->bodyHash;
         changed.changedMs = std::max(changed.changedMs, record->changedMs);
     }
--- a/src/orders.h
+++ b/src/orders.h
@@ -167,6 +167,7 @@
     ClaimId claim;
     OrderState state = OrderState::Unknown;
     std::shared_ptr<const KeptAnswer> answer;
+    bool onlyHere = false;  // Abandoned: the claim was sent to this owner once and to no other
 };
 
 /// What a decision may depend on besides the shard's own state.
@@ -269,6 +270,8 @@
     void requeue(bool mayHaveTakenEffect);
     void headRead(const StoreValue &value, const OrderView &view, OrderCommands &commands);
     void segmentRead(const StoreValue &value, const OrderView &view);
+    void finishLoad(const OrderView &view);
+    void resolveSent(const OrderView &view);
     void expireQueue(const OrderView &view, OrderCommands &commands);
     void removeExpiredSegment(const OrderView &view, OrderCommands &commands);
     void startRead(Phase phase, std::string key, OrderCommands &commands);
--- /dev/null
+++ b/tests/core_orders.cpp
@@ -0,0 +1,633 @@
+#include "orders.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+using namespace briarvane;
+
+namespace
+{
+
+constexpr std::int64_t RetentionMs = 600'000;
+
+OrderSettings testSettings()
+{
+    OrderSettings settings;
+    settings.retention = Duration{RetentionMs * 1000};
+    settings.segmentBytes = 150;  // rotates after a few records
+    return settings;
+}
+
+/// Key-value store with compare-and-swap, as the platform's.
+struct ModelStore
+{
+    std::map<std::string, StoreValue> values;
+    std::uint64_t version = 0;
+    bool down = false;
+
+    StoreValue read(const std::string &key) const
+    {
+        const auto found = values.find(key);
+        return found == values.end() ? StoreValue{key, {}, 0} : found->second;
+    }
+    Result<std::uint64_t> swap(const SwapOrders &order)
+    {
+        if (read(order.key).version != order.expected) {
+            return Error{ErrorCode::Conflict, "changed"};
+        }
+        values[order.key] = {order.key, order.value, ++version};
+        return version;
+    }
+    Result<bool> remove(const RemoveOrders &order)
+    {
+        if (read(order.key).version == 0) {
+            return Error{ErrorCode::NotFound, "no such key"};
+        }
+        if (read(order.key).version != order.expected) {
+            return Error{ErrorCode::Conflict, "changed"};
+        }
+        values.erase(order.key);
+        return true;
+    }
+};
+
+enum class ClaimStage { Pending, GivenUp, Told, Held, Ran };
+
+/// A claim as its claimant sees it.
+struct ModelClaim
+{
+    ClaimOrder order;
+    ClaimStage stage = ClaimStage::Pending;
+    bool dead = false;  // the claimant restarted
+    std::vector<std::size_t> sentTo;
+    std::optional<OrderState> settle;
+    bool settleConfirmed = false;
+    std::int64_t settleMs = 0;
+    std::int64_t touchedMs = 0;  // the record was changed then or later
+};
+
+/// One message or store call under way; any of them may be next.
+struct Transit
+{
+    std::size_t owner = 0;
+    std::uint64_t ownerStart = 0;  // a call's answer goes to the start that made it
+    std::variant<ReadOrders, SwapOrders, RemoveOrders, GiveVerdict, ConfirmSettle, ClaimOrder, SettleOrder,
+                 std::pair<std::uint64_t, Result<StoreValue>>, std::pair<std::uint64_t, Result<std::uint64_t>>,
+                 std::pair<std::uint64_t, Result<bool>>>
+        content;
+};
+
+struct Step
+{
+    std::uint8_t action;
+    std::uint8_t first;
+    std::uint8_t second;
+    std::uint8_t third;
+};
+
+void showValue(const Step &step, std::ostream &os)
+{
+    os << "{" << int(step.action) << "," << int(step.first) << "," << int(step.second) << "," << int(step.third) << "}";
+}
+
+std::ostream &operator<<(std::ostream &os, const Step &step)
+{
+    showValue(step, os);
+    return os;
+}
+
+/// Several owners of shard 0 that all believe in their duty, claimants, and a network that loses, doubles and reorders.
+class World
+{
+public:
+    static constexpr std::size_t Owners = 3;
+    static constexpr std::size_t Claimants = 3;
+    static constexpr std::size_t Keys = 8;
+
+    World()
+    {
+        for (std::size_t i = 0; i < Owners; ++i) {
+            owners.push_back(std::make_unique<OrderShard>(0, ownerOrigin(i), testSettings()));
+        }
+    }
+
+    std::string violation;
+
+    void apply(const Step &step)
+    {
+        const std::size_t owner = step.second % Owners;
+        switch (step.action % 64) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+        case 4:
+            makeClaim(step.first % Claimants, step.third % Keys, owner, step.first % 16 == 15);
+            break;
+        case 5:
+            if (ModelClaim *claim = pick(step.first, ClaimStage::Pending)) {
+                claim->sentTo.push_back(owner);
+                network.push_back({owner, 0, claim->order});
+            }
+            break;
+        case 6:
+            if (ModelClaim *claim = pick(step.first, ClaimStage::Pending)) {
+                giveUp(*claim, owner);
+            }
+            break;
+        case 7:
+            if (ModelClaim *claim = pick(step.first, ClaimStage::Held); claim && !claim->settle) {
+                execute(*claim);
+            }
+            break;
+        case 8:
+        case 9:
+            if (ModelClaim *claim = pick(step.first, step.third % 4 ? ClaimStage::Ran : ClaimStage::Held);
+                claim && !claim->dead && !claim->settle) {
+                finish(*claim, owner, step.third % 8 == 7);
+            }
+            break;
+        case 10:
+            resendSettles(owner);
+            break;
+        case 11:
+            paused[owner] = !paused[owner];
+            break;
+        case 12:
+            store.down = !store.down && step.first % 2 == 0;
+            break;
+        case 13:
+            if (step.first % 4 == 0) {
+                restartClaimant(step.third % Claimants);
+            } else {
+                unheard[step.third % Claimants] = !unheard[step.third % Claimants];
+            }
+            break;
+        case 14:
+            if (step.first % 4 == 0) {
+                ++ownerStarts[owner];
+                owners[owner] = std::make_unique<OrderShard>(0, ownerOrigin(owner), testSettings());
+            } else {
+                owners[owner]->unload();
+            }
+            break;
+        case 15:
+            if (step.first % 4 == 0) {
+                pass(RetentionMs / 3);
+            }
+            break;
+        case 16:
+        case 17:
+        case 18:
+            pass(step.first % 4 == 0 ? 150 : 10);
+            break;
+        default:
+            deliver(step.first + 256U * step.second, step.third);
+        }
+    }
+
+    /// Ends all faults and delivers everything; then every key must answer what its history allows.
+    void settleDown()
+    {
+        store.down = false;
+        paused = {};
+        unheard = {};
+        for (ModelClaim &claim : claims) {
+            if (claim.stage == ClaimStage::Pending && !claim.dead) {
+                giveUp(claim, 0);
+            }
+        }
+        for (int round = 0; round < 40; ++round) {
+            for (std::size_t n = 0; n < 4000 && !network.empty(); ++n) {
+                deliver(0, 255);
+            }
+            resendSettles(static_cast<std::size_t>(round) % Owners);
+            pass(150);
+        }
+        for (const ModelClaim &claim : claims) {
+            if (claim.settle && !claim.settleConfirmed && !claim.dead) {
+                fail("a settle is never confirmed");
+            }
+        }
+        for (std::size_t key = 0; key < Keys; ++key) {
+            checkKey(key);
+        }
+    }
+
+private:
+    static ClaimOrigin ownerOriginOf(std::size_t owner, std::uint64_t start)
+    {
+        return {{"owner" + std::to_string(owner)}, start};
+    }
+    ClaimOrigin ownerOrigin(std::size_t owner) const
+    {
+        return ownerOriginOf(owner, ownerStarts[owner]);
+    }
+    ClaimOrigin claimant(std::size_t index) const
+    {
+        return {{"claimant" + std::to_string(index)}, claimantStarts[index]};
+    }
+    void fail(const std::string &what)
+    {
+        violation = violation.empty() ? what : violation;
+    }
+    /// Keys with an even number carry the time of their first use.
+    static OrderKeyHash keyOf(std::size_t key)
+    {
+        return {key, key * 7};
+    }
+
+    OrderView view(std::size_t owner) const
+    {
+        // The owners' clocks differ by 40 s, which is within the assumed margin.
+        OrderView view{TimePoint{Duration{nowMs * 1000}},
+                       WallTime{Duration{(nowMs + 20'000 * (static_cast<std::int64_t>(owner) - 1)) * 1000}},
+                       {}};
+        for (std::size_t i = 0; i < Claimants; ++i) {
+            if (!unheard[i]) {
+                view.live.push_back(claimant(i));
+            }
+        }
+        return view;
+    }
+
+    ModelClaim *pick(std::size_t choice, ClaimStage stage)
+    {
+        std::vector<ModelClaim *> found;
+        for (ModelClaim &claim : claims) {
+            if (claim.stage == stage && !claim.dead) {
+                found.push_back(&claim);
+            }
+        }
+        return found.empty() ? nullptr : found[choice % found.size()];
+    }
+
+    ModelClaim &makeClaim(std::size_t from, std::size_t key, std::size_t owner, bool otherBody)
+    {
+        ModelClaim claim;
+        claim.order = {keyOf(key), otherBody ? 2U : 1U, {claimant(from), ++lastSequence}, 0, {}};
+        claim.order.deadline = TimePoint{Duration{(nowMs + 1000) * 1000}};
+        if (key % 2 == 0) {
+            claim.order.issuedMs = issued.try_emplace(key, nowMs).first->second;
+        }
+        claim.touchedMs = nowMs;
+        claim.sentTo = {owner};
+        claims.push_back(claim);
+        network.push_back({owner, 0, claim.order});
+        return claims.back();
+    }
+
+    void giveUp(ModelClaim &claim, std::size_t owner)
+    {
+        claim.stage = ClaimStage::GivenUp;
+        sendSettle(claim, OrderState::Abandoned, owner);
+    }
+
+    void execute(ModelClaim &claim)
+    {
+        claim.stage = ClaimStage::Ran;
+    }
+
+    void finish(ModelClaim &claim, std::size_t owner, bool unknown)
+    {
+        claim.settleMs = nowMs;
+        if (claim.stage == ClaimStage::Held) {
+            claim.stage = ClaimStage::GivenUp;
+            sendSettle(claim, OrderState::Abandoned, owner);
+        } else {
+            sendSettle(claim, unknown ? OrderState::Unknown : OrderState::Finished, owner);
+        }
+    }
+
+    void sendSettle(ModelClaim &claim, OrderState state, std::size_t owner)
+    {
+        claim.settle = state;
+        claim.settleConfirmed = false;
+        SettleOrder order{claim.order.key, claim.order.bodyHash, claim.order.claim, state, nullptr};
+        order.onlyHere = claim.sentTo == std::vector{owner};
+        if (state == OrderState::Finished) {
+            order.answer = std::make_shared<const KeptAnswer>(
+                KeptAnswer{200, "text/plain", std::to_string(claim.order.claim.sequence), true});
+        }
+        network.push_back({owner, 0, order});
+    }
+
+    void resendSettles(std::size_t owner)
+    {
+        for (ModelClaim &claim : claims) {
+            if (claim.settle && !claim.settleConfirmed && !claim.dead) {
+                sendSettle(claim, *claim.settle, owner);
+            }
+        }
+    }
+
+    void restartClaimant(std::size_t index)
+    {
+        for (ModelClaim &claim : claims) {
+            if (claim.order.claim.origin == claimant(index)) {
+                claim.dead = true;
+            }
+        }
+        ++claimantStarts[index];
+    }
+
+    void pass(std::int64_t ms)
+    {
+        nowMs += ms;
+        if (ms > RetentionMs / 4) {
+            // No claim outlives this in the client: pending ones meet their deadline, held ones are renewed.
+            for (ModelClaim &claim : claims) {
+                const bool open = claim.stage == ClaimStage::Held || claim.stage == ClaimStage::Pending;
+                claim.dead = claim.dead || open;
+            }
+        }
+        for (std::size_t owner = 0; owner < Owners; ++owner) {
+            if (!paused[owner]) {
+                send(owner, owners[owner]->tick(view(owner)));
+            }
+        }
+    }
+
+    void send(std::size_t owner, OrderCommands commands)
+    {
+        for (OrderCommand &command : commands) {
+            std::visit(
+                [&](auto &content) {
+                    network.push_back({owner, ownerStarts[owner], std::move(content)});
+                },
+                command);
+        }
+    }
+
+    /// Takes one item out of the network; `fault` selects loss, doubling and lost answers.
+    void deliver(std::size_t choice, std::size_t fault)
+    {
+        if (network.empty()) {
+            return;
+        }
+        const std::size_t index = choice % network.size();
+        Transit item = network[index];
+        const bool toOwner = item.content.index() >= 5;
+        if (toOwner && paused[item.owner]) {
+            return;
+        }
+        network.erase(network.begin() + static_cast<std::ptrdiff_t>(index));
+        std::visit([&](auto &content) { take(item, content, fault % 16); }, item.content);
+    }
+
+    template<class Order, class Value>
+    void callStore(const Transit &item, const Order &order, std::size_t fault,
+                   Value (ModelStore::*unused)(const Order &), Value (*carryOut)(ModelStore &, const Order &))
+    {
+        (void)unused;
+        Value answer = Error{ErrorCode::Unavailable, "the store is down"};
+        if (!store.down && fault != 3) {
+            if (fault == 2) {
+                network.push_back(item);  // takes effect later, or never
+            } else {
+                answer = carryOut(store, order);
+            }
+            if (fault == 0) {
+                network.push_back(item);  // carried out twice
+            }
+            if (fault == 1 || fault == 2) {
+                answer = Error{ErrorCode::Unknown, "no answer"};
+            }
+        }
+        network.push_back({item.owner, item.ownerStart, std::pair{order.call, answer}});
+    }
+    void take(const Transit &item, const ReadOrders &order, std::size_t fault)
+    {
+        callStore<ReadOrders, Result<StoreValue>>(
+            item, order, fault, nullptr,
+            [](ModelStore &target, const ReadOrders &read) { return Result<StoreValue>(target.read(read.key)); });
+    }
+    void take(const Transit &item, const SwapOrders &order, std::size_t fault)
+    {
+        callStore<SwapOrders, Result<std::uint64_t>>(
+            item, order, fault, &ModelStore::swap,
+            [](ModelStore &target, const SwapOrders &swap) { return target.swap(swap); });
+    }
+    void take(const Transit &item, const RemoveOrders &order, std::size_t fault)
+    {
+        callStore<RemoveOrders, Result<bool>>(
+            item, order, fault, &ModelStore::remove,
+            [](ModelStore &target, const RemoveOrders &remove) { return target.remove(remove); });
+    }
+    template<class T>
+    void take(const Transit &item, const std::pair<std::uint64_t, Result<T>> &answer, std::size_t)
+    {
+        if (item.ownerStart != ownerStarts[item.owner]) {
+            return;
+        }
+        OrderShard &shard = *owners[item.owner];
+        if constexpr (std::is_same_v<T, StoreValue>) {
+            send(item.owner, shard.readDone(answer.first, answer.second, view(item.owner)));
+        } else if constexpr (std::is_same_v<T, std::uint64_t>) {
+            send(item.owner, shard.swapDone(answer.first, answer.second, view(item.owner)));
+        } else {
+            send(item.owner, shard.removeDone(answer.first, answer.second, view(item.owner)));
+        }
+    }
+    void take(const Transit &item, const ClaimOrder &order, std::size_t fault)
+    {
+        if (fault == 0) {
+            return;
+        }
+        if (fault == 1) {
+            network.push_back(item);
+        }
+        send(item.owner, owners[item.owner]->claim(order, view(item.owner)));
+    }
+    void take(const Transit &item, const SettleOrder &order, std::size_t fault)
+    {
+        if (fault == 0) {
+            return;
+        }
+        if (fault == 1) {
+            network.push_back(item);
+        }
+        send(item.owner, owners[item.owner]->settle(order, view(item.owner)));
+    }
+    void take(const Transit &item, const ConfirmSettle &confirm, std::size_t fault)
+    {
+        if (fault == 1) {
+            network.push_back(item);
+        }
+        if (ModelClaim *claim = known(confirm.claim); claim && fault != 0) {
+            claim->settleConfirmed = true;
+            // Retention counts from the last change in the store; a settle that comes after it changes nothing.
+            if (claim->touchedMs + RetentionMs >= nowMs) {
+                claim->touchedMs = std::max(claim->touchedMs, claim->settleMs);
+            }
+        }
+    }
+    void take(const Transit &item, const GiveVerdict &given, std::size_t fault)
+    {
+        ModelClaim *claim = known(given.claim);
+        if (!claim || claim->dead) {
+            return;
+        }
+        if (fault == 0) {
+            strayLost.insert(given.key.high);
+            return;
+        }
+        if (fault == 1) {
+            network.push_back(item);
+        }
+        if (claim->stage != ClaimStage::Pending) {
+            if (given.verdict == Verdict::Run && claim->stage != ClaimStage::Held && claim->stage != ClaimStage::Ran) {
+                // The confirmation of the first abandoning may be taken for one of the second.
+                strayLost.insert(given.key.high);
+                giveUp(*claim, item.owner);
+            }
+            return;
+        }
+        if (given.verdict != Verdict::Run) {
+            giveUp(*claim, item.owner);
+            return;
+        }
+        claim->stage = ClaimStage::Held;
+        for (const ModelClaim &other : claims) {
+            const bool used = other.stage == ClaimStage::Held || other.stage == ClaimStage::Ran;
+            const bool counts = other.order.issuedMs > 0 || other.touchedMs + RetentionMs >= nowMs;
+            if (&other != claim && other.order.key == claim->order.key && used && counts) {
+                fail("second Run for key " + std::to_string(claim->order.key.high));
+            }
+        }
+    }
+
+    ModelClaim *known(const ClaimId &id)
+    {
+        const auto found = std::find_if(claims.begin(), claims.end(),
+                                        [&](const ModelClaim &item) { return item.order.claim == id; });
+        return found == claims.end() ? nullptr : &*found;
+    }
+
+    void checkKey(std::size_t key)
+    {
+        const ModelClaim *used = nullptr;  // the claim that ran or may still run
+        bool deadClaims = false;
+        for (const ModelClaim &claim : claims) {
+            if (claim.order.key == keyOf(key)) {
+                const bool counts = claim.stage == ClaimStage::Held || claim.stage == ClaimStage::Ran;
+                used = counts ? &claim : used;
+                deadClaims = deadClaims || claim.dead;
+            }
+        }
+        // Ask an owner that knows nothing and has no faults.
+        OrderShard owner(0, {{"late"}, 1}, testSettings());
+        ClaimOrder order{keyOf(key), 1, {{{"late"}, 1}, key + 1}, 0, TimePoint{Duration{(nowMs + 1000) * 1000}}};
+        if (const auto time = issued.find(key); time != issued.end()) {
+            order.issuedMs = time->second;
+        }
+        std::optional<GiveVerdict> verdict;
+        OrderCommands commands = owner.claim(order, view(1));
+        for (int round = 0; round < 200 && !verdict; ++round) {
+            OrderCommands next;
+            for (const OrderCommand &command : commands) {
+                OrderCommands more;
+                if (const auto *read = std::get_if<ReadOrders>(&command)) {
+                    more = owner.readDone(read->call, store.read(read->key), view(1));
+                } else if (const auto *swap = std::get_if<SwapOrders>(&command)) {
+                    more = owner.swapDone(swap->call, store.swap(*swap), view(1));
+                } else if (const auto *given = std::get_if<GiveVerdict>(&command)) {
+                    verdict = *given;
+                }
+                next.insert(next.end(), more.begin(), more.end());
+            }
+            commands = std::move(next);
+        }
+        if (!verdict) {
+            fail("no verdict for key " + std::to_string(key) + " " + owner.damage());
+            return;
+        }
+        const std::string told = " but the key got " + std::string(toString(verdict->verdict));
+        if (!used) {
+            const bool old = order.issuedMs > 0 && order.issuedMs + RetentionMs < nowMs;
+            const bool blocked = verdict->verdict != Verdict::Run && !old;
+            if (blocked && !deadClaims && !strayLost.contains(key)) {
+                fail("nothing ran" + told);
+            }
+        } else if (used->touchedMs + RetentionMs < nowMs) {
+            return;
+        } else if (verdict->verdict == Verdict::Run || verdict->verdict == Verdict::Busy) {
+            fail("a claim was used" + told);
+        } else if (used->order.bodyHash != order.bodyHash) {
+            if (verdict->verdict != Verdict::KeyConflict) {
+                fail("another body" + told);
+            }
+        } else if (used->settle == OrderState::Finished && used->settleConfirmed && !used->dead
+                   && (verdict->verdict != Verdict::Replay
+                       || verdict->answer->body != std::to_string(used->order.claim.sequence))) {
+            fail("an answer was kept" + told);
+        }
+    }
+
+    ModelStore store;
+    std::vector<std::unique_ptr<OrderShard>> owners;
+    std::array<std::uint64_t, Owners> ownerStarts = {1, 1, 1};
+    std::array<bool, Owners> paused = {};
+    std::array<std::uint64_t, Claimants> claimantStarts = {1, 1, 1};
+    std::array<bool, Claimants> unheard = {};
+    std::deque<ModelClaim> claims;
+    std::vector<Transit> network;
+    std::map<std::size_t, std::int64_t> issued;
+    std::set<std::uint64_t> strayLost;  // keys with a lost verdict
+    std::int64_t nowMs = 1'700'000'000'000;
+    std::uint64_t lastSequence = 0;
+
+public:
+    std::uint64_t rotations() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto &owner : owners) {
+            sum += owner->rotations();
+        }
+        return sum;
+    }
+    std::size_t runs() const
+    {
+        return static_cast<std::size_t>(std::count_if(claims.begin(), claims.end(), [](const ModelClaim &claim) {
+            return claim.stage == ClaimStage::Held || claim.stage == ClaimStage::Ran;
+        }));
+    }
+};
+
+rc::Gen<Step> anyStep()
+{
+    return rc::gen::build<Step>(rc::gen::set(&Step::action, rc::gen::inRange<std::uint8_t>(0, 64)),
+                                rc::gen::set(&Step::first), rc::gen::set(&Step::second), rc::gen::set(&Step::third));
+}
+
+}
+
+TEST_CASE("Several owners of a shard give a key to one claim only", "[orders]")
+{
+    // Guards against a second run of a key when owners race, pause, lose answers and restart.
+    setenv("RC_PARAMS", "seed=20261204 max_success=3000 max_size=600 noshrink=1", 0);
+    std::uint64_t rotations = 0;
+    std::size_t runs = 0;
+    CHECK(rc::check("interleavings", [&] {
+        const std::size_t size = *rc::gen::withSize([](int size) { return rc::gen::just<std::size_t>(size); });
+        const auto steps = *rc::gen::container<std::vector<Step>>(50 + size, anyStep());
+        World world;
+        for (const Step &step : steps) {
+            world.apply(step);
+            if (!world.violation.empty()) {
+                RC_FAIL(world.violation);
+            }
+        }
+        rotations += world.rotations();
+        world.settleDown();
+        if (!world.violation.empty()) {
+            RC_FAIL(world.violation);
+        }
+        runs += world.runs();
+    }));
+    CHECK(rotations > 100);
+    CHECK(runs > 1000);
+    INFO(rotations << " rotations, " << runs << " runs");
+}
