--- /dev/null
+++ b/bench/capacity_bench.cpp
@@ -0,0 +1,297 @@
+// Compares capacity policies on seeded demand series with injected time.
+// Usage: capacity_bench [seed] [seconds]
+//
+// Each pool is a fluid queue. Queues take turns: each bursts to 5 times its mean for some seconds and has a twentieth
+// of its mean in between; at half time two means are exchanged. A move and a reboot take an instance out of service for
+// a fixed time. A wave reboots every instance once; when it has ended, the next one begins. Moves and reboots that the
+// availability budget forbids are not taken, for both policies alike.
+
+#include "capacity.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <random>
+
+using namespace briarvane;
+
+namespace
+{
+
+constexpr double Tick = 0.1;            // seconds
+constexpr double MoveSeconds = 5.0;     // drain and confirmation by all entries
+constexpr double RebootSeconds = 10.0;  // drain, reboot and check
+
+struct PoolModel
+{
+    std::string name;
+    int instances;
+    int minInstances;
+    double mean;  // instances' worth of work
+    double availability;
+    bool spare;
+};
+
+struct FleetModel
+{
+    Profile profile;
+    std::vector<PoolModel> pools;
+    double burstLow;  // seconds
+    double burstHigh;
+};
+
+FleetModel swanCoast()
+{
+    return {Profile::SwanCoast,
+            {{"orders", 12, 2, 4.0, 0.80, false},
+             {"rosters", 10, 2, 2.6, 0.80, false},
+             {"spinheads", 9, 2, 3.0, 0.80, false},
+             {"takings", 9, 2, 2.2, 0.775, false},
+             {"depot", 10, 2, 1.2, 0.70, true}},
+            6,
+            14};
+}
+
+FleetModel saaristo()
+{
+    return {Profile::Saaristo,
+            {{"quotes", 12, 2, 4.0, 0.75, false},
+             {"stems", 10, 2, 3.2, 0.80, false},
+             {"barges", 9, 2, 2.4, 0.775, false},
+             {"documents", 9, 2, 2.6, 0.666, false},
+             {"backoffice", 10, 2, 1.0, 0.60, true}},
+            4,
+            12};
+}
+
+struct Instance
+{
+    std::size_t pool = 0;
+    std::size_t previous = 0;
+    double movedAt = -1e9;  // arrival of the last move
+    double busyUntil = -1;  // moving or rebooting
+    bool moving = false;
+    bool rebooting = false;
+    bool rebooted = false;  // in the present wave
+};
+
+struct Measures
+{
+    double buffer = 0;  // instance-seconds per second
+    int moves = 0;
+    int back = 0;     // moves back within a minute
+    double wait = 0;  // mean over arriving work, seconds
+    double wait99 = 0;
+    double rollOut = 0;  // mean seconds of a wave
+    int waves = 0;
+};
+
+template<CapacityPolicy P>
+Measures simulate(const FleetModel &fleet, P policy, unsigned seed, double seconds)
+{
+    std::mt19937 random(seed);
+    const std::size_t count = fleet.pools.size();
+    std::vector<double> mean;
+    std::vector<Instance> instances;
+    for (std::size_t p = 0; p < count; ++p) {
+        mean.push_back(fleet.pools[p].mean);
+        for (int i = 0; i < fleet.pools[p].instances; ++i) {
+            Instance instance;
+            instance.pool = instance.previous = p;
+            instances.push_back(instance);
+        }
+    }
+    constexpr int slots = 8;
+    constexpr double service = 0.05;
+    std::vector<double> backlog(count, 0.0);       // instance-seconds of work
+    std::vector<double> arrived(count, 0.0);       // since the last decision
+    std::vector<double> used(count, 0.0);          // served rate, instances
+    std::vector<std::pair<double, double>> waits;  // wait and weight
+    std::size_t bursting = 0;
+    double burstEnd = 0;
+    double waveStart = 0;
+    double nextDecision = 0;
+    Measures result;
+    const auto uniform
+        = [&](double low, double high) { return low + (high - low) * (static_cast<double>(random()) / 4294967296.0); };
+    const auto serving = [&](std::size_t p) {
+        return static_cast<int>(std::count_if(instances.begin(), instances.end(), [&](const Instance &i) {
+            return i.pool == p && !i.moving && !i.rebooting;
+        }));
+    };
+    bool exchanged = false;
+    const auto steps = static_cast<std::int64_t>(seconds / Tick);
+    std::vector<int> leaving(count, 0);  // moves on the way, by the pool they left
+    for (std::int64_t step = 0; step < steps; ++step) {
+        const double now = static_cast<double>(step) * Tick;
+        if (!exchanged && now > seconds / 2) {
+            std::swap(mean[1], mean[2]);
+            exchanged = true;
+        }
+        if (now >= burstEnd) {
+            bursting = (bursting + 1) % count;
+            burstEnd = now + uniform(fleet.burstLow, fleet.burstHigh);
+        }
+        for (Instance &i : instances) {
+            if ((i.moving || i.rebooting) && now >= i.busyUntil) {
+                if (i.moving) {
+                    --leaving[i.previous];
+                    i.movedAt = now;
+                }
+                i.moving = i.rebooting = false;
+            }
+        }
+        // Down by reboot or by a move out: what the budget counts.
+        std::vector<int> down(count, 0);
+        std::vector<int> size(count, 0);
+        for (const Instance &i : instances) {
+            ++size[i.pool];
+            down[i.pool] += i.rebooting ? 1 : 0;
+        }
+        const auto budget = [&](std::size_t p) {
+            return allowedDown(size[p] + leaving[p], fleet.pools[p].availability) - down[p] - leaving[p];
+        };
+        // The wave goes first: planned maintenance was announced, capacity moves can wait.
+        for (Instance &i : instances) {
+            if (!i.rebooted && !i.moving && !i.rebooting && budget(i.pool) > 0) {
+                i.rebooting = i.rebooted = true;
+                i.busyUntil = now + RebootSeconds;
+                ++down[i.pool];
+            }
+        }
+        if (std::all_of(instances.begin(), instances.end(),
+                        [](const Instance &i) { return i.rebooted && !i.rebooting; })) {
+            result.rollOut += now - waveStart;
+            ++result.waves;
+            waveStart = now;
+            for (Instance &i : instances) {
+                i.rebooted = false;
+            }
+        }
+        for (std::size_t p = 0; p < count; ++p) {
+            const double rate = mean[p] * (p == bursting ? 5.0 : 0.05) * uniform(0.9, 1.1);
+            const int capacity = serving(p);
+            const double work = rate * Tick;
+            const double wait = capacity > 0 ? backlog[p] / capacity : backlog[p] / 0.1;
+            waits.emplace_back(wait, work);
+            arrived[p] += work;
+            backlog[p] += work;
+            const double served = std::min(backlog[p], capacity * Tick);
+            backlog[p] -= served;
+            used[p] = served / Tick;
+            const auto moving = std::count_if(instances.begin(), instances.end(),
+                                              [&](const Instance &i) { return i.pool == p && i.moving; });
+            if (!fleet.pools[p].spare) {
+                result.buffer += capacity * Tick - served + static_cast<double>(moving) * Tick;
+            }
+        }
+        if (now < nextDecision) {
+            continue;
+        }
+        nextDecision += 1.0;
+        std::vector<CapacityPool> pools;
+        for (std::size_t p = 0; p < count; ++p) {
+            CapacityPool pool;
+            pool.id.value = fleet.pools[p].name;
+            pool.queued = backlog[p] * slots / service;
+            pool.queued = backlog[p] / service * slots;
+            pool.arrivals = arrived[p] * slots / service;
+            arrived[p] = 0;
+            pool.slotsInUse = used[p] * slots;
+            pool.meanService = Duration(static_cast<std::int64_t>(service * 1e6));
+            pool.slots = slots;
+            pool.minInstances = fleet.pools[p].minInstances;
+            pool.spare = fleet.pools[p].spare;
+            pool.mayLeave = std::max(0, budget(p));
+            for (const Instance &i : instances) {
+                if (i.pool == p && !i.moving && !i.rebooting) {
+                    pool.stays.emplace_back(static_cast<std::int64_t>(std::min(now - i.movedAt, 1e6) * 1e6));
+                }
+                pool.arriving += i.pool == p && (i.moving || i.rebooting) ? 1 : 0;
+            }
+            pool.instances = static_cast<int>(pool.stays.size());
+            pools.push_back(std::move(pool));
+        }
+        for (const CapacityMove &move :
+             policy.decide(pools, TimePoint(Duration(static_cast<std::int64_t>(now * 1e6))))) {
+            const auto index = [&](const PoolId &id) {
+                return static_cast<std::size_t>(
+                    std::find_if(pools.begin(), pools.end(), [&](const CapacityPool &p) { return p.id == id; })
+                    - pools.begin());
+            };
+            const std::size_t from = index(move.from);
+            for (int n = 0; n < move.count; ++n) {
+                Instance *chosen = nullptr;
+                for (Instance &i : instances) {
+                    if (i.pool == from && !i.moving && !i.rebooting
+                        && (chosen == nullptr || i.movedAt < chosen->movedAt)) {
+                        chosen = &i;
+                    }
+                }
+                if (chosen == nullptr || budget(from) <= 0) {
+                    continue;
+                }
+                const std::size_t to = index(move.to);
+                result.back += to == chosen->previous && now - chosen->movedAt < 60 ? 1 : 0;
+                chosen->previous = from;
+                chosen->pool = to;
+                chosen->moving = true;
+                chosen->busyUntil = now + MoveSeconds;
+                --size[from];
+                ++size[to];
+                ++leaving[from];
+                ++result.moves;
+            }
+        }
+    }
+    std::sort(waits.begin(), waits.end());
+    double weight = 0;
+    for (const auto &[wait, work] : waits) {
+        result.wait += wait * work;
+        weight += work;
+    }
+    result.wait /= weight;
+    double below = 0;
+    for (const auto &[wait, work] : waits) {
+        below += work;
+        if (below >= 0.99 * weight) {
+            result.wait99 = wait;
+            break;
+        }
+    }
+    result.buffer /= seconds;
+    result.rollOut = result.waves > 0 ? result.rollOut / result.waves : seconds;
+    return result;
+}
+
+void print(const char *name, const Measures &m)
+{
+    std::printf("  %-10s buffer %6.2f instances  moves %5d (back within a minute %4d)  wait mean %6.3f s p99 %7.3f s  "
+                "roll-out %6.1f s (%d waves)\n",
+                name, m.buffer, m.moves, m.back, m.wait, m.wait99, m.rollOut, m.waves);
+}
+
+/// Does not move anything: shows what the fleet is like without a policy.
+struct FixedPolicy
+{
+    std::vector<CapacityMove> decide(const std::vector<CapacityPool> & /*pools*/, TimePoint /*now*/)
+    {
+        return {};
+    }
+};
+
+}
+
+int main(int argc, char **argv)
+{
+    const unsigned seed = argc > 1 ? static_cast<unsigned>(std::strtoul(argv[1], nullptr, 10)) : 1;
+    const double seconds = argc > 2 ? std::strtod(argv[2], nullptr) : 3600;
+    for (const FleetModel &fleet : {swanCoast(), saaristo()}) {
+        std::printf("%s, seed %u, %.0f s\n", std::string(toString(fleet.profile)).c_str(), seed, seconds);
+        print("fixed", simulate(fleet, FixedPolicy{}, seed, seconds));
+        print("threshold", simulate(fleet, ThresholdPolicy{}, seed, seconds));
+        print("replay", simulate(fleet, ReplayPolicy(capacityWeights(fleet.profile)), seed, seconds));
+    }
+    return 0;
+}
