Weigh short work, long work, buffer and roll-out rounds in the replay

One queue class overstated waits, since routing lets short work go first; the benchmark and the replay now have two classes and a wave every 10 minutes. Sizes at which the availability budget lets no instance down are not planned: in a trial with a low weight of waiting, such pools stopped the wave for good.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -1,5 +1,5 @@
 // Compares capacity policies on seeded demand series with injected time.
-// Usage: capacity_bench [seed] [seconds]
+// Usage: capacity_bench [seed] [seconds] [weights of wait, long wait, buffer, move, roll-out]
 //
 // Each pool is a fluid queue. Queues take turns: each bursts to 5 times its mean for some seconds and has a twentieth
 // of its mean in between; at half time two means are exchanged. A move and a reboot take an instance out of service for
@@ -19,8 +19,10 @@
 namespace
 {
 
-constexpr double Tick = 0.1;            // seconds
-constexpr double MoveSeconds = 5.0;     // drain and confirmation by all entries
+constexpr double Tick = 0.1;         // seconds
+constexpr double MoveSeconds = 5.0;  // drain and confirmation by all entries
+constexpr double WavePeriod = 600.0;
+constexpr double ShortShare = 0.6;      // of the work in slot-seconds
 constexpr double RebootSeconds = 10.0;  // drain, reboot and check
 
 struct PoolModel
@@ -104,13 +106,16 @@
     }
     constexpr int slots = 8;
     constexpr double service = 0.05;
-    std::vector<double> backlog(count, 0.0);       // instance-seconds of work
+    std::vector<double> backlog(count, 0.0);  // instance-seconds of work
+    std::vector<double> backlogLong(count, 0.0);
     std::vector<double> arrived(count, 0.0);       // since the last decision
     std::vector<double> used(count, 0.0);          // served rate, instances
     std::vector<std::pair<double, double>> waits;  // wait and weight
     std::size_t bursting = 0;
     double burstEnd = 0;
     double waveStart = 0;
+    double nextWave = WavePeriod / 2;
+    bool waveRuns = false;
     double nextDecision = 0;
     Measures result;
     const auto uniform
@@ -152,19 +157,25 @@
         const auto budget = [&](std::size_t p) {
             return allowedDown(size[p] + leaving[p], fleet.pools[p].availability) - down[p] - leaving[p];
         };
+        if (!waveRuns && now >= nextWave) {
+            waveRuns = true;
+            waveStart = now;
+            nextWave += WavePeriod;
+        }
         // The wave goes first: planned maintenance was announced, capacity moves can wait.
         for (Instance &i : instances) {
-            if (!i.rebooted && !i.moving && !i.rebooting && budget(i.pool) > 0) {
+            if (waveRuns && !i.rebooted && !i.moving && !i.rebooting && budget(i.pool) > 0) {
                 i.rebooting = i.rebooted = true;
                 i.busyUntil = now + RebootSeconds;
                 ++down[i.pool];
             }
         }
-        if (std::all_of(instances.begin(), instances.end(),
-                        [](const Instance &i) { return i.rebooted && !i.rebooting; })) {
+        if (waveRuns && std::all_of(instances.begin(), instances.end(), [](const Instance &i) {
+                return i.rebooted && !i.rebooting;
+            })) {
             result.rollOut += now - waveStart;
             ++result.waves;
-            waveStart = now;
+            waveRuns = false;
             for (Instance &i : instances) {
                 i.rebooted = false;
             }
@@ -172,13 +183,18 @@
         for (std::size_t p = 0; p < count; ++p) {
             const double rate = mean[p] * (p == bursting ? 5.0 : 0.05) * uniform(0.9, 1.1);
             const int capacity = serving(p);
-            const double work = rate * Tick;
+            const double work = rate * ShortShare * Tick;
+            const double longWork = rate * Tick - work;
             const double wait = capacity > 0 ? backlog[p] / capacity : backlog[p] / 0.1;
             waits.emplace_back(wait, work);
-            arrived[p] += work;
+            arrived[p] += work + longWork;
             backlog[p] += work;
-            const double served = std::min(backlog[p], capacity * Tick);
+            double served = std::min(backlog[p], capacity * Tick);
             backlog[p] -= served;
+            backlogLong[p] += longWork;
+            const double servedLong = std::min(backlogLong[p], capacity * Tick - served);
+            backlogLong[p] -= servedLong;
+            served += servedLong;
             used[p] = served / Tick;
             const auto moving = std::count_if(instances.begin(), instances.end(),
                                               [&](const Instance &i) { return i.pool == p && i.moving; });
@@ -194,8 +210,8 @@
         for (std::size_t p = 0; p < count; ++p) {
             CapacityPool pool;
             pool.id.value = fleet.pools[p].name;
-            pool.queued = backlog[p] * slots / service;
-            pool.queued = backlog[p] / service * slots;
+            pool.queued = (backlog[p] + backlogLong[p]) * slots / service;
+            pool.shortShare = ShortShare;
             pool.arrivals = arrived[p] * slots / service;
             arrived[p] = 0;
             pool.slotsInUse = used[p] * slots;
@@ -203,6 +219,7 @@
             pool.slots = slots;
             pool.minInstances = fleet.pools[p].minInstances;
             pool.spare = fleet.pools[p].spare;
+            pool.availability = fleet.pools[p].availability;
             pool.mayLeave = std::max(0, budget(p));
             for (const Instance &i : instances) {
                 if (i.pool == p && !i.moving && !i.rebooting) {
@@ -291,7 +308,15 @@
         std::printf("%s, seed %u, %.0f s\n", std::string(toString(fleet.profile)).c_str(), seed, seconds);
         print("fixed", simulate(fleet, FixedPolicy{}, seed, seconds));
         print("threshold", simulate(fleet, ThresholdPolicy{}, seed, seconds));
-        print("replay", simulate(fleet, ReplayPolicy(capacityWeights(fleet.profile)), seed, seconds));
+        ThresholdPolicy keeping;
+        keeping.low = 0;  // gives nothing back to the spare pool
+        print("keeping", simulate(fleet, keeping, seed, seconds));
+        CapacityWeights weights = capacityWeights(fleet.profile);
+        if (argc > 7) {
+            const auto number = [&](int index) { return std::strtod(argv[index], nullptr); };
+            weights = {number(3), number(4), number(5), number(6), number(7)};
+        }
+        print("replay", simulate(fleet, ReplayPolicy(weights), seed, seconds));
     }
     return 0;
 }
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -73,9 +73,9 @@
 {
     switch (profile) {
     case Profile::SwanCoast:
-        return {1.0, 1.0, 30.0};
+        return {1.0, 0.01, 1.0, 30.0, 0.0};
     case Profile::Saaristo:
-        return {1.0, 0.5, 300.0};
+        return {1.0, 0.01, 0.2, 300.0, 1.0};
     }
     return {};
 }
@@ -91,19 +91,31 @@
     const std::size_t length = history.demand.size();
     std::vector<double> costs(static_cast<std::size_t>(largest) + 1, 0.0);
     for (int size = 0; size <= largest; ++size) {
-        double backlog = 0;  // in instance-seconds of work
-        double waiting = 0;
+        const double capacity = size * period;
+        // Backlogs are in instance-seconds of work. Short work goes first, as in routing.
+        double shortBacklog = 0;
+        double longBacklog = 0;
+        double shortWait = 0;
+        double longWait = 0;
         double idle = 0;
         for (std::size_t i = 0; i < length; ++i) {
-            backlog += history.demand[(history.next + i) % length] * period;
-            const double served = std::min(backlog, size * period);
-            backlog -= served;
-            waiting += backlog * pool.slots * period;
-            idle += size * period - served;
+            const double work = history.demand[(history.next + i) % length] * period;
+            shortBacklog += work * pool.shortShare;
+            longBacklog += work * (1 - pool.shortShare);
+            const double served = std::min(shortBacklog, capacity);
+            shortBacklog -= served;
+            const double servedLong = std::min(longBacklog, capacity - served);
+            longBacklog -= servedLong;
+            shortWait += shortBacklog * period;
+            longWait += longBacklog * period;
+            idle += capacity - served - servedLong;
         }
         const double seconds = static_cast<double>(std::max<std::size_t>(length, 1)) * period;
+        const double waiting = (m_weights.wait * shortWait + m_weights.longWait * longWait) * pool.slots;
+        const int down = allowedDown(size, pool.availability);
+        const double rounds = down > 0 ? std::ceil(static_cast<double>(size) / down) : size + 1;
         costs[static_cast<std::size_t>(size)]
-            = (m_weights.wait * waiting + (pool.spare ? 0 : m_weights.buffer * idle)) / seconds;
+            = (waiting + (pool.spare ? 0 : m_weights.buffer * idle)) / seconds + m_weights.rollOut * rounds;
     }
     return costs;
 }
@@ -146,6 +158,10 @@
         if (!mayGive(giver) || settled(giver) == 0) {
             continue;
         }
+        // A pool whose budget lets no instance down could neither be maintained nor give an instance back.
+        if (allowedDown(giver.instances + giver.arriving - 1, giver.availability) == 0) {
+            continue;
+        }
         const auto have = static_cast<std::size_t>(giver.instances + giver.arriving);
         const double loss = cost[from][have - 1] - cost[from][have];
         for (std::size_t to = 0; to < pools.size(); ++to) {
--- a/src/capacity.h
+++ b/src/capacity.h
@@ -28,11 +28,13 @@
     double arrivals = 0;  // requests per second since the decision before
     double slotsInUse = 0;
     Duration meanService{50'000};  // learned mean service time
+    double shortShare = 1;         // share of the arriving work (requests x service time) that is urgent or short
     int slots = 8;                 // per instance
     int instances = 0;             // that serve now; those on the way to the pool are in `arriving`
     int arriving = 0;
     int minInstances = 0;
-    int maxInstances = 0;  // 0: no bound
+    int maxInstances = 0;       // 0: no bound
+    double availability = 0.9;  // strictest of its services, 0..1
     bool spare = false;
     int mayLeave = 0;             // instances that the disruption budget lets out now
     std::vector<Duration> stays;  // time since the last move, one for each instance that serves
@@ -80,9 +82,11 @@
 /// What one unit of each measure costs, in the same unit for all.
 struct CapacityWeights
 {
-    double wait = 1;    // one request-slot waiting for one second
-    double buffer = 1;  // one instance idle outside the spare pool for one second
-    double move = 1;    // one move
+    double wait = 1;         // one short request waiting for one second
+    double longWait = 0.01;  // one long request waiting for one second
+    double buffer = 1;       // one instance idle outside the spare pool for one second
+    double move = 1;         // one move
+    double rollOut = 0;      // one round of reboots more in a wave over a pool, for each second of its size
 };
 
 /// Weights of the users' profiles.
