Sum metrics over the entries and evaluate the alert rules in the daemon

Cause: rules and status need figures of all entries. Ruled out: complete lists every second to all entries (bytes grow with entries and tenants); now what changed goes to the evaluating entry, a status asks on demand.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -282,8 +282,12 @@
                {"id", "instances", "serving", "disrupted", "disruption_limit", "spare", "services"});
     std::cout << '\n';
     printTable(namedRows(body.at("waves")), {"id", "pool", "state", "waiting", "running", "finished", "reason"});
-    std::cout << "\nalarms: " << json::serialize(body.at("alarms")) << '\n';
-    std::cout << "requests: " << json::serialize(body.at("requests")) << '\n';
+    std::cout << '\n';
+    printTable(body.at("alarms").as_array(), {"rule", "severity", "labels", "value", "flapping"});
+    std::cout << '\n';
+    printTable(body.at("requests").as_array(),
+               {"service", "class", "answered", "not-run", "unknown", "in-progress", "key-conflict", "wait_p50_ms",
+                "wait_p99_ms"});
 }
 
 // Commands ------------------------------------------------------------------------------------------------------------
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry.h"
 
 #include "entry_control.h"
+#include "entry_metrics.h"
 #include "entry_requests.h"
 #include "log.h"
 #include "operator_api.h"
@@ -29,6 +30,7 @@
     cluster.self = settings.id;
     cluster.startId = startId;
     cluster.dataCentre = settings.dataCentre;
+    cluster.peerEndpoint = "tcp://" + formatEndpoint(settings.peerBind);
     for (const NamedEndpoint &peer : settings.peers) {
         cluster.peers[EntryId{peer.name}] = "tcp://" + formatEndpoint(peer.endpoint);
     }
@@ -78,11 +80,10 @@
     bool open();
     void wire();
     void reconfigure();
-    void onFinished(const FinishedRequest &finished);
     void handleOperator(const std::shared_ptr<HttpExchange> &exchange);
     std::map<InstanceId, int> inFlight() const;
-    boost::json::object requestSummary() const;
-    std::string metricsText() const;
+    std::map<PoolId, int> inServicePerPool() const;
+    static boost::json::array requestSummary(const MetricList &list);
     void waitSignal();
     void beginStop();
     void finishStop();
@@ -97,6 +98,7 @@
     OrderClient<P> m_orders;
     UpstreamClient m_upstreams;
     RequestPath<P> m_path;
+    EntryMetrics<P> m_metrics;
     Controller<P> m_control;
     OperatorApi<P> m_api;
     HttpServer m_callers;
@@ -104,7 +106,6 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_stopTimer;
     boost::asio::steady_timer m_stopLimit;
-    std::map<std::string, std::uint64_t> m_outcomes;
     bool m_stopping = false;
     bool m_callersClosed = false;
     int m_exitCode = 0;
@@ -120,13 +121,22 @@
     , m_orders(m_cluster, settings.orders)
     , m_upstreams(io, {})
     , m_path(io, m_permits, m_orders, m_upstreams, requestSettings(settings, m_startId))
-    , m_control(
-          m_cluster,
-          {.inFlight = [this] { return inFlight(); }, .samples = [](TimePoint) { return std::vector<AlertSample>(); }})
+    , m_metrics(m_cluster)
+    , m_control(m_cluster,
+                {.inFlight = [this] { return inFlight(); },
+                 .samples =
+                     [this](TimePoint now) {
+                         m_metrics.setLoad(m_path.load(), inServicePerPool());
+                         return m_metrics.samples(now);
+                     }})
     , m_api(m_cluster, settings.operatorToken,
             {.stopping = [this] { return m_stopping; },
-             .metricsText = [this] { return metricsText(); },
-             .metricsSummary = [this] { return requestSummary(); }})
+             .metricsText = [this] { return m_metrics.exposition(); },
+             .metricsSummary =
+                 [this](std::function<void(boost::json::array)> done) {
+                     m_metrics.sumOverEntries(
+                         [done = std::move(done)](const MetricList &list) { done(requestSummary(list)); });
+                 }})
     , m_callers(io, callerServerSettings(settings), [this](const auto &exchange) { m_path.handle(exchange); })
     , m_operators(io, operatorServerSettings(settings), [this](const auto &exchange) { handleOperator(exchange); })
     , m_signals(io, SIGTERM, SIGINT)
@@ -143,7 +153,7 @@
     m_cluster.onChanged("config/sheet", changed);
     m_cluster.onChanged("fleet", changed);
     m_cluster.onInstances([this] { reconfigure(); });
-    m_path.onFinished([this](const FinishedRequest &finished) { onFinished(finished); });
+    m_path.onFinished([this](const FinishedRequest &finished) { m_metrics.count(finished); });
 }
 
 template<Platform P>
@@ -155,6 +165,7 @@
     waitSignal();
     m_cluster.start();
     m_orders.start();
+    m_metrics.start();
     m_control.start();
     logEvent(LogLevel::Info, "entry-started",
              {{"entry", m_settings.id.value},
@@ -204,30 +215,47 @@
 }
 
 template<Platform P>
-void Entry<P>::onFinished(const FinishedRequest &finished)
+std::map<PoolId, int> Entry<P>::inServicePerPool() const
 {
-    ++m_outcomes["service=\"" + finished.service.value + "\",outcome=\"" + std::string(toString(finished.outcome))
-                 + "\""];
-}
-
-template<Platform P>
-boost::json::object Entry<P>::requestSummary() const
-{
-    boost::json::object summary;
-    for (const auto &[labels, count] : m_outcomes) {
-        summary[labels] = count;
+    std::map<PoolId, int> pools;
+    for (const PoolSpec &pool : m_control.sheet().pools) {
+        pools[pool.id] = 0;
     }
-    return summary;
+    for (const auto &[id, count] : m_path.inFlight()) {
+        const auto member = m_control.fleet().instances.find(id);
+        if (member != m_control.fleet().instances.end()) {
+            pools[member->second.pool] += count;
+        }
+    }
+    return pools;
 }
 
 template<Platform P>
-std::string Entry<P>::metricsText() const
+boost::json::array Entry<P>::requestSummary(const MetricList &list)
 {
-    std::string text = "# TYPE briarvane_requests_total counter\n";
-    for (const auto &[labels, count] : m_outcomes) {
-        text += "briarvane_requests_total{" + labels + "} " + std::to_string(count) + "\n";
+    std::map<std::pair<std::string, std::string>, boost::json::object> rows;
+    for (const auto &[name, value] : list) {
+        const auto series = parseSeries(name);
+        if (!series || series.value().name != metric::Requests) {
+            continue;
+        }
+        const MetricLabels &labels = series.value().labels;
+        boost::json::object &row = rows[{labels.at("service"), labels.at("class")}];
+        const std::string &outcome = labels.at("outcome");
+        const double before = row.contains(outcome) ? row.at(outcome).as_double() : 0.0;
+        row[outcome] = before + value;
     }
-    return text;
+    constexpr double msPerSecond = 1000.0;
+    boost::json::array summary;
+    for (auto &[key, row] : rows) {
+        const MetricLabels filter{{"service", key.first}, {"class", key.second}};
+        row["service"] = key.first;
+        row["class"] = key.second;
+        row["wait_p50_ms"] = metricQuantile(list, metric::Wait, filter, 0.5).value_or(0) * msPerSecond;
+        row["wait_p99_ms"] = metricQuantile(list, metric::Wait, filter, 0.99).value_or(0) * msPerSecond;
+        summary.push_back(row);
+    }
+    return summary;
 }
 
 template<Platform P>
--- a/src/entry_control.h
+++ b/src/entry_control.h
@@ -25,8 +25,8 @@
 
 struct ControlHooks
 {
-    std::function<std::map<InstanceId, int>()> inFlight;         // this entry's requests per instance
-    std::function<std::vector<AlertSample>(TimePoint)> samples;  // summed over all entries
+    std::function<std::map<InstanceId, int>()> inFlight;          // this entry's requests per instance
+    std::function<std::vector<MetricSample>(TimePoint)> samples;  // summed over all entries
 };
 
 // [2] Check of a rebooted instance ------------------------------------------------------------------------------------
@@ -38,7 +38,6 @@
 // [3] Controller ------------------------------------------------------------------------------------------------------
 
 constexpr Duration ControlPeriod{200'000};
-constexpr Duration AlertPeriod{1'000'000};
 constexpr Duration RebootSettle{1'000'000};      // the list lags, so its first "live" after a reboot is not believed
 constexpr Duration RebootAskPeriod{5'000'000};   // between two requests for the same reboot
 constexpr std::int64_t RebootLimitMs = 180'000;  // an instance that is not back by then has failed
@@ -75,6 +74,8 @@
     void checkNow(const InstanceId &id, TimePoint now);
     const InstanceRecord *record(const InstanceId &id) const;
     void evaluateAlerts(TimePoint now);
+    void announceAlarms(const AlertStep &step, const Result<StoreValue> &result);
+    void addFleetSamples(std::vector<MetricSample> &samples) const;
     bool isResponsible(std::string_view duty, TimePoint now) const;
     static std::int64_t unixMs();
 
@@ -84,7 +85,7 @@
     Fleet m_fleet;
     Sheet m_sheet;
     std::string m_sheetDigest;
-    AlertRules m_rules;
+    std::vector<AlertRule> m_rules;
     AlertState m_alertState;
     std::uint64_t m_alarmsVersion = 0;
     bool m_alarmsPending = false;
@@ -314,7 +315,7 @@
     return it == records.end() ? nullptr : &*it;
 }
 
-/// The store holds the raised alarms, so that one alarm is raised for all entries and a new evaluator goes on with it.
+/// The store holds what is raised, so that one alarm is raised for all entries and a new evaluator goes on with it.
 template<Platform P>
 void Controller<P>::evaluateAlerts(TimePoint now)
 {
@@ -323,43 +324,63 @@
     }
     const StoreValue &stored = m_cluster.inForce("alarms");
     if (stored.version != m_alarmsVersion) {
-        auto raised = parseRaised(stored.value);
-        if (raised) {
-            m_alertState.raised = std::move(raised.value());
+        const auto state = parseAlertState(stored.value);
+        if (state) {
+            m_alertState = adoptStored(m_alertState, state.value());
         }
         m_alarmsVersion = stored.version;
     }
-    AlertState next = stepAlerts(m_rules, m_alertState, m_hooks.samples(now), now, unixMs());
-    if (next.raised == m_alertState.raised) {
-        m_alertState = std::move(next);
+    std::vector<MetricSample> samples = m_hooks.samples(now);
+    addFleetSamples(samples);
+    const WallTime wallNow = std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+    AlertStep step = stepAlerts(m_rules, m_alertState, samples, wallNow);
+    if (!step.store) {
+        m_alertState = std::move(step.next);
         return;
     }
     m_alarmsPending = true;
-    m_cluster.change(
-        "alarms", stored.version, formatRaised(next.raised),
-        [this, alive = std::weak_ptr<bool>(m_alive), next](Result<StoreValue> result) {
-            if (alive.expired()) {
-                return;
-            }
-            m_alarmsPending = false;
-            if (!result) {
-                logRepeated(LogLevel::Warn, "alarms-not-stored", "alarms", {{"reason", result.error().message}});
-                return;
-            }
-            for (const RaisedAlarm &alarm : next.raised) {
-                if (std::find(m_alertState.raised.begin(), m_alertState.raised.end(), alarm)
-                    == m_alertState.raised.end()) {
-                    logEvent(LogLevel::Warn, "alarm-raised", {{"rule", alarm.rule}, {"severity", alarm.severity}});
-                }
-            }
-            for (const RaisedAlarm &alarm : m_alertState.raised) {
-                if (std::find(next.raised.begin(), next.raised.end(), alarm) == next.raised.end()) {
-                    logEvent(LogLevel::Info, "alarm-cleared", {{"rule", alarm.rule}});
-                }
+    m_cluster.change("alarms", stored.version, formatAlertState(step.next),
+                     [this, alive = std::weak_ptr<bool>(m_alive), step](Result<StoreValue> result) {
+                         if (!alive.expired()) {
+                             m_alarmsPending = false;
+                             announceAlarms(step, result);
+                         }
+                     });
+}
+
+template<Platform P>
+void Controller<P>::announceAlarms(const AlertStep &step, const Result<StoreValue> &result)
+{
+    if (!result) {
+        logRepeated(LogLevel::Warn, "alarms-not-stored", "alarms", {{"reason", result.error().message}});
+        return;
+    }
+    for (const AlarmEvent &event : step.events) {
+        logEvent(event.raised ? LogLevel::Warn : LogLevel::Info, event.raised ? "alarm-raised" : "alarm-cleared",
+                 {{"rule", event.key.rule}, {"severity", event.severity}, {"value", std::to_string(event.value)}});
+    }
+    m_alertState = step.next;
+    m_alarmsVersion = result.value().version;
+}
+
+template<Platform P>
+void Controller<P>::addFleetSamples(std::vector<MetricSample> &samples) const
+{
+    for (const PoolSpec &pool : m_sheet.pools) {
+        const Labels labels{{"pool", pool.id.value}};
+        double failures = 0;
+        for (const auto &[id, wave] : m_fleet.waves) {
+            const bool isOver = wave.state == WaveState::Done || wave.state == WaveState::Aborted;
+            if (wave.pool == pool.id && !isOver) {
+                failures
+                    += static_cast<double>(std::count_if(wave.finished.begin(), wave.finished.end(),
+                                                         [](const FinishedInstance &item) { return !item.succeeded; }));
             }
-            m_alertState = next;
-            m_alarmsVersion = result.value().version;
-        });
+        }
+        samples.push_back({"briarvane_wave_failures", labels, failures});
+        samples.push_back({"briarvane_instances_disrupted", labels,
+                           static_cast<double>(disrupted(m_fleet, pool.id, m_cluster.instances()))});
+    }
 }
 
 template<Platform P>
--- /dev/null
+++ b/src/entry_metrics.h
@@ -0,0 +1,269 @@
+#pragma once
+
+// Metrics of this entry and, by reports of the others, of all entries. Runs on the I/O thread.
+//
+// Index
+// [1] Periods
+// [2] EntryMetrics
+
+#include "alerts.h"
+#include "entry_cluster.h"
+#include "entry_requests.h"
+#include "metrics.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+
+namespace briarvane
+{
+
+// [1] Periods ---------------------------------------------------------------------------------------------------------
+
+constexpr Duration ReportPeriod{1'000'000};
+constexpr Duration ReportTimeout{3'000'000};  // an entry without a report for this long is left out of sums
+constexpr Duration WaitWindow{10'000'000};    // the p99 of waits is that of the last 10 s
+constexpr Duration SummaryTimeout{300'000};   // for the answers of the others to a status request
+
+// [2] EntryMetrics ----------------------------------------------------------------------------------------------------
+
+/// Sends what changed to the entry that evaluates the alert rules, once a second, and everything on request.
+template<Platform P>
+class EntryMetrics
+{
+public:
+    using Summed = std::function<void(MetricList)>;
+
+    explicit EntryMetrics(Cluster<P> &cluster)
+        : m_cluster(cluster)
+        , m_timer(cluster.io())
+    {
+        m_cluster.peers().onMessage([this, alive = std::weak_ptr<bool>(m_alive)](const wire::Envelope &message) {
+            if (!alive.expired()) {
+                receive(message);
+            }
+        });
+    }
+
+    void start();
+    void count(const FinishedRequest &finished);
+    /// Replaces the gauges: requests per service, and requests in service per pool.
+    void setLoad(const std::map<ServiceId, ServiceLoad> &services, const std::map<PoolId, int> &pools);
+    std::string exposition() const
+    {
+        return formatExposition(m_metrics.list());
+    }
+    /// For the alert rules, over all entries that reported lately.
+    std::vector<MetricSample> samples(TimePoint now);
+    /// Asks all entries; `done` gets the sum of what arrived in time.
+    void sumOverEntries(Summed done);
+
+private:
+    struct Report
+    {
+        TimePoint at;
+        MetricList list;  // summed over tenants
+    };
+
+    static MetricList withoutTenants(const MetricList &list);
+    void sendReport(TimePoint now);
+    void receive(const wire::Envelope &message);
+    MetricList mergedReports(TimePoint now);
+
+    Cluster<P> &m_cluster;
+    boost::asio::steady_timer m_timer;
+    Metrics m_metrics;
+    MetricList m_sent;  // what the responsible entry has
+    EntryId m_sentTo;
+    std::map<EntryId, Report> m_reports;                           // at the responsible entry
+    std::deque<std::pair<TimePoint, MetricList>> m_history;        // merged reports within WaitWindow
+    std::map<EntryId, MetricList> m_complete;                      // answers to a status request
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);  // callbacks that arrive after the end are ignored
+};
+
+template<Platform P>
+void EntryMetrics<P>::start()
+{
+    m_timer.expires_after(ReportPeriod);
+    m_timer.async_wait([this, alive = std::weak_ptr<bool>(m_alive)](boost::system::error_code error) {
+        if (!error && !alive.expired()) {
+            sendReport(m_cluster.now());
+            start();
+        }
+    });
+}
+
+template<Platform P>
+void EntryMetrics<P>::count(const FinishedRequest &finished)
+{
+    const MetricKey key{finished.service, finished.tenant, finished.requestClass};
+    m_metrics.add(metric::Requests, key, {{"outcome", std::string(toString(finished.outcome))}});
+    if (finished.retries > 0) {
+        m_metrics.add(metric::Retries, key, {}, finished.retries);
+    }
+    if (finished.upstreamStatus != 0) {
+        m_metrics.add(metric::Upstream, key, {{"result", std::to_string(finished.upstreamStatus / 100) + "xx"}});
+        m_metrics.observe(metric::Service, key, finished.serviceTime);
+    }
+    m_metrics.observe(metric::Wait, key, finished.queueWait);
+    m_metrics.observe(metric::Response, key, finished.totalTime);
+}
+
+template<Platform P>
+void EntryMetrics<P>::setLoad(const std::map<ServiceId, ServiceLoad> &services, const std::map<PoolId, int> &pools)
+{
+    for (const auto &[service, load] : services) {
+        m_metrics.set(metric::Queued, {{"service", service.value}}, load.open - load.sending);
+    }
+    for (const auto &[pool, count] : pools) {
+        m_metrics.set(metric::InService, {{"pool", pool.value}}, count);
+    }
+}
+
+template<Platform P>
+MetricList EntryMetrics<P>::withoutTenants(const MetricList &list)
+{
+    MetricList sums;
+    for (const auto &[name, value] : list) {
+        auto series = parseSeries(name);
+        if (series) {
+            series.value().labels.erase("tenant");
+            sums[formatSeries(series.value().name, series.value().labels)] += value;
+        }
+    }
+    return sums;
+}
+
+/// A responsible entry that changed has nothing of this entry yet, so it gets everything once.
+template<Platform P>
+void EntryMetrics<P>::sendReport(TimePoint now)
+{
+    const EntryId target = m_cluster.membership().responsible("alerts", now);
+    const MetricList list = withoutTenants(m_metrics.list());
+    if (target == m_cluster.membership().self()) {
+        m_reports[target] = {now, list};
+        m_sentTo = target;
+        return;
+    }
+    const bool isNew = target != m_sentTo;
+    wire::Envelope message;
+    wire::MetricsReport &report = *message.mutable_metrics_report();
+    report.set_complete(isNew);
+    for (const auto &[name, value] : list) {
+        const auto before = m_sent.find(name);
+        if (isNew || before == m_sent.end() || before->second != value) {
+            wire::Counter &counter = *report.add_counters();
+            counter.set_name(name);
+            counter.set_value(value);
+        }
+    }
+    m_sent = list;
+    m_sentTo = target;
+    m_cluster.peers().send(target, std::move(message));
+}
+
+template<Platform P>
+void EntryMetrics<P>::receive(const wire::Envelope &message)
+{
+    const EntryId sender{message.sender()};
+    if (message.has_metrics_query()) {
+        wire::Envelope answer;
+        wire::MetricsReport &report = *answer.mutable_metrics_report();
+        report.set_complete(true);
+        report.set_on_request(true);
+        for (const auto &[name, value] : m_metrics.list()) {
+            wire::Counter &counter = *report.add_counters();
+            counter.set_name(name);
+            counter.set_value(value);
+        }
+        m_cluster.peers().send(sender, std::move(answer));
+    } else if (message.has_metrics_report()) {
+        const wire::MetricsReport &report = message.metrics_report();
+        MetricList &list = report.on_request() ? m_complete[sender] : m_reports[sender].list;
+        if (report.complete()) {
+            list.clear();
+        }
+        for (const wire::Counter &counter : report.counters()) {
+            list[counter.name()] = counter.value();
+        }
+        if (!report.on_request()) {
+            m_reports[sender].at = m_cluster.now();
+        }
+    }
+}
+
+template<Platform P>
+MetricList EntryMetrics<P>::mergedReports(TimePoint now)
+{
+    std::vector<MetricList> lists;
+    std::erase_if(m_reports, [now](const auto &item) { return now - item.second.at > ReportTimeout; });
+    for (const auto &[entry, report] : m_reports) {
+        lists.push_back(report.list);
+    }
+    return mergeMetrics(lists);
+}
+
+template<Platform P>
+std::vector<MetricSample> EntryMetrics<P>::samples(TimePoint now)
+{
+    MetricList merged = mergedReports(now);
+    std::vector<MetricSample> samples;
+    std::set<std::pair<std::string, std::string>> waiting;  // service and class
+    for (const auto &[name, value] : merged) {
+        const auto series = parseSeries(name);
+        if (!series) {
+            continue;
+        }
+        const Labels &labels = series.value().labels;
+        if (series.value().name == metric::Requests) {
+            samples.push_back({"briarvane_requests_total", labels, value});
+            waiting.emplace(labels.at("service"), labels.at("class"));
+        } else if (series.value().name == metric::Queued) {
+            samples.push_back({"briarvane_queue_length", labels, value});
+        } else if (series.value().name == metric::InService) {
+            samples.push_back({"briarvane_slots_in_use", labels, value});
+        }
+    }
+    while (!m_history.empty() && now - m_history.front().first > WaitWindow) {
+        m_history.pop_front();
+    }
+    for (const auto &[service, requestClass] : waiting) {
+        const MetricLabels filter{{"service", service}, {"class", requestClass}};
+        BucketCounts recent = metricBuckets(merged, metric::Wait, filter);
+        if (!m_history.empty()) {
+            const BucketCounts before = metricBuckets(m_history.front().second, metric::Wait, filter);
+            for (std::size_t i = 0; i < recent.counts.size(); ++i) {
+                // An entry that restarted begins at zero again.
+                recent.counts[i] = std::max(0.0, recent.counts[i] - before.counts[i]);
+            }
+        }
+        constexpr double share = 0.99;
+        const double seconds = recent.count() > 0 ? recent.quantile(share) : 0.0;
+        samples.push_back({"briarvane_queue_wait_seconds_p99", filter, seconds});
+    }
+    m_history.emplace_back(now, std::move(merged));
+    return samples;
+}
+
+template<Platform P>
+void EntryMetrics<P>::sumOverEntries(Summed done)
+{
+    m_complete.clear();
+    wire::Envelope query;
+    query.mutable_metrics_query();
+    m_cluster.peers().broadcast(query);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_cluster.io(), SummaryTimeout);
+    timer->async_wait(
+        [this, timer, done = std::move(done), alive = std::weak_ptr<bool>(m_alive)](boost::system::error_code) {
+            if (alive.expired()) {
+                return;
+            }
+            std::vector<MetricList> lists{m_metrics.list()};
+            for (const auto &[entry, list] : m_complete) {
+                lists.push_back(list);
+            }
+            done(mergeMetrics(lists));
+        });
+}
+
+}
--- a/src/entry_requests.h
+++ b/src/entry_requests.h
@@ -50,6 +50,13 @@
     bool cut = false;  // the response was aborted after its head
 };
 
+/// Requests of one service that this entry has.
+struct ServiceLoad
+{
+    int open = 0;     // in any phase
+    int sending = 0;  // with a permit
+};
+
 // [2] Routes ----------------------------------------------------------------------------------------------------------
 
 /// Finds the service by the longest route that is the path or ends at one of its slashes.
@@ -123,6 +130,10 @@
     {
         return m_open;
     }
+    const std::map<ServiceId, ServiceLoad> &load() const
+    {
+        return m_load;
+    }
 
 private:
     enum class Phase { Claiming, Queued, Sending, Done };
@@ -185,6 +196,7 @@
     RouteTable m_routes;
     Finished m_finished;
     std::map<InstanceId, int> m_inFlight;
+    std::map<ServiceId, ServiceLoad> m_load;
     std::size_t m_open = 0;
     std::uint64_t m_sequence = 0;
 };
@@ -243,6 +255,7 @@
     run->info.idempotent = service->idempotent || idempotentMethod(request.method);
     run->info.deadline = run->info.arrived + terms.value().timeout.value_or(service->deadline);
     run->report.service = service->id;
+    ++m_load[service->id].open;
     run->report.tenant = run->info.tenant;
     run->report.requestClass = service->requestClass;
     request.fields.remove("Briarvane-Request-Id");
@@ -361,6 +374,7 @@
     run->permit = result.value();
     run->lastInstance = run->permit->instance;
     ++m_inFlight[run->permit->instance];
+    ++m_load[run->info.service].sending;
     run->sentAt = now;
     if (now >= run->info.deadline || !m_upstreams.knows(run->permit->instance)) {
         release(run, UpstreamResult::NotSent);
@@ -378,6 +392,7 @@
     }
     const GrantedPermit permit = *std::exchange(run->permit, std::nullopt);
     run->report.serviceTime = steadyNow() - run->sentAt;
+    --m_load[run->info.service].sending;
     const auto count = m_inFlight.find(permit.instance);
     if (--count->second == 0) {
         m_inFlight.erase(count);
@@ -592,6 +607,9 @@
     }
     run->phase = Phase::Done;
     --m_open;
+    if (!run->report.service.empty()) {
+        --m_load[run->report.service].open;
+    }
     run->report.outcome = outcome;
     run->report.totalTime = steadyNow() - run->info.arrived;
     if (m_finished) {
--- a/src/membership.h
+++ b/src/membership.h
@@ -122,7 +122,7 @@
     /// Ids in the platform's list that are live or leaving. An entry whose lease lapsed and that is missing there is
     /// gone; one that is still there may be paused with requests in flight, so it goes on holding drains.
     void setPresent(const std::set<EntryId> &present);
-    void tick(TimePoint now);                                        // each loop turn; finds pauses
+    void tick(TimePoint now);  // each loop turn; finds pauses
 
     // Decisions
     std::vector<EntryId> live(TimePoint now) const;  // sorted, itself included
--- a/src/operator_api.h
+++ b/src/operator_api.h
@@ -60,7 +60,8 @@
 {
     std::function<bool()> stopping;
     std::function<std::string()> metricsText;
-    std::function<boost::json::object()> metricsSummary;
+    /// Requests per service and outcome with quantiles of the wait, summed over the entries that answer in time.
+    std::function<void(std::function<void(boost::json::array)>)> metricsSummary;
 };
 
 // [3] The API ---------------------------------------------------------------------------------------------------------
@@ -135,7 +136,11 @@
     }
     const std::string &resource = target.path[1];
     if (resource == "status" && request.method == "GET") {
-        done(jsonReply(200, statusJson()));
+        m_probe.metricsSummary([this, done](boost::json::array requests) {
+            boost::json::object status = statusJson();
+            status["requests"] = std::move(requests);
+            done(jsonReply(200, status));
+        });
     } else if (resource == "sheet" || resource == "alerts") {
         handleConfig(request, target, resource == "sheet", done);
     } else if (resource == "pools" && request.method == "GET") {
@@ -214,7 +219,7 @@
     } else {
         for (const AlertError &error : parseAlerts(text).errors) {
             errors.push_back(
-                boost::json::object{{"row", error.line}, {"value", error.text}, {"accepted", error.accepted}});
+                boost::json::object{{"row", error.line}, {"value", error.value}, {"accepted", error.accepted}});
         }
     }
     if (errors.empty()) {
@@ -508,8 +513,8 @@
                                         {"reason", wave.reason},          {"waiting", wave.waiting.size()},
                                         {"running", wave.running.size()}, {"finished", wave.finished.size()}};
     }
-    boost::system::error_code error;
-    const boost::json::value alarms = boost::json::parse(m_cluster.inForce("alarms").value, error);
+    const auto alarms = parseAlertState(m_cluster.inForce("alarms").value);
+    const std::vector<AlertRule> rules = parseAlerts(textInForce(false)).rules;
     return {{"entry", membership.self().value},
             {"view", toString(membership.viewState(now))},
             {"store_down", membership.storeDown(now)},
@@ -523,8 +528,7 @@
             {"entries", std::move(entries)},
             {"pools", std::move(pools)},
             {"waves", std::move(waves)},
-            {"alarms", error ? boost::json::value(boost::json::array{}) : alarms},
-            {"requests", m_probe.metricsSummary()}};
+            {"alarms", boost::json::parse(formatRaisedAlarms(alarms ? alarms.value() : AlertState{}, rules))}};
 }
 
 template<Platform P>
--- a/tests/demo.cpp
+++ b/tests/demo.cpp
@@ -214,6 +214,28 @@
     verdict.require(highest <= 8, "an executor had more requests than slots");
 }
 
+/// The example sheet without its maintenance windows, so that the wave may start at any time of the day.
+std::string withoutWindows(const std::string &sheet)
+{
+    std::istringstream lines(sheet);
+    std::string text;
+    std::string line;
+    int removed = 0;
+    while (std::getline(lines, line)) {
+        if (line.rfind("window,", 0) == 0) {
+            ++removed;
+        } else if (line.rfind("end,", 0) == 0) {
+            const std::size_t digit = line.find_first_of("0123456789");
+            const std::size_t end = line.find_first_not_of("0123456789", digit);
+            text += line.substr(0, digit) + std::to_string(std::stoi(line.substr(digit)) - removed) + line.substr(end)
+                + "\n";
+        } else {
+            text += line + "\n";
+        }
+    }
+    return text;
+}
+
 std::string readFile(const std::string &path)
 {
     std::ostringstream text;
@@ -250,15 +272,20 @@
             seconds = std::atoi(argv[i + 1]);
         }
     }
-    const briarvane::SheetCheck sheet = briarvane::parseSheet(readFile(examples + "/swan-coast.csv"));
+    const std::string sheetText = withoutWindows(readFile(examples + "/swan-coast.csv"));
+    const briarvane::SheetCheck sheet = briarvane::parseSheet(sheetText);
+    for (const briarvane::SheetError &error : sheet.errors) {
+        std::cerr << "examples/swan-coast.csv: " << describe(error) << '\n';
+    }
     if (!sheet.errors.empty()) {
-        std::cerr << "examples/swan-coast.csv is not accepted\n";
         return 1;
     }
     harness::FleetOptions options;
     options.bin = std::filesystem::absolute(bin).string();
     options.work = (std::filesystem::temp_directory_path() / ("briarvane-demo-" + std::to_string(::getpid()))).string();
     std::filesystem::create_directories(options.work);
+    const std::string sheetFile = options.work + "/sheet.csv";
+    std::ofstream(sheetFile, std::ios::binary) << sheetText;
     for (const briarvane::InstanceSpec &instance : sheet.sheet.instances) {
         options.instances.push_back({instance.id.value, instance.pool.value, 0});
     }
@@ -270,7 +297,7 @@
     if (!fleet.start()) {
         return 1;
     }
-    verdict.require(step(fleet, 0, {"sheet", "apply", examples + "/swan-coast.csv"}, output),
+    verdict.require(step(fleet, 0, {"sheet", "apply", sheetFile}, output),
                     "the sheet was not applied everywhere in time");
     verdict.require(step(fleet, 1, {"alerts", "apply", examples + "/swan-coast.alerts"}, output),
                     "the alert rules were not applied everywhere in time");
@@ -291,7 +318,7 @@
     verdict.require(step(fleet, 2, {"instance", "move", "depot-9", "--to", "takings", "--wait-s", "60"}, output),
                     "the move did not end");
     const auto waveBegun = std::chrono::steady_clock::now();
-    verdict.require(step(fleet, 3, {"wave", "start", "friday", "--pool", "spinheads", "--wait-s", "300"}, output),
+    verdict.require(step(fleet, 3, {"wave", "start", "friday", "--pool", "rosters", "--wait-s", "300"}, output),
                     "the wave did not end");
     const double waveSeconds = elapsedMs(waveBegun) / 1000.0;
     std::this_thread::sleep_for(std::chrono::seconds(seconds / 2));
@@ -301,7 +328,7 @@
     }
     verdict.require(step(fleet, 4, {"status"}, output), "the status was not shown");
     printTable(shared);
-    std::cout << "moves: 1; wave over the pool spinheads: " << waveSeconds << " s\n";
+    std::cout << "moves: 1; wave over the pool rosters: " << waveSeconds << " s\n";
     checkExecutions(fleet, shared, verdict);
     for (const auto &[name, tally] : shared.tallies) {
         verdict.require(tally.notWhole == 0, name + ": a caller got a partial answer or another request's answer");
