Release an upstream call's events when it ends or is cancelled

Cause: AddressSanitizer found a use after free while the client is destroyed with calls in flight, and calls kept alive by their own events. Measured: run_http (297 assertions) and run_requests (141) pass under address and undefined-behaviour sanitizers.

--- a/bench/path_entry.cpp
+++ b/bench/path_entry.cpp
@@ -107,6 +107,7 @@
     service.route = "/";
     sheet.services = {service};
     std::vector<InstanceRecord> records;
+    records.reserve(static_cast<std::size_t>(upstreams));
     for (int i = 0; i < upstreams; ++i) {
         records.push_back({{"i" + std::to_string(i)}, "127.0.0.1", static_cast<std::uint16_t>(upstreamPort + i)});
     }
--- a/src/entry_requests.h
+++ b/src/entry_requests.h
@@ -26,11 +26,11 @@
 {
     std::uint64_t startId = 0;               // part of generated request ids
     Duration longestTimeout{3'600'000'000};  // accepted in Briarvane-Timeout-Ms
-    std::size_t holdBack = 64 * 1024;  // answers declared up to this size are checked whole before the head is sent
-    std::size_t callerBuffer = 256 * 1024;  // bytes waiting for a caller above which the upstream is not read
-    Duration slowCaller{10'000'000};        // time in all that a caller may keep the upstream waiting
-    std::size_t keptAnswer = 1024 * 1024;   // larger answers to keyed requests are not kept
-    int attempts = 3;                       // instances tried for one request
+    std::size_t holdBack = 64UL << 10U;  // answers declared up to this size are checked whole before the head is sent
+    std::size_t callerBuffer = 256UL << 10U;  // bytes waiting for a caller above which the upstream is not read
+    Duration slowCaller{10'000'000};          // time in all that a caller may keep the upstream waiting
+    std::size_t keptAnswer = 1UL << 20U;      // larger answers to keyed requests are not kept
+    int attempts = 3;                         // instances tried for one request
 };
 
 /// One per request, after its last event.
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -29,12 +29,12 @@
 // Read size of a connection at rest. It is part of each connection, so it bounds the memory of idle ones; larger
 // requests are read through one buffer that all connections share.
 constexpr std::size_t SmallRead = 1024;
-constexpr std::size_t LargeRead = 64 * 1024;
-constexpr std::size_t PipelineLimit = 64 * 1024;   // unread requests kept while one is being answered
-constexpr std::size_t WriteThreshold = 32 * 1024;  // pieces are joined up to this size before a write
-constexpr std::size_t LingerLimit = 1024 * 1024;   // bytes read and dropped after a refusal
-constexpr Duration LingerTimeout{1'000'000};       // so that a refusal is not lost to a TCP reset
-constexpr Duration AcceptPause{100'000};           // after a failed accept, for example without free descriptors
+constexpr std::size_t LargeRead = 64UL << 10U;
+constexpr std::size_t PipelineLimit = 64UL << 10U;   // unread requests kept while one is being answered
+constexpr std::size_t WriteThreshold = 32UL << 10U;  // pieces are joined up to this size before a write
+constexpr std::size_t LingerLimit = 1UL << 20U;      // bytes read and dropped after a refusal
+constexpr Duration LingerTimeout{1'000'000};         // so that a refusal is not lost to a TCP reset
+constexpr Duration AcceptPause{100'000};             // after a failed accept, for example without free descriptors
 constexpr Duration LongestSweep{250'000};
 constexpr Duration ShortestSweep{5'000};
 
--- a/src/http.h
+++ b/src/http.h
@@ -22,8 +22,8 @@
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;                 // 0 takes a free one
-    std::size_t headerLimit = 16 * 1024;    // 431 above
-    std::size_t bodyLimit = 1024 * 1024;    // 413 above
+    std::size_t headerLimit = 16UL << 10U;  // 431 above
+    std::size_t bodyLimit = 1UL << 20U;     // 413 above
     std::size_t bodiesLimit = 64UL << 20U;  // bytes of bodies of all requests together; 503 above
     std::size_t connections = 16'000;       // further ones are closed at once
     Duration idleTimeout{60'000'000};       // between requests
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -22,10 +22,10 @@
 namespace
 {
 
-constexpr std::size_t SmallRead = 2048;      // part of each connection; fits most answers
-constexpr std::size_t ReadSize = 64 * 1024;  // of the buffer that all connections share
-constexpr int ReadsPerTurn = 8;              // so that one large answer does not hold up the event loop
-constexpr int InterimAnswers = 8;            // 1xx answers accepted before the final one
+constexpr std::size_t SmallRead = 2048;        // part of each connection; fits most answers
+constexpr std::size_t ReadSize = 64UL << 10U;  // of the buffer that all connections share
+constexpr int ReadsPerTurn = 8;                // so that one large answer does not hold up the event loop
+constexpr int InterimAnswers = 8;              // 1xx answers accepted before the final one
 constexpr Duration SweepPeriod{1'000'000};
 
 }
@@ -63,6 +63,7 @@
     bool reused = false;
     std::array<char, SmallRead> small;
     bool readPending = false;
+    bool handling = false;  // what was read is being passed on
     bool writePending = false;
     bool writeFailed = false;
     std::string in;  // received and not yet parsed
@@ -143,9 +144,8 @@
 void UpstreamCall::State::detach()
 {
     impl->timers.cancel(timer);
-    if (connection != nullptr) {
-        connection->call = nullptr;
-        connection = nullptr;
+    if (const auto held = std::exchange(connection, nullptr)) {
+        held->call = nullptr;  // may drop the last reference to this call
     }
 }
 
@@ -157,7 +157,7 @@
     detach();
     ended = true;
     auto finish = std::move(events.end);
-    // The other two are kept until their caller returns, since one of them may be running now.
+    events = {};  // they usually refer to what holds this call
     if (starting) {
         asio::post(impl->io, [finish = std::move(finish), result] { finish(result); });
     } else {
@@ -182,6 +182,11 @@
     if (connection != nullptr) {
         connection->close();
     }
+    if (connection != nullptr && connection->handling) {
+        asio::post(state->impl->io, [state] { state->events = {}; });  // one of them may be running now
+    } else {
+        state->events = {};
+    }
 }
 
 void UpstreamCall::pause()
@@ -308,6 +313,7 @@
             self->broken();
             return;
         }
+        self->handling = true;
         bool more = self->received(self->small.data(), size) && size == SmallRead;
         for (int turn = 0; turn < ReadsPerTurn && more; ++turn) {
             std::vector<char> &buffer = self->impl->readBuffer;
@@ -318,14 +324,14 @@
             }
             if (failure) {
                 self->broken();
-                return;
+                break;
             }
             more = self->received(buffer.data(), size) && size == buffer.size();
         }
         if (self->headPassed && self->call != nullptr) {
             self->call->events.turn();
         }
-        self->readPending = false;
+        self->readPending = self->handling = false;
         self->read();
     });
 }
@@ -580,9 +586,10 @@
         instance->waiting.clear();
         const auto open = std::vector(instance->open.begin(), instance->open.end());
         for (const auto &connection : open) {
-            if (connection->call != nullptr) {
-                connection->call->ended = true;
-                connection->call->detach();
+            if (const auto call = connection->call) {
+                call->ended = true;
+                call->events = {};
+                call->detach();
             }
             connection->close();
         }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -23,8 +23,8 @@
 struct UpstreamSettings
 {
     Duration connectTimeout{1'000'000};
-    Duration idleTimeout{30'000'000};     // idle connections are closed after this long
-    std::size_t headerLimit = 64 * 1024;  // of an answer
+    Duration idleTimeout{30'000'000};       // idle connections are closed after this long
+    std::size_t headerLimit = 64UL << 10U;  // of an answer
 };
 
 struct UpstreamEndpoint
--- a/tests/run_http.cpp
+++ b/tests/run_http.cpp
@@ -15,7 +15,7 @@
 /// A server whose requests wait in `requests` for the test to answer them.
 struct ServerBench
 {
-    explicit ServerBench(HttpServerSettings settings = {})
+    explicit ServerBench(const HttpServerSettings &settings = {})
         : server(io, settings, [this](const auto &exchange) { requests.push_back(exchange); })
     {
         port = server.open().value();
@@ -331,7 +331,7 @@
     }
     std::shared_ptr<CallRecord> send(std::string_view method = "POST", Duration timeout = Duration{9'000'000})
     {
-        const auto record = std::make_shared<CallRecord>();
+        auto record = std::make_shared<CallRecord>();
         const HttpFields fields{{{"Host", "x"}}};
         record->call = client.send(instance, {method, "/", fields, nullptr},
                                    std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()) + timeout,
