Keep slots for the present demand of short work

Cause: long work took free slots at the begin of a burst and kept them through it, because nothing is preempted. Long work may now hold its share less what the arrivals of the last 150 ms need, with a fifth more; averaging over 1 s was worse at both ends of a burst. With this cap the fixed share can rise from 0.75 to 0.9, which costs long work less after the burst. Among long work the smallest learned time goes first; aging and the starvation bound stay.

Tried without use: weights on the time waited (any weight above 0 gives the same order; 0 made p99 a fifth worse), a larger reserve for aged long work (0.5: p99 2.3 times worse), demand over 3 s.

--- a/bench/wait_bench.cpp
+++ b/bench/wait_bench.cpp
@@ -231,6 +231,10 @@
         settings.longReserve = value;
     } else if (name == "shortFactor") {
         settings.shortFactor = value;
+    } else if (name == "shortMargin") {
+        settings.shortMargin = value;
+    } else if (name == "demandTime") {
+        settings.demandTime = time;
     } else if (name == "longAging") {
         settings.longAging = time;
     } else if (name == "starvation") {
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -104,6 +104,15 @@
     return fromMicros(sum / m_total);
 }
 
+Duration SizeEstimate::meanUpTo(Duration bound) const
+{
+    double sum = 0;
+    for (std::size_t bucket = 0; bucket < BucketCount; ++bucket) {
+        sum += m_weights[bucket] * std::min(bucketTime(bucket), micros(bound));
+    }
+    return fromMicros(sum / m_total);
+}
+
 Duration SizeEstimate::remaining(Duration elapsed) const
 {
     double sum = 0;
--- a/src/routing.h
+++ b/src/routing.h
@@ -128,10 +128,12 @@
 struct RouterSettings
 {
     int slots = 8;                      // in service per instance
-    double longShare = 0.75;            // most of the pool's slots that long work may hold
+    double longShare = 0.9;             // most of the pool's slots that long work may hold
     double longReserve = 0.25;          // slots that aged long work gets ahead of short work
     double shortFactor = 10;            // short bound as a multiple of the median of short work
     Duration shortBoundMin{20'000};     // the bound is never below; typical jitter of a quick answer
+    double shortMargin = 1.2;           // slots kept for short work, as a multiple of its present demand (wait_bench)
+    Duration demandTime{150'000};       // averages the demand; longer misses the begin of a burst (wait_bench)
     Duration longAging{2'000'000};      // long work that waited this long goes ahead of short work
     Duration starvation{20'000'000};    // work of any class that waited this long goes ahead of urgent work
     Duration validity{1'000'000};       // of a permit that is used once
@@ -156,6 +158,7 @@
     double weight(TimePoint now) const;  // decayed number of samples, without the declared one
     Duration quantile(double share) const;
     Duration mean() const;
+    Duration meanUpTo(Duration bound) const;  // of the smaller of time and bound
     /// Mean rest of work that has already run for `elapsed`.
     Duration remaining(Duration elapsed) const;
 
@@ -376,6 +379,9 @@
     bool usable(const InstanceId &id, const Instance &instance, TimePoint now) const;
     std::optional<InstanceId> chooseInstance(const PermitRequest &request, TimePoint now) const;
     int totalSlots() const;
+    double shortDemand(TimePoint now) const;
+    int longCap(TimePoint now) const;
+    int longReserved() const;
 
     RouterSettings m_settings;
     std::map<SizeKey, Sizes> m_sizes;
@@ -390,8 +396,10 @@
     std::map<PermitKey, Permit> m_permits;
     std::map<RequestKey, std::uint64_t> m_granted;
     std::multimap<TimePoint, PermitKey> m_promotions;  // when running short work begins to count as long
-    std::array<double, 3> m_queuedWork{};              // by class
-    std::array<double, Ranks> m_fairFloor{};           // work of the tenant that was served last
+    double m_shortArrived = 0;                         // decayed work of short arrivals, in microseconds
+    TimePoint m_shortArrivedAt;
+    std::array<double, 3> m_queuedWork{};     // by class
+    std::array<double, Ranks> m_fairFloor{};  // work of the tenant that was served last
     std::size_t m_admitted = 0;
     std::size_t m_members = 0;
     std::uint64_t m_nextPermit = 1;
--- a/src/routing_pool.cpp
+++ b/src/routing_pool.cpp
@@ -1,6 +1,7 @@
 #include "routing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace briarvane
@@ -128,6 +129,11 @@
     ++tenant.queued;
     tenant.queuedWork += work;
     m_queuedWork[classIndex(request.info.requestClass)] += work;
+    if (!isLong(sizes, now)) {
+        m_shortArrived = shortDemand(now) * micros(m_settings.demandTime);
+        m_shortArrived += micros(sizes.estimate.meanUpTo(shortBound()));
+        m_shortArrivedAt = now;
+    }
     dispatch(now, out);
     return out;
 }
@@ -363,6 +369,26 @@
     return std::max(1, static_cast<int>(m_settings.longShare * totalSlots()));
 }
 
+/// Slots that the recent arrivals of short work keep busy.
+double PoolRouter::shortDemand(TimePoint now) const
+{
+    const double elapsed = micros(now - m_shortArrivedAt) / micros(m_settings.demandTime);
+    return m_shortArrived * std::exp(-elapsed) / micros(m_settings.demandTime);
+}
+
+/// Slots that long work may hold now: its share, less what a burst of short work needs. Long work is not preempted, so
+/// a slot that it takes at the begin of a burst is lost for all of it.
+int PoolRouter::longCap(TimePoint now) const
+{
+    const int left = totalSlots() - static_cast<int>(std::ceil(m_settings.shortMargin * shortDemand(now)));
+    return std::clamp(left, std::min(longReserved(), longLimit()), longLimit());
+}
+
+int PoolRouter::longReserved() const
+{
+    return std::max(1, static_cast<int>(m_settings.longReserve * totalSlots()));
+}
+
 Duration PoolRouter::shortBound() const
 {
     const double bound = m_settings.shortFactor * micros(m_shortSizes.quantile(0.5));
@@ -592,8 +618,8 @@
     for (const auto &[id, instance] : m_instances) {
         grantedLong += instance.admitted ? instance.grantedLong : 0;
     }
-    const int longMost = longLimit();
-    const int longReserved = std::max(1, static_cast<int>(m_settings.longReserve * totalSlots()));
+    const int longMost = longCap(now);
+    const int reservedSlots = longReserved();
     using Rank = std::tuple<int, double, double, TimePoint>;
     std::vector<std::tuple<Rank, std::map<GroupKey, Group>::iterator, bool>> candidates;
     for (auto group = m_groups.begin(); group != m_groups.end(); ++group) {
@@ -605,7 +631,7 @@
             continue;
         }
         const bool longWork = isLong(*group->second.sizes, now);
-        const bool reserved = longWork && grantedLong < longReserved;
+        const bool reserved = longWork && grantedLong < reservedSlots;
         const Duration waited = now - head.since;
         // Half of the time until the deadline is the last moment at which aging still helps.
         const Duration aging = std::min(m_settings.longAging, (info.deadline - head.since) / 2);
@@ -619,10 +645,14 @@
         } else if (rank == 4 && aged) {
             rank = 2;
         }
-        // The highest response ratio goes first: short work ahead of long, until the long one has waited in proportion.
-        const double ratio = head.work / (head.work + micros(waited) + 1);
+        // Among short work the highest response ratio goes first; among long work the smallest, which costs the others
+        // least; what waited longest among the starving.
+        double order = 0;
+        if (rank != 0) {
+            order = longWork ? head.work : head.work / (head.work + micros(waited) + 1);
+        }
         const double attained = tenant.attained[static_cast<std::size_t>(rank)];
-        candidates.push_back({Rank{rank, attained, ratio, head.since}, group, longWork});
+        candidates.push_back({Rank{rank, attained, order, head.since}, group, longWork});
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const auto &a, const auto &b) { return std::get<0>(a) < std::get<0>(b); });
--- a/tests/core_routing.cpp
+++ b/tests/core_routing.cpp
@@ -225,7 +225,9 @@
 
 TEST_CASE("Classes and sizes", "[routing]")
 {
-    PoolRouter router;
+    RouterSettings settings;
+    settings.longShare = 0.75;
+    PoolRouter router(settings);
     router.setInstances(instances(1), 1, Start);
     TimePoint now = Start;
     std::uint64_t id = 0;
@@ -255,6 +257,24 @@
         ask(RequestClass::Short);
         CHECK(grants.size() == 8);
     }
+    SECTION("a burst of short work keeps long work from taking the slots that it needs")
+    {
+        for (int count = 0; count < 150; ++count) {
+            for (int together = 0; together < 4; ++together) {
+                end(ask(RequestClass::Short), RequestClass::Short, 4ms);
+            }
+            now += 4ms;
+        }
+        // Four slots are needed and a fifth of that is the margin, so three of the eight are left.
+        for (int count = 0; count < 8; ++count) {
+            ask(RequestClass::Long);
+        }
+        CHECK(router.longInService() >= 2);
+        CHECK(router.longInService() <= 4);
+        now += 1s;
+        take(router.tick(now));
+        CHECK(router.longInService() == 6);
+    }
     SECTION("short work that runs on counts as long, so that stragglers cannot be joined by long work in every slot")
     {
         for (int count = 0; count < 4; ++count) {
