--- a/src/orders.cpp
+++ b/src/orders.cpp
@@ -290,8 +290,15 @@
             const auto *claim = std::get_if<ClaimOrder>(&operation.order);
             return claim && !operation.sent && claim->claim == order.claim;
         });
-        // No write is needed for a claim that no swap carried yet, unless another owner may have recorded it.
-        if (dropped > 0 && order.onlyHere) {
+        // No write is needed for a claim that no swap carried yet, unless another owner or a copy of it that arrived
+        // here earlier may have recorded it.
+        const bool inFlight = std::any_of(m_inFlight.begin(), m_inFlight.end(), [&](const Operation &operation) {
+            const auto *claim = std::get_if<ClaimOrder>(&operation.order);
+            return claim && claim->claim == order.claim;
+        });
+        const OrderRecord *record = find(order.key, view);
+        const bool recorded = record && isClaim(*record, order.claim);
+        if (dropped > 0 && order.onlyHere && !inFlight && !recorded) {
             commands.push_back(GiveVerdict{order.claim, order.key, Verdict::Busy, nullptr});
             commands.push_back(ConfirmSettle{order.claim});
             return commands;
--- a/tests/core_orders.cpp
+++ b/tests/core_orders.cpp
@@ -77,6 +77,7 @@
                  std::pair<std::uint64_t, Result<StoreValue>>, std::pair<std::uint64_t, Result<std::uint64_t>>,
                  std::pair<std::uint64_t, Result<bool>>>
         content;
+    bool copied = false;  // a copy of the call is under way as well
 };
 
 struct Step
@@ -377,44 +378,37 @@
         std::visit([&](auto &content) { take(item, content, fault % 16); }, item.content);
     }
 
-    template<class Order, class Value>
-    void callStore(const Transit &item, const Order &order, std::size_t fault,
-                   Value (ModelStore::*unused)(const Order &), Value (*carryOut)(ModelStore &, const Order &))
+    template<class Order, class CarryOut>
+    void callStore(const Transit &item, const Order &order, std::size_t fault, CarryOut carryOut)
     {
-        (void)unused;
-        Value answer = Error{ErrorCode::Unavailable, "the store is down"};
+        auto answer = decltype(carryOut())(Error{ErrorCode::Unavailable, "the store is down"});
         if (!store.down && fault != 3) {
-            if (fault == 2) {
-                network.push_back(item);  // takes effect later, or never
-            } else {
-                answer = carryOut(store, order);
+            if (fault != 2) {
+                answer = carryOut();
             }
-            if (fault == 0) {
-                network.push_back(item);  // carried out twice
+            if (fault == 0 || fault == 2) {
+                network.push_back(item);  // carried out twice, or later than it is given up
+                network.back().copied = true;
             }
             if (fault == 1 || fault == 2) {
                 answer = Error{ErrorCode::Unknown, "no answer"};
             }
+        } else if (item.copied) {
+            answer = Error{ErrorCode::Unknown, "no answer"};  // Unavailable would say that no copy takes effect
         }
         network.push_back({item.owner, item.ownerStart, std::pair{order.call, answer}});
     }
     void take(const Transit &item, const ReadOrders &order, std::size_t fault)
     {
-        callStore<ReadOrders, Result<StoreValue>>(
-            item, order, fault, nullptr,
-            [](ModelStore &target, const ReadOrders &read) { return Result<StoreValue>(target.read(read.key)); });
+        callStore(item, order, fault, [&] { return Result<StoreValue>(store.read(order.key)); });
     }
     void take(const Transit &item, const SwapOrders &order, std::size_t fault)
     {
-        callStore<SwapOrders, Result<std::uint64_t>>(
-            item, order, fault, &ModelStore::swap,
-            [](ModelStore &target, const SwapOrders &swap) { return target.swap(swap); });
+        callStore(item, order, fault, [&] { return store.swap(order); });
     }
     void take(const Transit &item, const RemoveOrders &order, std::size_t fault)
     {
-        callStore<RemoveOrders, Result<bool>>(
-            item, order, fault, &ModelStore::remove,
-            [](ModelStore &target, const RemoveOrders &remove) { return target.remove(remove); });
+        callStore(item, order, fault, [&] { return store.remove(order); });
     }
     template<class T>
     void take(const Transit &item, const std::pair<std::uint64_t, Result<T>> &answer, std::size_t)
