--- a/src/entry_cluster_state.h
+++ b/src/entry_cluster_state.h
@@ -280,7 +280,7 @@
                 }
             }
         }
-        membership.setListed(listed, now());
+        membership.setListed(listed, now(), batch.version);
         if (!ownSeen) {
             onRegistrationLost();
         }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -84,7 +84,7 @@
     }
 }
 
-void Membership::setListed(const std::set<EntryId> &listed, TimePoint now)
+void Membership::setListed(const std::set<EntryId> &listed, TimePoint now, std::uint64_t asOf)
 {
     for (const EntryId &id : m_listed) {
         const EntryStatus *status = entry(id);
@@ -100,6 +100,7 @@
         return known.first != m_self && !listed.contains(known.first) && now - known.second.lastHeard > LapsedTimeout;
     });
     m_listed = listed;
+    m_listedAsOf = asOf;
     m_everListed = m_everListed || listed.contains(m_self);
 }
 
@@ -166,16 +167,21 @@
     std::erase_if(reached, [&voting](const EntryId &id) { return !voting.contains(id); });
     const bool hearsHalf = 2 * reached.size() >= voting.size();
 
-    // A lease that may have lapsed lets drains be confirmed without this entry, unless the others hear it.
+    // A lease that may have lapsed lets drains be confirmed without this entry, unless half of the voters hear it,
+    // which name it to whoever steps a drain, and know of no newer version. Entries that are only cut off from the
+    // store, or whose leases lapsed together in an outage, go on working in this way until they have registered again.
     const bool registered = m_everListed && m_registeredUntil && now < *m_registeredUntil;
-    if (storeContactAge(now) < ViewTimeout && (registered || (m_everListed && hearsHalf && reached.size() > 1))) {
+    const bool noneNewer = std::all_of(reached.begin(), reached.end(),
+                                       [this](const EntryId &id) { return hasVersionsOf(m_entries.at(id)); });
+    const bool connected = hearsHalf && noneNewer;
+    if (storeContactAge(now) < ViewTimeout && (registered || (m_everListed && connected && reached.size() > 1))) {
         return ViewState::Usable;
     }
     // An entry that was never registered is unknown to those who accept drains.
     const bool allDown = std::all_of(reached.begin(), reached.end(), [this](const EntryId &id) {
-        return id == m_self ? m_ownStoreDown : m_entries.at(id).storeDown && hasVersionsOf(m_entries.at(id));
+        return id == m_self ? m_ownStoreDown : m_entries.at(id).storeDown;
     });
-    return m_everListed && hearsHalf && allDown ? ViewState::StoreOutage : ViewState::Isolated;
+    return m_everListed && connected && allDown ? ViewState::StoreOutage : ViewState::Isolated;
 }
 
 bool Membership::mayStartWork(TimePoint now) const
@@ -209,8 +215,9 @@
 {
     std::set<EntryId> ids = {m_self};
     for (const auto &[id, status] : m_entries) {
-        // What was heard before a pause may have changed during it.
-        if (id != m_self && status.sentAfter >= m_resumed && now - status.sentAfter < LiveTimeout) {
+        // A pause is longer than LiveTimeout, so what was heard before it does not count after it.
+        static_assert(PauseGap >= LiveTimeout);
+        if (id != m_self && status.sentAfter != TimePoint::min() && now - status.sentAfter < LiveTimeout) {
             ids.insert(id);
         }
     }
@@ -232,7 +239,7 @@
     std::vector<EntryId> ids;
     for (const EntryId &id : confirming(now)) {
         const EntryStatus *status = entry(id);
-        if (!status) {
+        if (!status || (id == m_self && m_listedAsOf < version)) {
             ids.push_back(id);
             continue;
         }
@@ -247,10 +254,23 @@
 std::vector<EntryId> Membership::drainHolders(const InstanceId &instance, std::uint64_t fleetVersion,
                                               TimePoint now) const
 {
+    std::set<EntryId> asked = confirming(now);
+    std::set<EntryId> unheard;
+    if (!mayAcceptDrain(now)) {
+        // Without most voters nobody would tell of an entry that still works with a lapsed lease.
+        const std::set<EntryId> reached = heard(now);
+        for (const EntryId &id : voters(now)) {
+            if (!reached.contains(id)) {
+                asked.insert(id);
+                unheard.insert(id);
+            }
+        }
+    }
     std::vector<EntryId> ids;
-    for (const EntryId &id : confirming(now)) {
+    for (const EntryId &id : asked) {
         const EntryStatus *status = entry(id);
-        if (!status || status->countedFleet < fleetVersion) {
+        const bool listOlder = id == m_self && m_listedAsOf < fleetVersion;
+        if (!status || status->countedFleet < fleetVersion || listOlder || unheard.contains(id)) {
             ids.push_back(id);
             continue;
         }
--- a/src/membership.h
+++ b/src/membership.h
@@ -10,6 +10,7 @@
 #include "types.h"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -64,7 +65,7 @@
     std::map<std::string, std::uint64_t> inForce;  // key to version
     std::map<InstanceId, int> draining;            // requests in flight on instances without new work
     std::uint64_t countedFleet = 0;                // fleet version in force when `draining` was counted
-    std::set<EntryId> heard;                       // entries that it hears
+    std::set<EntryId> heard;                       // entries whose heartbeats it received within LiveTimeout
 };
 
 // [3] Membership ------------------------------------------------------------------------------------------------------
@@ -118,9 +119,11 @@
     void heartbeatSent(std::uint64_t round, TimePoint now);  // own heartbeat to all peers
     /// `status.echo` is the round of ours that the sender echoed; `storeContactAge` as sent.
     void heartbeat(const EntryStatus &status, Duration storeContactAge, TimePoint now);
-    void setListed(const std::set<EntryId> &listed, TimePoint now);  // entries with a lease in the store
-    void gone(const EntryId &id);                                    // the platform's list shows that it ended
-    void tick(TimePoint now);                                        // each loop turn; finds pauses
+    /// Entries with a lease in the store, as of this version of the store.
+    void setListed(const std::set<EntryId> &listed, TimePoint now,
+                   std::uint64_t asOf = std::numeric_limits<std::uint64_t>::max());
+    void gone(const EntryId &id);  // the platform's list shows that it ended
+    void tick(TimePoint now);      // each loop turn; finds pauses
 
     // Decisions
     std::vector<EntryId> live(TimePoint now) const;  // sorted, itself included
@@ -137,10 +140,11 @@
 
     /// Entries that have not confirmed `version` of `key`; empty means in force everywhere. Asked are the listed
     /// entries, those heard, and those that the heard ones hear: an entry whose lease has lapsed may still work as
-    /// long as it hears half of the voters, and one of these is heard by whoever may accept a drain.
+    /// long as it hears half of the voters, and one of these is heard by whoever may accept a drain. Names this entry
+    /// as long as its list is older than the version: another entry may have registered in between.
     std::vector<EntryId> unconfirmed(const std::string &key, std::uint64_t version, TimePoint now) const;
     /// The same entries, as far as they have not counted their requests since the drain (older fleet version) or have
-    /// requests in flight on the instance.
+    /// requests in flight on the instance; also all voters that are not heard while most are not.
     std::vector<EntryId> drainHolders(const InstanceId &instance, std::uint64_t fleetVersion, TimePoint now) const;
 
     const EntryStatus *entry(const EntryId &id) const;
@@ -162,6 +166,7 @@
     std::uint64_t m_startId = 0;
     std::map<EntryId, EntryStatus> m_entries;
     std::set<EntryId> m_listed;
+    std::uint64_t m_listedAsOf = 0;
     std::map<EntryId, TimePoint> m_lapsed;                         // left the list without announcing a stop
     std::deque<std::pair<std::uint64_t, TimePoint>> m_sentRounds;  // own heartbeats within ViewTimeout
     std::optional<TimePoint> m_lastRoot;                           // last store contact known, direct or through a peer
--- a/src/peers_messages.cpp
+++ b/src/peers_messages.cpp
@@ -23,7 +23,8 @@
         line.set_count(static_cast<std::uint32_t>(std::max(count, 0)));
     }
     heartbeat.set_counted_fleet(own.countedFleet);
-    for (const EntryId &id : membership.heard(now)) {
+    // By receipt: these are all that may count this entry as heard, because its echo of them is at most this old.
+    for (const EntryId &id : membership.live(now)) {
         if (id != membership.self()) {
             heartbeat.add_heard(id.value);
         }
