--- a/src/entry_cluster_state.h
+++ b/src/entry_cluster_state.h
@@ -741,26 +741,34 @@
 
     // Stop
 
+    /// The announcement is sent more than once and ahead of the removal: an entry that leaves the list without one
+    /// counts as cut off.
     void stop(std::function<void()> done)
     {
+        if (stopping) {
+            return;
+        }
         stopping = true;
         membership.setStopping();
         leaseTimer.cancel();
         sendHeartbeats();
         const auto once = std::make_shared<std::function<void()>>(std::move(done));
         const auto end = [self = this->shared_from_this(), once] {
-            if (*once) {
-                const std::function<void()> call = std::exchange(*once, nullptr);
+            if (!self->closed) {
+                self->sendHeartbeats();
                 self->close();
-                call();
+                (*once)();
             }
         };
         after(stopTimer, StopTimeout, end);
-        if (lease.empty()) {
-            boost::asio::post(io, end);
-            return;
-        }
-        platform.remove(ownKey(), registeredVersion, [end](const Result<bool> &) { end(); });
+        after(leaseTimer, 2 * ConfirmDelay, [this, end] {
+            sendHeartbeats();
+            if (lease.empty()) {
+                end();
+            } else {
+                platform.remove(ownKey(), registeredVersion, [end](const Result<bool> &) { end(); });
+            }
+        });
     }
 
     /// Wraps a completion so that it is not called after the cluster was closed.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -72,6 +72,9 @@
     const TimePoint before = sameStart ? known.sentAfter : TimePoint::min();
     known = status;
     known.lastHeard = now;
+    if (known.stopping) {
+        m_lapsed.erase(known.id);  // the removal from the list was seen before the announcement
+    }
     // An echo that is no longer in the list of sent rounds is older than ViewTimeout and proves nothing useful.
     known.sentAfter = std::max(before, sentAt(status.echo).value_or(TimePoint::min()));
     if (known.sentAfter == TimePoint::min() || !hasVersionsOf(known)) {
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -185,12 +185,18 @@
         return message.SerializeAsString();
     }
 
-    /// Each PUSH socket is only written to, and sending handles its pending commands, so its descriptor needs no wait.
-    /// The PULL socket has a mailbox of its own that sending does not touch.
+    /// Each PUSH socket is only written to, and its pending commands are handled on sending, so its descriptor needs no
+    /// wait. The PULL socket has a mailbox of its own that sending does not touch.
     void push(Peer &peer, const std::string &bytes)
     {
         try {
-            if (peer.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+            bool sent = peer.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+            // libzmq handles commands on sending at most every few milliseconds, so a queue may look full although its
+            // reader has reported progress. Reading the events handles them.
+            if (!sent && (peer.socket.get(zmq::sockopt::events) & ZMQ_POLLOUT) != 0) {
+                sent = peer.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+            }
+            if (sent) {
                 ++counters.sent;
                 counters.sentBytes += bytes.size();
                 return;
--- a/tests/core_membership.cpp
+++ b/tests/core_membership.cpp
@@ -366,6 +366,20 @@
         const TimePoint later = now + LiveTimeout;
         CHECK(membership.drainHolders(instance, 5, later) == std::vector{entryId(1), entryId(2)});
     }
+    SECTION("an entry that announced its stop no longer counts, whether its removal or the announcement is seen first")
+    {
+        EntryStatus stopping = heartbeatOf(2, 1, 1, 5);
+        stopping.stopping = true;
+        const bool announcedFirst = GENERATE(true, false);
+        if (announcedFirst) {
+            membership.heartbeat(stopping, Duration{0}, now);
+        }
+        membership.setListed({entryId(0), entryId(1)}, now, 10);
+        if (!announcedFirst) {
+            membership.heartbeat(stopping, Duration{0}, now);
+        }
+        CHECK(membership.voters(now) == std::set{entryId(0), entryId(1)});
+    }
     SECTION("a count made under an older fleet version does not know of the drain")
     {
         EntryStatus early = heartbeatOf(2, 1, 1, 5);
