--- a/tests/demo.cpp
+++ b/tests/demo.cpp
@@ -39,6 +39,10 @@
     {"takings, long", "POST", "/takings/reconcile", 1500, 4, 50, false},
 };
 
+/// Raised by the drain that the demo makes.
+constexpr const char *DemoRule
+    = "spinhead-down: briarvane_instances_disrupted{pool=spinheads} >= 1 for 1s clear < 1 for 1s severity page\n";
+
 struct Tally
 {
     int sent = 0;
@@ -207,7 +211,8 @@
     verdict.require(cut == 0, "a planned stop cut a request");
     verdict.require(ranButToldNot == 0, "a caller was told that its request was not run, but it ran");
     int highest = 0;
-    for (const boost::json::value &executor : fleet.upstream("/stats").at("executors").as_array()) {
+    const boost::json::value stats = fleet.upstream("/stats");
+    for (const boost::json::value &executor : stats.at("executors").as_array()) {
         highest = std::max(highest, static_cast<int>(executor.at("max_in_service").as_int64()));
     }
     std::cout << "most requests in service at one executor: " << highest << " of 8 slots\n";
@@ -255,6 +260,21 @@
     return result.exitCode == 0;
 }
 
+/// Polls the status until the demo's alarm is raised or cleared.
+bool waitAlarm(const harness::Fleet &fleet, bool raised)
+{
+    constexpr int attempts = 60;
+    for (int i = 0; i < attempts; ++i) {
+        const auto status = fleet.command(7, {"--output", "json", "status"});
+        if (status.exitCode == 0 && (status.output.find("spinhead-down") != std::string::npos) == raised) {
+            std::cout << "alarm spinhead-down is " << (raised ? "raised" : "cleared") << std::endl;
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    }
+    return false;
+}
+
 }
 
 int main(int argc, char **argv)
@@ -299,7 +319,9 @@
     }
     verdict.require(step(fleet, 0, {"sheet", "apply", sheetFile}, output),
                     "the sheet was not applied everywhere in time");
-    verdict.require(step(fleet, 1, {"alerts", "apply", examples + "/swan-coast.alerts"}, output),
+    const std::string rulesFile = options.work + "/rules.alerts";
+    std::ofstream(rulesFile, std::ios::binary) << readFile(examples + "/swan-coast.alerts") << DemoRule;
+    verdict.require(step(fleet, 1, {"alerts", "apply", rulesFile}, output),
                     "the alert rules were not applied everywhere in time");
     for (int i = 0; i < fleet.entries(); ++i) {
         verdict.require(fleet.waitReady(i, 10'000), "entry " + std::to_string(i) + " did not become ready");
@@ -317,6 +339,11 @@
     std::this_thread::sleep_for(std::chrono::seconds(seconds / 2));
     verdict.require(step(fleet, 2, {"instance", "move", "depot-9", "--to", "takings", "--wait-s", "60"}, output),
                     "the move did not end");
+    verdict.require(step(fleet, 5, {"instance", "drain", "spinheads-1", "--wait-s", "30"}, output),
+                    "the drain did not end");
+    verdict.require(waitAlarm(fleet, true), "the alarm was not raised");
+    verdict.require(step(fleet, 6, {"instance", "drain", "spinheads-1", "--undo"}, output), "the drain was not undone");
+    verdict.require(waitAlarm(fleet, false), "the alarm was not cleared");
     const auto waveBegun = std::chrono::steady_clock::now();
     verdict.require(step(fleet, 3, {"wave", "start", "friday", "--pool", "rosters", "--wait-s", "300"}, output),
                     "the wave did not end");
