--- a/bench/wait_bench.cpp
+++ b/bench/wait_bench.cpp
@@ -62,7 +62,9 @@
     return Duration{static_cast<std::int64_t>(seconds * 1e6)};
 }
 
-Series makeSeries(const FleetShape &fleet, std::size_t pool, double load, std::uint64_t seed)
+/// `steadyLong`: long work arrives evenly, as much as with the bursts, so that each burst of short work finds long work
+/// in the slots.
+Series makeSeries(const FleetShape &fleet, std::size_t pool, double load, bool steadyLong, std::uint64_t seed)
 {
     std::mt19937_64 random(seed * 1000 + pool);
     std::uniform_real_distribution<double> uniform(0, 1);
@@ -90,10 +92,11 @@
         time += -std::log(1 - uniform(random)) / (rate * BurstFactor);
         const double phase = std::fmod(time, cycle) - static_cast<double>(pool) * turn;
         const bool burst = phase >= 0 && phase < turn;
-        if (!burst && uniform(random) > QuietFactor / BurstFactor) {
+        const bool isLong = uniform(random) < fleet.longShare;
+        const double keep = isLong && steadyLong ? 1 / BurstFactor : burst ? 1 : QuietFactor / BurstFactor;
+        if (uniform(random) > keep) {
             continue;
         }
-        const bool isLong = uniform(random) < fleet.longShare;
         const int route = static_cast<int>(uniform(random) * 4);
         Arrival arrival;
         arrival.straggler = uniform(random) < fleet.stragglers;
@@ -210,7 +213,7 @@
     const Row row{quantile(figures.shortWaits, 0.5), quantile(figures.shortWaits, 0.99),
                   quantile(figures.shortWaits, 0.999), figures.longTotal};
     const auto longs = static_cast<double>(figures.longs);
-    std::printf("%-11s %-12s %8.1f %9.1f %9.1f %12.3f %12.3f %12.3f %12.0f\n", fleet.c_str(), policy, row.p50 * 1e3,
+    std::printf("%-23s %-12s %8.1f %9.1f %9.1f %12.3f %12.3f %12.3f %12.0f\n", fleet.c_str(), policy, row.p50 * 1e3,
                 row.p99 * 1e3, row.p999 * 1e3, figures.longTotal / longs, figures.longWait / longs, figures.longWorst,
                 figures.longTotal);
     return row;
@@ -245,6 +248,33 @@
     return true;
 }
 
+void compare(const FleetShape &fleet, double load, bool steadyLong, std::uint64_t seed, const RouterSettings &settings)
+{
+    Figures naive;
+    Figures ours;
+    Figures clairvoyant;
+    for (std::size_t pool = 0; pool < fleet.instances.size(); ++pool) {
+        const Series series = makeSeries(fleet, pool, load, steadyLong, seed);
+        FifoRouter fifo;
+        run(fifo, series, fleet.instances[pool], naive);
+        PoolRouter router(settings);
+        for (const auto &[service, time] : series.declared) {
+            router.setDeclared(service, time);
+        }
+        run(router, series, fleet.instances[pool], ours);
+        ClairvoyantRouter best(series.sizes, micros(ShortMedian * 10));
+        run(best, series, fleet.instances[pool], clairvoyant);
+    }
+    const std::string name = fleet.name + (steadyLong ? "/steady-long" : "");
+    const Row a = report(name, "naive", naive);
+    const Row b = report(name, "ours", ours);
+    const Row c = report(name, "clairvoyant", clairvoyant);
+    std::printf("%-23s short p99 ours/naive %.3f (goal 0.1), ours/clairvoyant %.2f (goal 2), long total ours/naive "
+                "%.3f (goal 1.05), %zu requests, %zu long\n",
+                name.c_str(), b.p99 / a.p99, b.p99 / std::max(1e-6, c.p99), b.longTotal / a.longTotal, ours.requests,
+                ours.longs);
+}
+
 }
 
 int main(int count, char **arguments)
@@ -260,31 +290,12 @@
     }
     std::printf("seed %llu, mean load %.2f of the slots, bursts of %.0f times that\n",
                 static_cast<unsigned long long>(seed), load, BurstFactor);
-    std::printf("%-11s %-12s %8s %9s %9s %12s %12s %12s %12s\n", "fleet", "policy", "p50 ms", "p99 ms", "p99.9 ms",
+    std::printf("%-23s %-12s %8s %9s %9s %12s %12s %12s %12s\n", "fleet", "policy", "p50 ms", "p99 ms", "p99.9 ms",
                 "long mean s", "long wait s", "long worst s", "long total s");
-    for (const FleetShape &fleet : Fleets) {
-        Figures naive;
-        Figures ours;
-        Figures clairvoyant;
-        for (std::size_t pool = 0; pool < fleet.instances.size(); ++pool) {
-            const Series series = makeSeries(fleet, pool, load, seed);
-            FifoRouter fifo;
-            run(fifo, series, fleet.instances[pool], naive);
-            PoolRouter router(settings);
-            for (const auto &[service, time] : series.declared) {
-                router.setDeclared(service, time);
-            }
-            run(router, series, fleet.instances[pool], ours);
-            ClairvoyantRouter best(series.sizes, micros(ShortMedian * 10));
-            run(best, series, fleet.instances[pool], clairvoyant);
+    for (const bool steadyLong : {false, true}) {
+        for (const FleetShape &fleet : Fleets) {
+            compare(fleet, load, steadyLong, seed, settings);
         }
-        const Row a = report(fleet.name, "naive", naive);
-        const Row b = report(fleet.name, "ours", ours);
-        const Row c = report(fleet.name, "clairvoyant", clairvoyant);
-        std::printf("%-11s short p99 ours/naive %.3f (goal 0.1), ours/clairvoyant %.2f (goal 2), long total ours/naive "
-                    "%.3f (goal 1.05), %zu requests, %zu long\n",
-                    fleet.name.c_str(), b.p99 / a.p99, b.p99 / std::max(1e-6, c.p99), b.longTotal / a.longTotal,
-                    ours.requests, ours.longs);
     }
     return 0;
 }
