Lend instances ahead of predicted bursts, for the Swan Coast profile

With a minimum stay of 60 s and turns of some 50 s, an instance that arrives just before a burst serves two bursts in one stay, a fixed one serves 1.2 a minute.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -1,5 +1,5 @@
 // Compares capacity policies on seeded demand series with injected time.
-// Usage: capacity_bench [seed] [seconds] [weights of wait, long wait, buffer, move, roll-out]
+// Usage: capacity_bench [seed] [seconds] [weights of wait, long wait, buffer, move, lending (0, 1), roll-out]
 //
 // Each pool is a fluid queue. Queues take turns: each bursts to 5 times its mean for some seconds and has a twentieth
 // of its mean in between; at half time two means are exchanged. A move and a reboot take an instance out of service for
@@ -312,9 +312,9 @@
         keeping.low = 0;  // gives nothing back to the spare pool
         print("keeping", simulate(fleet, keeping, seed, seconds));
         CapacityWeights weights = capacityWeights(fleet.profile);
-        if (argc > 7) {
+        if (argc > 8) {
             const auto number = [&](int index) { return std::strtod(argv[index], nullptr); };
-            weights = {number(3), number(4), number(5), number(6), number(7)};
+            weights = {number(3), number(4), number(5), number(6), number(7) != 0, number(8)};
         }
         print("replay", simulate(fleet, ReplayPolicy(weights), seed, seconds));
     }
--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -30,11 +30,12 @@
     return pool.maxInstances == 0 || pool.instances + pool.arriving < pool.maxInstances;
 }
 
-/// Instances that have stayed long enough to move.
-int settled(const CapacityPool &pool)
+/// Whether an instance has stayed long enough to move, and the pool may do without it. A pool whose budget lets no
+/// instance down could neither be maintained nor give an instance back.
+bool mayLend(const CapacityPool &pool)
 {
-    return static_cast<int>(
-        std::count_if(pool.stays.begin(), pool.stays.end(), [](Duration stay) { return stay >= MinimumStay; }));
+    return mayGive(pool) && allowedDown(pool.instances + pool.arriving - 1, pool.availability) > 0
+        && std::any_of(pool.stays.begin(), pool.stays.end(), [](Duration stay) { return stay >= MinimumStay; });
 }
 
 }
@@ -69,17 +70,125 @@
     return moves;
 }
 
+// Turns ---------------------------------------------------------------------------------------------------------------
+
+namespace
+{
+
+constexpr double LevelDecay = 0.05;  // of means over periods: some 20 periods
+constexpr double MeanDecay = 0.005;  // some four turns of all queues
+constexpr double TurnDecay = 0.2;    // over turns
+constexpr double BurstFactor = 2.0;  // times the mean: bursts are at about 5, the time in between at a twentieth
+constexpr double ReliableHits = 0.8;
+constexpr std::size_t LeastObserved = 120;
+
+void decayTowards(double &mean, double value, double decay)
+{
+    mean = mean == 0 ? value : mean + decay * (value - mean);
+}
+
+}
+
+void TurnForecast::observe(const std::vector<double> &demand, TimePoint now)
+{
+    m_pools.resize(demand.size());
+    m_now = now;
+    ++m_observed;
+    for (std::size_t i = 0; i < demand.size(); ++i) {
+        PoolTurns &pool = m_pools[i];
+        // The first periods weigh the same, so that the mean is usable early.
+        pool.mean += std::max(MeanDecay, 1.0 / static_cast<double>(m_observed)) * (demand[i] - pool.mean);
+        const bool bursting = demand[i] > BurstFactor * pool.mean;
+        decayTowards(bursting ? pool.high : pool.low, demand[i], LevelDecay);
+        if (bursting && !pool.bursting && m_current != i) {
+            if (m_current) {
+                const double length = std::chrono::duration<double>(now - m_currentSince).count();
+                decayTowards(m_length, length, TurnDecay);
+                m_hits += TurnDecay * ((m_pools[*m_current].successor == i ? 1.0 : 0.0) - m_hits);
+                m_pools[*m_current].successor = i;
+            }
+            m_current = i;
+            m_currentSince = now;
+        }
+        pool.bursting = bursting;
+    }
+}
+
+bool TurnForecast::reliable() const
+{
+    return m_current && m_observed >= LeastObserved && m_hits >= ReliableHits;
+}
+
+std::vector<std::vector<double>> TurnForecast::forecast(std::size_t periods, double stretch) const
+{
+    const double period = std::chrono::duration<double>(CapacityPeriod).count();
+    std::vector<std::vector<double>> demand;
+    for (const PoolTurns &pool : m_pools) {
+        demand.emplace_back(periods, pool.low);
+    }
+    if (!m_current) {
+        return demand;
+    }
+    std::optional<std::size_t> turn = m_current;
+    const double elapsed = std::chrono::duration<double>(m_now - m_currentSince).count();
+    double end = std::max(period, m_length * stretch - elapsed);
+    for (std::size_t i = 0; i < periods && turn; ++i) {
+        if (static_cast<double>(i) * period >= end) {
+            turn = m_pools[*turn].successor;
+            end += m_length * stretch;
+        }
+        if (turn) {
+            demand[*turn][i] = m_pools[*turn].high;
+        }
+    }
+    return demand;
+}
+
+// Replay --------------------------------------------------------------------------------------------------------------
+
 CapacityWeights capacityWeights(Profile profile)
 {
     switch (profile) {
     case Profile::SwanCoast:
-        return {1.0, 0.01, 1.0, 30.0, 0.0};
+        return {0.075, 0.0008, 1.0, 5.0, true, 0.0};
     case Profile::Saaristo:
-        return {1.0, 0.01, 0.2, 300.0, 1.0};
+        return {1.0, 0.01, 0.2, 300.0, false, 1.0};
     }
     return {};
 }
 
+namespace
+{
+
+constexpr std::size_t MovePeriods = 5;     // drain and confirmation
+constexpr std::size_t StayPeriods = 60;    // MinimumStay
+constexpr std::size_t LendsPerPeriod = 8;  // bounds the work of one decision
+
+double forecastCost(const CapacityWeights &weights, const CapacityPool &pool, const std::vector<double> &demand,
+                    int before, int after)
+{
+    const double period = std::chrono::duration<double>(CapacityPeriod).count();
+    // The queue at present counts as short work: its classes are not known here.
+    double shortBacklog
+        = pool.queued * std::chrono::duration<double>(pool.meanService).count() / std::max(1, pool.slots);
+    double longBacklog = 0;
+    double cost = 0;
+    for (std::size_t i = 0; i < demand.size(); ++i) {
+        const double capacity = (i < MovePeriods ? before : after) * period;
+        shortBacklog += demand[i] * period * pool.shortShare;
+        longBacklog += demand[i] * period * (1 - pool.shortShare);
+        const double served = std::min(shortBacklog, capacity);
+        shortBacklog -= served;
+        const double servedLong = std::min(longBacklog, capacity - served);
+        longBacklog -= servedLong;
+        cost += (weights.wait * shortBacklog + weights.longWait * longBacklog) * pool.slots * period;
+        cost += pool.spare ? 0 : weights.buffer * (capacity - served - servedLong);
+    }
+    return cost;
+}
+
+}
+
 ReplayPolicy::ReplayPolicy(CapacityWeights weights)
     : m_weights(weights)
 {
@@ -127,6 +236,7 @@
         m_started = now;
     }
     int total = 0;
+    std::vector<double> demands;
     for (const CapacityPool &pool : pools) {
         History &history = m_histories[pool.id.value];
         const double demand
@@ -138,6 +248,11 @@
             history.next = (history.next + 1) % HistoryLength;
         }
         total += pool.instances + pool.arriving;
+        demands.push_back(demand);
+    }
+    m_turns.observe(demands, now);
+    if (m_weights.lend && m_turns.reliable()) {
+        return lend(pools);
     }
     if (m_lastPlan && now - *m_lastPlan < PlanPeriod) {
         return {};
@@ -146,31 +261,34 @@
     if (now - m_started < CapacityPeriod * static_cast<std::int64_t>(LeastHistory)) {
         return {};
     }
+    return plan(pools, total);
+}
+
+/// The one move with the largest gain by the replay; the next plan sees its effect.
+std::vector<CapacityMove> ReplayPolicy::plan(const std::vector<CapacityPool> &pools, int total) const
+{
     std::vector<std::vector<double>> cost;
+    cost.reserve(pools.size());
     for (const CapacityPool &pool : pools) {
-        cost.push_back(costs(pool, m_histories[pool.id.value], total));
+        cost.push_back(costs(pool, m_histories.at(pool.id.value), total));
     }
-    // One move at a time, the one with the largest gain; the next plan sees its effect.
+    const auto costAt = [&](std::size_t pool, int size) { return cost[pool][static_cast<std::size_t>(size)]; };
     double best = m_weights.move / GainHorizon;
     std::vector<CapacityMove> moves;
     for (std::size_t from = 0; from < pools.size(); ++from) {
         const CapacityPool &giver = pools[from];
-        if (!mayGive(giver) || settled(giver) == 0) {
-            continue;
-        }
-        // A pool whose budget lets no instance down could neither be maintained nor give an instance back.
-        if (allowedDown(giver.instances + giver.arriving - 1, giver.availability) == 0) {
+        if (!mayLend(giver)) {
             continue;
         }
-        const auto have = static_cast<std::size_t>(giver.instances + giver.arriving);
-        const double loss = cost[from][have - 1] - cost[from][have];
+        const int have = giver.instances + giver.arriving;
+        const double loss = costAt(from, have - 1) - costAt(from, have);
         for (std::size_t to = 0; to < pools.size(); ++to) {
             const CapacityPool &taker = pools[to];
             if (to == from || !mayTake(taker)) {
                 continue;
             }
-            const auto size = static_cast<std::size_t>(taker.instances + taker.arriving);
-            const double gain = cost[to][size] - cost[to][size + 1] - loss;
+            const int size = taker.instances + taker.arriving;
+            const double gain = costAt(to, size) - costAt(to, size + 1) - loss;
             if (gain > best) {
                 best = gain;
                 moves = {{giver.id, taker.id, 1}};
@@ -180,4 +298,57 @@
     return moves;
 }
 
+/// Moves whose gain over the move and the minimum stay, by the forecast of turns, exceeds their cost.
+std::vector<CapacityMove> ReplayPolicy::lend(const std::vector<CapacityPool> &pools) const
+{
+    // Lengths of turns vary: gains are means over shorter, mean and longer ones.
+    constexpr std::array<double, 3> stretches = {0.8, 1.0, 1.2};
+    const std::size_t periods = StayPeriods + MovePeriods;
+    std::vector<std::vector<std::vector<double>>> scenarios;
+    scenarios.reserve(stretches.size());
+    for (const double stretch : stretches) {
+        scenarios.push_back(m_turns.forecast(periods, stretch));
+    }
+    /// Cost of pool `index` with `before` instances during a move and `after` instances from then on.
+    const auto cost = [&](std::size_t index, int before, int after) {
+        double sum = 0;
+        for (const auto &demand : scenarios) {
+            sum += forecastCost(m_weights, pools[index], demand[index], before, after);
+        }
+        return sum / static_cast<double>(stretches.size());
+    };
+    std::vector<CapacityPool> rest = pools;
+    std::vector<CapacityMove> moves;
+    for (std::size_t round = 0; round < LendsPerPeriod; ++round) {
+        std::vector<double> gain(pools.size(), 0.0);
+        std::vector<double> loss(pools.size(), 0.0);
+        for (std::size_t i = 0; i < pools.size(); ++i) {
+            const int size = rest[i].instances + rest[i].arriving;
+            const double present = cost(i, size, size);
+            gain[i] = present - cost(i, size, size + 1);
+            loss[i] = cost(i, size - 1, size - 1) - present;
+        }
+        double best = m_weights.move;
+        std::optional<std::pair<std::size_t, std::size_t>> chosen;
+        for (std::size_t from = 0; from < pools.size(); ++from) {
+            for (std::size_t to = 0; to < pools.size() && mayLend(rest[from]); ++to) {
+                if (to != from && mayTake(rest[to]) && gain[to] - loss[from] > best) {
+                    best = gain[to] - loss[from];
+                    chosen = {from, to};
+                }
+            }
+        }
+        if (!chosen) {
+            break;
+        }
+        CapacityPool &giver = rest[chosen->first];
+        --giver.instances;
+        --giver.mayLeave;
+        giver.stays.erase(std::max_element(giver.stays.begin(), giver.stays.end()));
+        ++rest[chosen->second].arriving;
+        moves.push_back({giver.id, rest[chosen->second].id, 1});
+    }
+    return moves;
+}
+
 }
--- a/src/capacity.h
+++ b/src/capacity.h
@@ -9,7 +9,8 @@
 // [1] Input and output
 // [2] The CapacityPolicy concept
 // [3] Threshold policy (baseline)
-// [4] Replay policy
+// [4] Turns of bursts
+// [5] Replay policy
 
 #include "sheet.h"
 
@@ -77,7 +78,42 @@
     std::vector<CapacityMove> decide(const std::vector<CapacityPool> &pools, TimePoint now);
 };
 
-// [4] Replay policy ---------------------------------------------------------------------------------------------------
+// [4] Turns of bursts -------------------------------------------------------------------------------------------------
+
+/// Learns in which order pools burst and for how long, as far as they take turns.
+class TurnForecast
+{
+public:
+    /// One period's demand of each pool, in instances' worth of arriving work.
+    void observe(const std::vector<double> &demand, TimePoint now);
+
+    /// True once the last turns were foreseen and each pool's burst was seen.
+    bool reliable() const;
+
+    /// Expected demand of each pool for the periods after the last one, one list a pool. `stretch` scales the length of
+    /// turns.
+    std::vector<std::vector<double>> forecast(std::size_t periods, double stretch) const;
+
+private:
+    struct PoolTurns
+    {
+        double mean = 0;  // decaying
+        double high = 0;  // decaying mean while it bursts
+        double low = 0;   // decaying mean in between
+        bool bursting = false;
+        std::optional<std::size_t> successor;
+    };
+
+    std::vector<PoolTurns> m_pools;
+    std::optional<std::size_t> m_current;  // pool whose burst began last
+    TimePoint m_currentSince;
+    TimePoint m_now;
+    double m_length = 0;  // decaying mean of a turn, seconds
+    double m_hits = 0;    // decaying share of turns that were foreseen
+    std::size_t m_observed = 0;
+};
+
+// [5] Replay policy ---------------------------------------------------------------------------------------------------
 
 /// What one unit of each measure costs, in the same unit for all.
 struct CapacityWeights
@@ -86,6 +122,7 @@
     double longWait = 0.01;  // one long request waiting for one second
     double buffer = 1;       // one instance idle outside the spare pool for one second
     double move = 1;         // one move
+    bool lend = false;       // move instances ahead of predicted bursts, at many more moves
     double rollOut = 0;      // one round of reboots more in a wave over a pool, for each second of its size
 };
 
@@ -112,6 +149,10 @@
     std::vector<double> costs(const CapacityPool &pool, const History &history, int largest) const;
 
     CapacityWeights m_weights;
+    std::vector<CapacityMove> plan(const std::vector<CapacityPool> &pools, int total) const;
+    std::vector<CapacityMove> lend(const std::vector<CapacityPool> &pools) const;
+
+    TurnForecast m_turns;
     std::map<std::string, History> m_histories;
     std::optional<TimePoint> m_lastPlan;
     TimePoint m_started;
