--- a/tests/core_membership.cpp
+++ b/tests/core_membership.cpp
@@ -321,7 +321,9 @@
             membership.setListed({entryId(0), entryId(1)}, now);
             membership.heartbeat(status, 2 * ViewTimeout, now);
             CHECK_FALSE(membership.mayAcceptDrain(now));
-            membership.gone(entryId(2));
+            membership.setPresent({entryId(0), entryId(1), entryId(2)});
+            CHECK_FALSE(membership.mayAcceptDrain(now));
+            membership.setPresent({entryId(0), entryId(1)});
             CHECK(membership.mayAcceptDrain(now));
         }
     }
--- a/tests/harness.cpp
+++ b/tests/harness.cpp
@@ -89,6 +89,7 @@
     }
     std::signal(SIGTERM, endChildren);
     std::signal(SIGINT, endChildren);
+    std::signal(SIGABRT, endChildren);
     replaceChild(0, pid);
     return pid;
 }
@@ -246,6 +247,12 @@
     constexpr int limitMs = 20'000;
     constexpr int perRack = 4;
     const std::string ip = "127.0.0.1:";
+    for (const std::uint16_t port : {platformPort(), upstreamControlPort(), callerPort(0)}) {
+        if (request(port, "GET", "/", {}, "", 1000).connected) {
+            std::cerr << "port " << port << " is in use, perhaps by an earlier run\n";
+            return false;
+        }
+    }
     std::string names;
     for (const Instance &instance : m_instances) {
         names += (names.empty() ? "" : ",") + instance.id;
