--- a/bench/wait_bench.cpp
+++ b/bench/wait_bench.cpp
@@ -132,6 +132,7 @@
 void run(R &router, const Series &series, int instances, Figures &figures)
 {
     std::vector<PoolInstance> pool;
+    pool.reserve(static_cast<std::size_t>(instances));
     for (int index = 0; index < instances; ++index) {
         pool.push_back({InstanceId{"i" + std::to_string(index)}, "rack" + std::to_string(index / 4)});
     }
--- a/src/permit_exchange.h
+++ b/src/permit_exchange.h
@@ -65,7 +65,7 @@
     explicit PermitExchange(C &cluster);
 
     void configurePools(std::vector<PermitPool> pools);
-    void request(const PoolId &pool, const RequestInfo &info, std::vector<InstanceId> avoid, Granted granted);
+    void request(const PoolId &pool, const RequestInfo &info, const std::vector<InstanceId> &avoid, Granted granted);
     void cancel(const PoolId &pool, std::uint64_t requestId);  // the callback of the request is not called any more
     void release(const GrantedPermit &permit, const RequestInfo &info, UpstreamResult result, Duration serviceTime);
     bool mayRetry(const RequestInfo &info);      // takes one from the service's retry budget
@@ -238,7 +238,7 @@
 }
 
 template<class C>
-void PermitExchange<C>::request(const PoolId &poolId, const RequestInfo &info, std::vector<InstanceId> avoid,
+void PermitExchange<C>::request(const PoolId &poolId, const RequestInfo &info, const std::vector<InstanceId> &avoid,
                                 Granted granted)
 {
     State &state = *m_state;
@@ -258,7 +258,7 @@
     state.budget(info.service).request(now);
     typename State::Pending &pending = pool->pending[info.id];
     pending.info = info;
-    pending.avoid = std::move(avoid);
+    pending.avoid = avoid;
     pending.granted = std::move(granted);
     for (auto line = state.held.begin(); line != state.held.end(); ++line) {
         const typename State::Held &idle = line->second;
--- a/src/routing.h
+++ b/src/routing.h
@@ -60,14 +60,14 @@
 {
     EntryId entry;
     std::uint64_t startId = 0;
-    auto operator<=>(const Asker &) const = default;
+    auto operator<=>(const Asker &) const = default;  // NOLINT(modernize-use-nullptr): false report on <=>
 };
 
 struct RequestKey
 {
     Asker asker;
     std::uint64_t request = 0;
-    auto operator<=>(const RequestKey &) const = default;
+    auto operator<=>(const RequestKey &) const = default;  // NOLINT(modernize-use-nullptr): false report on <=>
 };
 
 struct PermitRequest
@@ -128,11 +128,11 @@
 struct RouterSettings
 {
     int slots = 8;                      // in service per instance
-    double longShare = 0.9;             // most of the pool's slots that long work may hold
-    double longReserve = 0.25;          // slots that aged long work gets ahead of short work
+    double longShare = 0.95;            // most of the pool's slots that long work may hold
+    double longReserve = 0.1;           // slots that aged long work gets ahead of short work
     double shortFactor = 10;            // short bound as a multiple of the median of short work
     Duration shortBoundMin{20'000};     // the bound is never below; typical jitter of a quick answer
-    double shortMargin = 1.2;           // slots kept for short work, as a multiple of its present demand (wait_bench)
+    double shortMargin = 1.28;          // slots kept for short work, as a multiple of its present demand (wait_bench)
     Duration demandTime{150'000};       // averages the demand; longer misses the begin of a burst (wait_bench)
     Duration longAging{2'000'000};      // long work that waited this long goes ahead of short work
     Duration starvation{20'000'000};    // work of any class that waited this long goes ahead of urgent work
--- a/tests/core_routing.cpp
+++ b/tests/core_routing.cpp
@@ -19,6 +19,7 @@
 std::vector<PoolInstance> instances(int count)
 {
     std::vector<PoolInstance> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         list.push_back({InstanceId{"i" + std::to_string(index)}, "rack" + std::to_string(index / 2)});
     }
@@ -327,6 +328,7 @@
     SECTION("a tenant with many requests does not hold up another one's few")
     {
         std::vector<std::uint64_t> first;
+        first.reserve(100);
         for (int count = 0; count < 100; ++count) {
             first.push_back(ask(RequestClass::Short, 100s, "many"));
         }
--- a/tests/run_permits.cpp
+++ b/tests/run_permits.cpp
@@ -303,6 +303,7 @@
     {
         f.at("b").configurePools({Fixture::pool({"i2"})});
         std::vector<std::shared_ptr<Answer>> answers;
+        answers.reserve(6);
         for (int count = 0; count < 6; ++count) {
             answers.push_back(f.ask("b"));
         }
