Test that a lapsed entry holds drains until the platform shows it gone

Cause: two checks of core_membership failed after the change of drainHolders. One read that a lapsed entry holds nothing while most entries are heard; that lets a drain end while a paused entry has a request in flight, so the check was wrong and now states the stricter rule. Ruled out: keeping both rules (the weaker one would decide). Conclusion: same number of checks and two more.

--- a/tests/core_membership.cpp
+++ b/tests/core_membership.cpp
@@ -321,9 +321,9 @@
             membership.setListed({entryId(0), entryId(1)}, now);
             membership.heartbeat(status, 2 * ViewTimeout, now);
             CHECK_FALSE(membership.mayAcceptDrain(now));
-            membership.setPresent({entryId(0), entryId(1), entryId(2)});
+            membership.setPresent({entryId(0), entryId(1), entryId(2), entryId(3)});
             CHECK_FALSE(membership.mayAcceptDrain(now));
-            membership.setPresent({entryId(0), entryId(1)});
+            membership.setPresent({entryId(0), entryId(1), entryId(3)});
             CHECK(membership.mayAcceptDrain(now));
         }
     }
@@ -364,10 +364,19 @@
     SECTION("without most voters, those that lapsed hold a drain: nobody would tell that they still work")
     {
         membership.setListed({entryId(0)}, now, 10);
-        CHECK(membership.drainHolders(instance, 5, now).empty());  // two of three are heard
+        membership.heartbeat(heartbeatOf(1, 2, 1, 5), Duration{0}, now);
+        CHECK(membership.drainHolders(instance, 5, now) == std::vector{entryId(2)});
         const TimePoint later = now + LiveTimeout;
         CHECK(membership.drainHolders(instance, 5, later) == std::vector{entryId(1), entryId(2)});
     }
+    SECTION("an entry that lapsed holds a drain until the platform's list shows it gone: it may be paused in a request")
+    {
+        membership.setListed({entryId(0), entryId(1)}, now, 10);
+        membership.setPresent({entryId(0), entryId(1), entryId(2)});
+        CHECK(membership.drainHolders(instance, 5, now) == std::vector{entryId(2)});
+        membership.setPresent({entryId(0), entryId(1)});
+        CHECK(membership.drainHolders(instance, 5, now).empty());
+    }
     SECTION("an entry that announced its stop no longer counts, whether its removal or the announcement is seen first")
     {
         EntryStatus stopping = heartbeatOf(2, 1, 1, 5);
