--- a/tests/run_cluster.cpp
+++ b/tests/run_cluster.cpp
@@ -1,5 +1,6 @@
 #include "entry_cluster.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
 
 #include <random>
@@ -123,7 +124,9 @@
     {
         const auto limit = std::chrono::steady_clock::now() + FailureLimit;
         while (!condition()) {
-            REQUIRE(std::chrono::steady_clock::now() < limit);
+            if (std::chrono::steady_clock::now() > limit) {
+                FAIL("the condition does not come to hold");
+            }
             io.run_one_for(std::chrono::milliseconds(10));
         }
     }
@@ -151,6 +154,7 @@
     }
 
     boost::asio::io_context io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{io.get_executor()};
     EmbeddedPlatform store{io};
     std::vector<std::unique_ptr<Node>> nodes;
 };
--- /dev/null
+++ b/tests/run_platform.cpp
@@ -0,0 +1,335 @@
+#include "platform.h"
+#include "standin_platform.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <catch2/catch.hpp>
+
+using namespace briarvane;
+
+namespace
+{
+
+constexpr std::chrono::seconds FailureLimit{60};
+constexpr Duration CallTimeout{300'000};
+
+struct Fixture
+{
+    void until(const std::function<bool()> &condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + FailureLimit;
+        while (!condition()) {
+            if (std::chrono::steady_clock::now() > limit) {
+                FAIL("the condition does not come to hold");
+            }
+            io.run_one_for(std::chrono::milliseconds(10));
+        }
+    }
+
+    /// Makes a call and waits for its completion, which must not come from inside the call.
+    template<class T, class F>
+    Result<T> wait(F call)
+    {
+        std::optional<Result<T>> answer;
+        call([&answer](Result<T> result) { answer = std::move(result); });
+        CHECK_FALSE(answer.has_value());
+        until([&] { return answer.has_value(); });
+        return *answer;
+    }
+    template<class P>
+    Result<std::uint64_t> swap(P &platform, const SwapRequest &request)
+    {
+        return wait<std::uint64_t>([&](auto done) { platform.swap(request, done); });
+    }
+    template<class P>
+    Result<StoreValue> read(P &platform, const std::string &key)
+    {
+        return wait<StoreValue>([&](auto done) { platform.read(key, done); });
+    }
+
+    boost::asio::io_context io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{io.get_executor()};
+};
+
+/// The stand-in of the platform, in this process.
+struct Served : Fixture
+{
+    Served()
+        : platform(io, {})
+        , acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        platform.start();
+        standin::accept(acceptor, platform);
+    }
+
+    standin::PlatformStandIn platform;
+    boost::asio::ip::tcp::acceptor acceptor;
+};
+
+/// What each platform must do alike.
+template<class P>
+void checkContract(Fixture &fixture, P &platform)
+{
+    SECTION("a swap takes effect only against the version that was read")
+    {
+        const auto first = fixture.swap(platform, {"a/b c%&", 0, "one \"quoted\" \u00e4", ""});
+        REQUIRE(first);
+        CHECK(fixture.swap(platform, {"a/b c%&", 0, "two", ""}).error().code == ErrorCode::Conflict);
+        CHECK(fixture.read(platform, "a/b c%&").value().value == "one \"quoted\" \u00e4");
+        const auto second = fixture.swap(platform, {"a/b c%&", first.value(), "two", ""});
+        REQUIRE(second);
+        CHECK(second.value() > first.value());
+        CHECK(fixture.wait<bool>([&](auto done) { platform.remove("a/b c%&", first.value(), done); }).error().code
+              == ErrorCode::Conflict);
+        CHECK(fixture.wait<bool>([&](auto done) { platform.remove("a/b c%&", second.value(), done); }).value());
+        CHECK(fixture.read(platform, "a/b c%&").value().version == 0);
+    }
+    SECTION("a value of 1 MB is kept, a larger one is refused")
+    {
+        CHECK(fixture.swap(platform, {"large", 0, std::string(1 << 20, 'x'), ""}));
+        CHECK(fixture.read(platform, "large").value().value.size() == 1 << 20);
+        CHECK(fixture.swap(platform, {"larger", 0, std::string((1 << 20) + 1, 'x'), ""}).error().code
+              == ErrorCode::Invalid);
+    }
+    SECTION("one watch shows changes and deletions under several prefixes, and nothing of other keys")
+    {
+        const auto first = fixture.swap(platform, {"a/1", 0, "one", ""});
+        REQUIRE(fixture.swap(platform, {"other", 0, "x", ""}));
+        const auto all = fixture.wait<WatchBatch>([&](auto done) { platform.watch("a/,fleet", 0, done); });
+        REQUIRE(all);
+        CHECK(all.value().values.size() == 1);
+        std::optional<Result<WatchBatch>> batch;
+        platform.watch("a/,fleet", all.value().version, [&](Result<WatchBatch> result) { batch = std::move(result); });
+        REQUIRE(fixture.swap(platform, {"other2", 0, "x", ""}));
+        CHECK_FALSE(batch.has_value());
+        REQUIRE(fixture.swap(platform, {"fleet", 0, "f", ""}));
+        fixture.until([&] { return batch.has_value(); });
+        REQUIRE(*batch);
+        CHECK((*batch).value().values.at(0).value == "f");
+        const std::uint64_t seen = (*batch).value().version;
+        batch.reset();
+        platform.watch("a/,fleet", seen, [&](Result<WatchBatch> result) { batch = std::move(result); });
+        REQUIRE(fixture.wait<bool>([&](auto done) { platform.remove("a/1", first.value(), done); }));
+        fixture.until([&] { return batch.has_value(); });
+        REQUIRE(*batch);
+        CHECK((*batch).value().values.at(0).key == "a/1");
+        CHECK((*batch).value().values.at(0).version == 0);
+    }
+    SECTION("an unchanged watch answers at its end: this is what keeps the entry's view fresh")
+    {
+        const auto batch = fixture.wait<WatchBatch>([&](auto done) { platform.watch("nothing", 0, done); });
+        REQUIRE(batch);
+        CHECK(batch.value().values.empty());
+    }
+    SECTION("a value under a lease is deleted when its holder stops renewing")
+    {
+        const auto lease = fixture.wait<std::string>([&](auto done) { platform.grantLease(Duration{200'000}, done); });
+        REQUIRE(fixture.swap(platform, {"entries/one", 0, "here", lease.value()}));
+        CHECK(fixture.wait<bool>([&](auto done) { platform.renewLease(lease.value(), done); }).value());
+        fixture.until([&] {
+            fixture.io.run_for(std::chrono::milliseconds(20));  // stays below the limit on reads
+            return fixture.read(platform, "entries/one").value().version == 0;
+        });
+        CHECK_FALSE(fixture.wait<bool>([&](auto done) { platform.renewLease(lease.value(), done); }).value());
+        CHECK_FALSE(fixture.swap(platform, {"entries/one", 0, "here", lease.value()}));
+    }
+}
+
+/// Answers each request by a script, one connection at a time for as long as it stays open.
+struct Scripted : Fixture
+{
+    /// Empty: no answer; "close": the connection is closed after the request was read.
+    explicit Scripted(std::vector<std::string> answers)
+        : acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , script(std::move(answers))
+    {
+        accept();
+    }
+    void accept()
+    {
+        acceptor.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+            if (!error) {
+                ++connections;
+                serve(std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket)));
+                accept();
+            }
+        });
+    }
+    void serve(const std::shared_ptr<boost::asio::ip::tcp::socket> &socket)
+    {
+        const auto buffer = std::make_shared<boost::beast::flat_buffer>();
+        const auto request = std::make_shared<standin::Request>();
+        boost::beast::http::async_read(
+            *socket, *buffer, *request,
+            [this, socket, buffer, request](const boost::system::error_code &error, std::size_t) {
+                if (error) {
+                    return;
+                }
+                requests.push_back(std::string(request->target()));
+                const std::string answer = script.empty() ? "" : script.front();
+                if (script.size() > 1) {
+                    script.erase(script.begin());
+                }
+                if (answer == "close") {
+                    return;
+                }
+                boost::asio::write(*socket, boost::asio::buffer(answer));
+                serve(socket);
+            });
+    }
+    static std::string answer(const std::string &status, const std::string &body, const std::string &head = "")
+    {
+        return "HTTP/1.1 " + status + "\r\n" + head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    }
+    HttpPlatform client()
+    {
+        return HttpPlatform(io, settings());
+    }
+    PlatformSettings settings() const
+    {
+        PlatformSettings values;
+        values.port = acceptor.local_endpoint().port();
+        values.callTimeout = CallTimeout;
+        return values;
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::vector<std::string> script;  // the last one is repeated
+    std::vector<std::string> requests;
+    int connections = 0;
+};
+
+}
+
+TEST_CASE("The embedded platform", "[platform]")
+{
+    Fixture fixture;
+    EmbeddedPlatform platform(fixture.io);
+    checkContract(fixture, platform);
+    SECTION("its faults")
+    {
+        platform.faults.loseAnswers = 1;
+        CHECK(fixture.swap(platform, {"key", 0, "one", ""}).error().code == ErrorCode::Unknown);
+        CHECK(fixture.read(platform, "key").value().value == "one");
+        platform.faults.failWrites = 1;
+        CHECK(fixture.swap(platform, {"other", 0, "one", ""}).error().code == ErrorCode::Unavailable);
+        CHECK(fixture.read(platform, "other").value().version == 0);
+        platform.faults.holdCalls = true;
+        std::optional<Result<StoreValue>> held;
+        platform.read("key", [&](Result<StoreValue> result) { held = std::move(result); });
+        fixture.io.run_for(std::chrono::milliseconds(20));
+        CHECK_FALSE(held.has_value());
+        platform.faults.holdCalls = false;
+        platform.release();
+        fixture.until([&] { return held.has_value(); });
+        platform.faults.down = true;
+        CHECK(fixture.read(platform, "key").error().code == ErrorCode::Unavailable);
+    }
+}
+
+TEST_CASE("The HTTP platform against the stand-in", "[platform]")
+{
+    Served served;
+    PlatformSettings settings;
+    settings.port = served.acceptor.local_endpoint().port();
+    HttpPlatform platform(served.io, settings);
+    checkContract(served, platform);
+    SECTION("instances are listed, and a reboot shows as gone and live again")
+    {
+        standin::Request record{boost::beast::http::verb::put, "/v1/instances/i-1", 11};
+        record.body() = R"({"address":"127.0.0.1","port":8080,"data_centre":"dc-1","rack":"r-1"})";
+        served.platform.handle(record, [](const auto &answer) { CHECK(answer->status == 200); });
+        served.platform.handle({boost::beast::http::verb::post, "/fault?reboot_ms=300", 11}, [](const auto &) {});
+        const auto list = [&] {
+            return served.wait<std::vector<InstanceRecord>>([&](auto done) { platform.instances(done); }).value();
+        };
+        CHECK(list()
+              == std::vector<InstanceRecord>{{InstanceId{"i-1"}, "127.0.0.1", 8080, "dc-1", "r-1", Presence::Live}});
+        CHECK(served.wait<bool>([&](auto done) { platform.reboot(InstanceId{"i-1"}, done); }).value());
+        CHECK(list().at(0).presence == Presence::Gone);
+        served.until([&] {
+            served.io.run_for(std::chrono::milliseconds(20));  // stays below the limit on reads
+            return list().at(0).presence == Presence::Live;
+        });
+        CHECK(served.wait<bool>([&](auto done) { platform.reboot(InstanceId{"none"}, done); }).error().code
+              == ErrorCode::NotFound);
+    }
+    SECTION("many calls at once all get their own answer")
+    {
+        int matching = 0;
+        int answered = 0;
+        for (int i = 0; i < 100; ++i) {
+            const std::string key = "key-" + std::to_string(i);
+            platform.swap({key, 0, "value of " + key, ""}, [&, key](Result<std::uint64_t> swapped) {
+                REQUIRE(swapped);
+                platform.read(key, [&, key](Result<StoreValue> found) {
+                    ++answered;
+                    matching += found && found.value().value == "value of " + key ? 1 : 0;
+                });
+            });
+        }
+        served.until([&] { return answered == 100; });
+        CHECK(matching == 100);
+    }
+}
+
+TEST_CASE("A write without an answer is unknown, one that was not sent is unavailable", "[platform]")
+{
+    const std::string ok = Scripted::answer("200 OK", R"({"version":7})");
+    const auto code = [](const std::string &answer) {
+        Scripted server({answer});
+        HttpPlatform platform(server.io, server.settings());
+        const auto result = server.swap(platform, {"key", 0, "value", ""});
+        CHECK(server.requests.size() == 1);  // a write is never sent twice
+        return result ? std::nullopt : std::optional(result.error().code);
+    };
+    SECTION("answers")
+    {
+        CHECK(code(ok) == std::nullopt);
+        CHECK(code("close") == ErrorCode::Unknown);
+        CHECK(code("") == ErrorCode::Unknown);
+        CHECK(code("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{\"ver") == ErrorCode::Unknown);
+        CHECK(code(Scripted::answer("200 OK", "no json")) == ErrorCode::Unknown);
+        CHECK(code(Scripted::answer("200 OK", R"({"version":"x"})")) == ErrorCode::Unknown);
+        CHECK(code(Scripted::answer("500 Internal Server Error", "")) == ErrorCode::Unknown);
+        CHECK(code(Scripted::answer("429 Too Many Requests", "")) == ErrorCode::Unavailable);
+        CHECK(code(Scripted::answer("503 Service Unavailable", "")) == ErrorCode::Unavailable);
+        CHECK(code(Scripted::answer("409 Conflict", "")) == ErrorCode::Conflict);
+    }
+    SECTION("nothing listens")
+    {
+        Scripted server({ok});
+        const PlatformSettings settings = server.settings();
+        server.acceptor.close();
+        HttpPlatform platform(server.io, settings);
+        CHECK(server.swap(platform, {"key", 0, "value", ""}).error().code == ErrorCode::Unavailable);
+        CHECK(server.read(platform, "key").error().code == ErrorCode::Unavailable);
+    }
+    SECTION("more calls than connections at a platform that does not answer: those still waiting were not sent")
+    {
+        Scripted server({""});
+        HttpPlatform platform(server.io, server.settings());
+        std::map<ErrorCode, int> codes;
+        for (int i = 0; i < 10; ++i) {
+            platform.swap({"key", 0, "value", ""}, [&](Result<std::uint64_t> result) { ++codes[result.error().code]; });
+        }
+        server.until([&] { return codes[ErrorCode::Unknown] + codes[ErrorCode::Unavailable] == 10; });
+        CHECK(codes[ErrorCode::Unknown] == static_cast<int>(server.requests.size()));
+    }
+    SECTION("a late answer is not taken for that of the next call")
+    {
+        Scripted server({"", Scripted::answer("200 OK", R"({"key":"key","value":"right","version":3})")});
+        HttpPlatform platform(server.io, server.settings());
+        CHECK(server.read(platform, "key").error().code == ErrorCode::Unavailable);
+        CHECK(server.read(platform, "key").value().value == "right");
+        CHECK(server.connections == 2);
+    }
+    SECTION("a connection that the server closed while idle costs no write its answer")
+    {
+        Scripted server({Scripted::answer("200 OK", R"({"version":7})"), "close", ok});
+        HttpPlatform platform(server.io, server.settings());
+        CHECK(server.swap(platform, {"key", 0, "value", ""}));
+        CHECK(server.swap(platform, {"key", 7, "value", ""}).error().code == ErrorCode::Unknown);
+        CHECK(server.swap(platform, {"key", 7, "value", ""}));
+    }
+}
