--- a/src/entry_cluster_state.h
+++ b/src/entry_cluster_state.h
@@ -460,16 +460,6 @@
         }
     }
 
-    static wire::Envelope updateOf(const StoreValue &value)
-    {
-        wire::Envelope message;
-        wire::ConfigUpdate &update = *message.mutable_config_update();
-        update.set_key(value.key);
-        update.set_version(value.version);
-        update.set_value(value.value);
-        return message;
-    }
-
     // Configuration
 
     void adopt(const StoreValue &value)
@@ -657,21 +647,6 @@
             }));
     }
 
-    static std::uint64_t digestOf(const std::vector<InstanceRecord> &list)
-    {
-        std::string text;
-        for (const InstanceRecord &record : list) {
-            for (const std::string_view part :
-                 {std::string_view(record.id.value), std::string_view(record.address),
-                  std::string_view(record.dataCentre), std::string_view(record.rack), toString(record.presence)}) {
-                text += part;
-                text += '\0';
-            }
-            text += std::to_string(record.port) + '\n';
-        }
-        return XXH3_64bits(text.data(), text.size());
-    }
-
     void setInstances(std::vector<InstanceRecord> list, TimePoint asOf)
     {
         if (instancesAsOf && asOf < *instancesAsOf) {
@@ -706,15 +681,7 @@
         if (full) {
             sentUnchanged = 0;
             sentDigest = instancesDigest;
-            for (const InstanceRecord &record : instances) {
-                wire::InstanceEntry &line = *list.add_instances();
-                line.set_id(record.id.value);
-                line.set_address(record.address);
-                line.set_port(record.port);
-                line.set_data_centre(record.dataCentre);
-                line.set_rack(record.rack);
-                line.set_presence(std::string(toString(record.presence)));
-            }
+            fillInstances(list, instances);
         }
         peers.broadcast(message);
     }
@@ -730,13 +697,7 @@
             }
             return;
         }
-        std::vector<InstanceRecord> records;
-        for (const wire::InstanceEntry &line : list.instances()) {
-            records.push_back({InstanceId{line.id()}, line.address(), static_cast<std::uint16_t>(line.port()),
-                               line.data_centre(), line.rack(),
-                               parseEnum<Presence>(line.presence()).value_or(Presence::Gone)});
-        }
-        setInstances(std::move(records), asOf);
+        setInstances(recordsOf(list), asOf);
     }
 
     // Stop
--- a/src/peers_messages.cpp
+++ b/src/peers_messages.cpp
@@ -1,5 +1,7 @@
 #include "peers_messages.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace briarvane
@@ -60,4 +62,53 @@
     return status;
 }
 
+wire::Envelope updateOf(const StoreValue &value)
+{
+    wire::Envelope message;
+    wire::ConfigUpdate &update = *message.mutable_config_update();
+    update.set_key(value.key);
+    update.set_version(value.version);
+    update.set_value(value.value);
+    return message;
+}
+
+void fillInstances(wire::InstanceList &list, const std::vector<InstanceRecord> &records)
+{
+    for (const InstanceRecord &record : records) {
+        wire::InstanceEntry &line = *list.add_instances();
+        line.set_id(record.id.value);
+        line.set_address(record.address);
+        line.set_port(record.port);
+        line.set_data_centre(record.dataCentre);
+        line.set_rack(record.rack);
+        line.set_presence(std::string(toString(record.presence)));
+    }
+}
+
+std::vector<InstanceRecord> recordsOf(const wire::InstanceList &list)
+{
+    std::vector<InstanceRecord> records;
+    for (const wire::InstanceEntry &line : list.instances()) {
+        records.push_back({InstanceId{line.id()}, line.address(), static_cast<std::uint16_t>(line.port()),
+                           line.data_centre(), line.rack(),
+                           parseEnum<Presence>(line.presence()).value_or(Presence::Gone)});
+    }
+    return records;
+}
+
+std::uint64_t digestOf(const std::vector<InstanceRecord> &records)
+{
+    std::string text;
+    for (const InstanceRecord &record : records) {
+        for (const std::string_view part :
+             {std::string_view(record.id.value), std::string_view(record.address), std::string_view(record.dataCentre),
+              std::string_view(record.rack), toString(record.presence)}) {
+            text += part;
+            text += '\0';
+        }
+        text += std::to_string(record.port) + '\n';
+    }
+    return XXH3_64bits(text.data(), text.size());
+}
+
 }
--- a/src/peers_messages.h
+++ b/src/peers_messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Heartbeats between their wire form and the membership's view. Shared by Cluster and the benchmark of the control
-// part.
+// Messages of Cluster between their wire form and the values behind them. Shared by Cluster and the benchmark of the
+// control part.
 
 #include "membership.h"
 
@@ -16,4 +16,10 @@
 /// What a heartbeat's envelope tells of its sender, with the echo meant for the receiving entry.
 EntryStatus statusOf(const wire::Envelope &message, const Membership &receiver);
 
+wire::Envelope updateOf(const StoreValue &value);  // a ConfigUpdate
+
+void fillInstances(wire::InstanceList &list, const std::vector<InstanceRecord> &records);
+std::vector<InstanceRecord> recordsOf(const wire::InstanceList &list);  // an unknown presence counts as gone
+std::uint64_t digestOf(const std::vector<InstanceRecord> &records);
+
 }
