Weigh only the sizes that a capacity move reaches; cache worker loads

At the size of two years, replaying every size of each pool and summing a worker's runs for each task were too slow.

--- a/src/capacity.cpp
+++ b/src/capacity.cpp
@@ -9,10 +9,11 @@
 namespace
 {
 
-constexpr std::size_t HistoryLength = 600;  // periods: some ten turns of all queues
-constexpr std::size_t LeastHistory = 120;   // periods before the first move: two turns of all queues
-constexpr Duration PlanPeriod{10'000'000};  // replays are much slower than the demand they describe
-constexpr double GainHorizon = 300;         // seconds over which a move must pay: five minimum stays
+constexpr std::size_t HistoryLength = 600;    // periods: some ten turns of all queues
+constexpr std::size_t LeastHistory = 120;     // periods before the first move: two turns of all queues
+constexpr Duration PlanPeriod{10'000'000};    // replays are much slower than the demand they describe
+constexpr std::size_t PoolsPerPlanMove = 10;  // more moves at once in larger fleets
+constexpr double GainHorizon = 300;           // seconds over which a move must pay: five minimum stays
 
 double utilization(const CapacityPool &pool)
 {
@@ -187,6 +188,54 @@
     return cost;
 }
 
+/// Takes the move with the largest gain again and again, as long as the gain is above `least`.
+/// `cost(index, before, after)` is the cost of a pool with `before` instances during a move and `after` from then on.
+template<class Cost>
+std::vector<CapacityMove> chooseMoves(const std::vector<CapacityPool> &pools, const Cost &cost, double least,
+                                      std::size_t most)
+{
+    std::vector<CapacityPool> rest = pools;
+    std::vector<double> gain(pools.size(), 0.0);
+    std::vector<double> loss(pools.size(), 0.0);
+    const auto weigh = [&](std::size_t i) {
+        const int size = rest[i].instances + rest[i].arriving;
+        const double present = cost(i, size, size);
+        gain[i] = present - cost(i, size, size + 1);
+        loss[i] = cost(i, size - 1, size - 1) - present;
+    };
+    for (std::size_t i = 0; i < pools.size(); ++i) {
+        weigh(i);
+    }
+    std::vector<CapacityMove> moves;
+    while (moves.size() < most) {
+        double best = least;
+        std::optional<std::pair<std::size_t, std::size_t>> chosen;
+        for (std::size_t from = 0; from < pools.size(); ++from) {
+            if (!mayLend(rest[from])) {
+                continue;
+            }
+            for (std::size_t to = 0; to < pools.size(); ++to) {
+                if (to != from && gain[to] - loss[from] > best && mayTake(rest[to])) {
+                    best = gain[to] - loss[from];
+                    chosen = {from, to};
+                }
+            }
+        }
+        if (!chosen) {
+            break;
+        }
+        CapacityPool &giver = rest[chosen->first];
+        --giver.instances;
+        --giver.mayLeave;
+        giver.stays.erase(std::max_element(giver.stays.begin(), giver.stays.end()));
+        ++rest[chosen->second].arriving;
+        moves.push_back({giver.id, rest[chosen->second].id, 1});
+        weigh(chosen->first);
+        weigh(chosen->second);
+    }
+    return moves;
+}
+
 }
 
 ReplayPolicy::ReplayPolicy(CapacityWeights weights)
@@ -194,39 +243,34 @@
 {
 }
 
-std::vector<double> ReplayPolicy::costs(const CapacityPool &pool, const History &history, int largest) const
+double ReplayPolicy::replayCost(const CapacityPool &pool, const History &history, int size) const
 {
     const double period = std::chrono::duration<double>(CapacityPeriod).count();
     const std::size_t length = history.demand.size();
-    std::vector<double> costs(static_cast<std::size_t>(largest) + 1, 0.0);
-    for (int size = 0; size <= largest; ++size) {
-        const double capacity = size * period;
-        // Backlogs are in instance-seconds of work. Short work goes first, as in routing.
-        double shortBacklog = 0;
-        double longBacklog = 0;
-        double shortWait = 0;
-        double longWait = 0;
-        double idle = 0;
-        for (std::size_t i = 0; i < length; ++i) {
-            const double work = history.demand[(history.next + i) % length] * period;
-            shortBacklog += work * pool.shortShare;
-            longBacklog += work * (1 - pool.shortShare);
-            const double served = std::min(shortBacklog, capacity);
-            shortBacklog -= served;
-            const double servedLong = std::min(longBacklog, capacity - served);
-            longBacklog -= servedLong;
-            shortWait += shortBacklog * period;
-            longWait += longBacklog * period;
-            idle += capacity - served - servedLong;
-        }
-        const double seconds = static_cast<double>(std::max<std::size_t>(length, 1)) * period;
-        const double waiting = (m_weights.wait * shortWait + m_weights.longWait * longWait) * pool.slots;
-        const int down = allowedDown(size, pool.availability);
-        const double rounds = down > 0 ? std::ceil(static_cast<double>(size) / down) : size + 1;
-        costs[static_cast<std::size_t>(size)]
-            = (waiting + (pool.spare ? 0 : m_weights.buffer * idle)) / seconds + m_weights.rollOut * rounds;
+    const double capacity = size * period;
+    // Backlogs are in instance-seconds of work. Short work goes first, as in routing.
+    double shortBacklog = 0;
+    double longBacklog = 0;
+    double shortWait = 0;
+    double longWait = 0;
+    double idle = 0;
+    for (std::size_t i = 0; i < length; ++i) {
+        const double work = history.demand[(history.next + i) % length] * period;
+        shortBacklog += work * pool.shortShare;
+        longBacklog += work * (1 - pool.shortShare);
+        const double served = std::min(shortBacklog, capacity);
+        shortBacklog -= served;
+        const double servedLong = std::min(longBacklog, capacity - served);
+        longBacklog -= servedLong;
+        shortWait += shortBacklog * period;
+        longWait += longBacklog * period;
+        idle += capacity - served - servedLong;
     }
-    return costs;
+    const double seconds = static_cast<double>(std::max<std::size_t>(length, 1)) * period;
+    const double waiting = (m_weights.wait * shortWait + m_weights.longWait * longWait) * pool.slots;
+    const int down = allowedDown(size, pool.availability);
+    const double rounds = down > 0 ? std::ceil(static_cast<double>(size) / down) : size + 1;
+    return (waiting + (pool.spare ? 0 : m_weights.buffer * idle)) / seconds + m_weights.rollOut * rounds;
 }
 
 std::vector<CapacityMove> ReplayPolicy::decide(const std::vector<CapacityPool> &pools, TimePoint now)
@@ -235,8 +279,8 @@
         m_begun = true;
         m_started = now;
     }
-    int total = 0;
     std::vector<double> demands;
+    demands.reserve(pools.size());
     for (const CapacityPool &pool : pools) {
         History &history = m_histories[pool.id.value];
         const double demand
@@ -247,7 +291,6 @@
             history.demand[history.next] = static_cast<float>(demand);
             history.next = (history.next + 1) % HistoryLength;
         }
-        total += pool.instances + pool.arriving;
         demands.push_back(demand);
     }
     m_turns.observe(demands, now);
@@ -261,41 +304,16 @@
     if (now - m_started < CapacityPeriod * static_cast<std::int64_t>(LeastHistory)) {
         return {};
     }
-    return plan(pools, total);
+    return plan(pools);
 }
 
-/// The one move with the largest gain by the replay; the next plan sees its effect.
-std::vector<CapacityMove> ReplayPolicy::plan(const std::vector<CapacityPool> &pools, int total) const
+/// Moves by the replay, the largest gains first; the next plan sees their effect.
+std::vector<CapacityMove> ReplayPolicy::plan(const std::vector<CapacityPool> &pools) const
 {
-    std::vector<std::vector<double>> cost;
-    cost.reserve(pools.size());
-    for (const CapacityPool &pool : pools) {
-        cost.push_back(costs(pool, m_histories.at(pool.id.value), total));
-    }
-    const auto costAt = [&](std::size_t pool, int size) { return cost[pool][static_cast<std::size_t>(size)]; };
-    double best = m_weights.move / GainHorizon;
-    std::vector<CapacityMove> moves;
-    for (std::size_t from = 0; from < pools.size(); ++from) {
-        const CapacityPool &giver = pools[from];
-        if (!mayLend(giver)) {
-            continue;
-        }
-        const int have = giver.instances + giver.arriving;
-        const double loss = costAt(from, have - 1) - costAt(from, have);
-        for (std::size_t to = 0; to < pools.size(); ++to) {
-            const CapacityPool &taker = pools[to];
-            if (to == from || !mayTake(taker)) {
-                continue;
-            }
-            const int size = taker.instances + taker.arriving;
-            const double gain = costAt(to, size) - costAt(to, size + 1) - loss;
-            if (gain > best) {
-                best = gain;
-                moves = {{giver.id, taker.id, 1}};
-            }
-        }
-    }
-    return moves;
+    const auto cost = [&](std::size_t index, int /*before*/, int after) {
+        return replayCost(pools[index], m_histories.at(pools[index].id.value), after);
+    };
+    return chooseMoves(pools, cost, m_weights.move / GainHorizon, 1 + pools.size() / PoolsPerPlanMove);
 }
 
 /// Moves whose gain over the move and the minimum stay, by the forecast of turns, exceeds their cost.
@@ -303,13 +321,11 @@
 {
     // Lengths of turns vary: gains are means over shorter, mean and longer ones.
     constexpr std::array<double, 3> stretches = {0.8, 1.0, 1.2};
-    const std::size_t periods = StayPeriods + MovePeriods;
     std::vector<std::vector<std::vector<double>>> scenarios;
     scenarios.reserve(stretches.size());
     for (const double stretch : stretches) {
-        scenarios.push_back(m_turns.forecast(periods, stretch));
+        scenarios.push_back(m_turns.forecast(StayPeriods + MovePeriods, stretch));
     }
-    /// Cost of pool `index` with `before` instances during a move and `after` instances from then on.
     const auto cost = [&](std::size_t index, int before, int after) {
         double sum = 0;
         for (const auto &demand : scenarios) {
@@ -317,38 +333,7 @@
         }
         return sum / static_cast<double>(stretches.size());
     };
-    std::vector<CapacityPool> rest = pools;
-    std::vector<CapacityMove> moves;
-    for (std::size_t round = 0; round < LendsPerPeriod; ++round) {
-        std::vector<double> gain(pools.size(), 0.0);
-        std::vector<double> loss(pools.size(), 0.0);
-        for (std::size_t i = 0; i < pools.size(); ++i) {
-            const int size = rest[i].instances + rest[i].arriving;
-            const double present = cost(i, size, size);
-            gain[i] = present - cost(i, size, size + 1);
-            loss[i] = cost(i, size - 1, size - 1) - present;
-        }
-        double best = m_weights.move;
-        std::optional<std::pair<std::size_t, std::size_t>> chosen;
-        for (std::size_t from = 0; from < pools.size(); ++from) {
-            for (std::size_t to = 0; to < pools.size() && mayLend(rest[from]); ++to) {
-                if (to != from && mayTake(rest[to]) && gain[to] - loss[from] > best) {
-                    best = gain[to] - loss[from];
-                    chosen = {from, to};
-                }
-            }
-        }
-        if (!chosen) {
-            break;
-        }
-        CapacityPool &giver = rest[chosen->first];
-        --giver.instances;
-        --giver.mayLeave;
-        giver.stays.erase(std::max_element(giver.stays.begin(), giver.stays.end()));
-        ++rest[chosen->second].arriving;
-        moves.push_back({giver.id, rest[chosen->second].id, 1});
-    }
-    return moves;
+    return chooseMoves(pools, cost, m_weights.move, LendsPerPeriod);
 }
 
 }
--- a/src/capacity.h
+++ b/src/capacity.h
@@ -145,11 +145,11 @@
         std::size_t next = 0;
     };
 
-    /// Weighted cost per second of running the pool with 0, 1, ... `largest` instances.
-    std::vector<double> costs(const CapacityPool &pool, const History &history, int largest) const;
+    /// Weighted cost per second of running the pool with `size` instances.
+    double replayCost(const CapacityPool &pool, const History &history, int size) const;
 
     CapacityWeights m_weights;
-    std::vector<CapacityMove> plan(const std::vector<CapacityPool> &pools, int total) const;
+    std::vector<CapacityMove> plan(const std::vector<CapacityPool> &pools) const;
     std::vector<CapacityMove> lend(const std::vector<CapacityPool> &pools) const;
 
     TurnForecast m_turns;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -57,8 +57,19 @@
 void Placement::setWorker(const Worker &worker)
 {
     WorkerState &state = m_workers[worker.id];
+    for (const std::size_t run : state.runs) {
+        count(m_runs.at(run), -1);  // its failure domains may change
+    }
     state.worker = worker;
     state.listed = true;
+    const std::array<std::string, 3> names
+        = {"dc " + worker.dataCentre, "rack " + worker.dataCentre + " " + worker.rack, "worker " + worker.id};
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        state.domains[i] = m_domains.try_emplace(names[i], m_domains.size()).first->second;
+    }
+    for (const std::size_t run : state.runs) {
+        count(m_runs.at(run), 1);
+    }
 }
 
 void Placement::removeWorker(const std::string &worker, TimePoint now)
@@ -95,6 +106,7 @@
     if (found != m_workers.end() && (!found->second.measured || measured > *found->second.measured)) {
         found->second.reported = usage;
         found->second.measured = measured;
+        refreshLoad(found->second);
     }
 }
 
@@ -194,20 +206,21 @@
 Resources Placement::load(const std::string &worker) const
 {
     const auto found = m_workers.find(worker);
-    if (found == m_workers.end()) {
-        return {};
-    }
-    const WorkerState &state = found->second;
+    return found == m_workers.end() ? Resources{} : found->second.load;
+}
+
+void Placement::refreshLoad(WorkerState &state) const
+{
     Resources all;
-    Resources notShown = state.reported;
+    Resources withReport = state.reported;
     for (const std::size_t key : state.runs) {
         const Run &run = m_runs.at(key);
         all = all + run.size;
         if (state.measured && run.started + m_settings.usageDelay > *state.measured) {
-            notShown = notShown + run.size;
+            withReport = withReport + run.size;
         }
     }
-    return state.measured ? largerOf(all, notShown) : all;
+    state.load = state.measured ? largerOf(all, withReport) : all;
 }
 
 std::size_t Placement::queued() const
@@ -243,14 +256,12 @@
 /// left with the least free processors, so that large tasks still find room, and without accelerators unless needed.
 Placement::WorkerState *Placement::choose(const Task &task, const Resources &size, TimePoint now)
 {
-    const auto runs = [&](const std::string &domain) {
-        const auto found = m_spread.find(key(task.service.value, domain));
-        return found == m_spread.end() ? 0 : found->second;
-    };
+    const std::vector<int> &spread = m_spread[task.service.value];
+    const auto runs = [&](std::size_t domain) { return domain < spread.size() ? spread[domain] : 0; };
     WorkerState *best = nullptr;
     std::tuple<int, int, int, int, double> bestScore;
     for (auto &[id, state] : m_workers) {
-        const Resources after = load(id) + size;
+        const Resources after = state.load + size;
         if (!state.listed || now < state.rejectedUntil || !fits(after, state.worker.capacity)) {
             continue;
         }
@@ -261,8 +272,7 @@
             continue;
         }
         const int waste = size.accelerators == 0 && state.worker.capacity.accelerators > 0 ? 1 : 0;
-        const std::tuple score(waste, runs("dc " + state.worker.dataCentre),
-                               runs("rack " + state.worker.dataCentre + " " + state.worker.rack), runs("worker " + id),
+        const std::tuple score(waste, runs(state.domains[0]), runs(state.domains[1]), runs(state.domains[2]),
                                state.worker.capacity.processors - after.processors);
         if (best == nullptr || score < bestScore) {
             best = &state;
@@ -306,8 +316,9 @@
 {
     const Run run{task, worker.worker.id, size, now, now + m_settings.lease, false};
     worker.runs.push_back(m_next);
-    count(run, 1);
     m_runs.emplace(m_next++, run);
+    count(run, 1);
+    refreshLoad(worker);
 }
 
 void Placement::end(std::size_t run)
@@ -316,6 +327,7 @@
     const auto worker = m_workers.find(found->second.worker);
     count(found->second, -1);
     std::erase(worker->second.runs, run);
+    refreshLoad(worker->second);
     // The id of a lapsed idempotent run belongs to its second run.
     if (!found->second.lapsed || !found->second.task.idempotent) {
         m_known.erase(found->second.task.id);
@@ -333,11 +345,10 @@
     used.processors += change * run.size.processors;
     used.memory += change * run.size.memory;
     used.accelerators += change * run.size.accelerators;
-    const Worker &worker = m_workers.at(run.worker).worker;
-    const std::array<std::string, 3> domains
-        = {"dc " + worker.dataCentre, "rack " + worker.dataCentre + " " + worker.rack, "worker " + worker.id};
-    for (const std::string &domain : domains) {
-        m_spread[key(run.task.service.value, domain)] += change;
+    std::vector<int> &spread = m_spread[run.task.service.value];
+    spread.resize(std::max(spread.size(), m_domains.size()));
+    for (const std::size_t domain : m_workers.at(run.worker).domains) {
+        spread[domain] += change;
     }
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -142,7 +142,9 @@
         int failuresInRow = 0;
         int rejections = 0;
         TimePoint rejectedUntil;
-        std::vector<std::size_t> runs;  // keys of m_runs
+        std::vector<std::size_t> runs;         // keys of m_runs
+        Resources load;                        // kept up to date with runs and reports
+        std::array<std::size_t, 3> domains{};  // of the data centre, the rack and the worker itself
     };
 
     struct Seen  // ratio of used to declared size, per service and route
@@ -157,12 +159,14 @@
     void start(const Task &task, const Resources &size, WorkerState &worker, TimePoint now);
     void end(std::size_t run);
     void count(const Run &run, int change);
+    void refreshLoad(WorkerState &state) const;
 
     PlacementSettings m_settings;
     std::map<std::string, WorkerState> m_workers;
     std::map<std::string, Resources> m_quotas;
-    std::map<std::string, Resources> m_used;  // per team
-    std::map<std::string, int> m_spread;      // runs per service and failure domain
+    std::map<std::string, Resources> m_used;           // per team
+    std::map<std::string, std::size_t> m_domains;      // number of each failure domain
+    std::map<std::string, std::vector<int>> m_spread;  // per service: runs in each failure domain
     std::unordered_map<std::string, Seen> m_seen;
     std::map<std::size_t, Run> m_runs;  // by order of start
     std::set<std::string> m_known;      // ids in the queue or running
