Add the failure run over real processes

Cause: the guarantees need a run with kills, freezes, store outages, lost answers, upstream faults and operators at once, checked by the history checker. Ruled out: a simulator; checking entries' logs (they say what an entry believes).

--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -5,7 +5,6 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace briarvane
 {
@@ -417,12 +416,11 @@
 
 int disruptionLimit(const Fleet &fleet, const PoolId &pool, const Sheet &sheet)
 {
-    constexpr double rounding = 1e-9;  // 0.9 of 10 must leave 1, though 10 * (1 - 0.9) is slightly below 1
     const int size = poolSize(fleet, pool);
     int limit = size;
     for (const ServiceSpec &service : sheet.services) {
         if (service.pool == pool) {
-            limit = std::min(limit, static_cast<int>(std::floor(size * (1.0 - service.availability) + rounding)));
+            limit = std::min(limit, allowedDown(size, service.availability));
         }
     }
     return limit;
--- a/src/types.h
+++ b/src/types.h
@@ -44,7 +44,7 @@
     {
         return value.empty();
     }
-    auto operator<=>(const Id &) const = default;
+    auto operator<=>(const Id &) const = default;  // NOLINT(modernize-use-nullptr): the check takes <=> for a null
 };
 
 using InstanceId = Id<struct InstanceTag>;
--- /dev/null
+++ b/tests/chaos.cpp
@@ -0,0 +1,634 @@
+// Runs real processes under faults from a seeded schedule and checks the recorded history against the guarantees.
+// Usage: chaos --bin DIR [--seed N] [--seconds N] [--entries N]
+
+#include "alerts.h"
+#include "fleet.h"
+#include "harness.h"
+#include "history.h"
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <mutex>
+#include <random>
+#include <thread>
+
+using namespace briarvane;
+using harness::Response;
+
+namespace
+{
+
+constexpr int FreezeLongMs = 7000;  // longer than the lease of an entry (5 s)
+constexpr int RequestTimeoutMs = 30'000;
+
+struct Options
+{
+    std::string bin = "build/release";
+    unsigned seed = 1;
+    int seconds = 30;
+    int entries = 8;
+};
+
+/// One time line for all processes: the stand-in reports Unix milliseconds.
+TimePoint unixNow()
+{
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()));
+}
+
+TimePoint fromUnixMs(double milliseconds)
+{
+    return TimePoint(Duration(static_cast<std::int64_t>(milliseconds * 1000.0)));
+}
+
+void sleepMs(int milliseconds)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+}
+
+/// An instance that takes no new work from `from` on; `until` is when it was told to serve again.
+struct Leaving
+{
+    std::string instance;
+    TimePoint from;
+    TimePoint until = TimePoint::max();
+};
+
+/// A move as the store shows it: the instance still belonged to `before` at `lastBefore`, and to `after` at
+/// `firstAfter`.
+struct PoolChange
+{
+    std::string instance;
+    std::string before;
+    std::string after;
+    TimePoint lastBefore;
+    TimePoint firstAfter;
+};
+
+struct Recorder
+{
+    std::mutex mutex;
+    history::History history;
+    std::vector<Leaving> leaving;
+    std::vector<PoolChange> poolChanges;
+    std::map<std::string, int> outcomes;
+    std::map<std::string, int> faults;
+    std::vector<std::string> broken;  // found while running, outside the history checker
+    std::atomic<bool> stop = false;
+
+    void fault(const std::string &name)
+    {
+        const std::lock_guard lock(mutex);
+        ++faults[name];
+    }
+};
+
+std::string sheetText(int perPool, int sheetNumber)
+{
+    // The deadline of the service documents carries the number, so that each sheet differs.
+    std::string text = "kind,name,pool,profile,time_zone,min_instances,spare,route,class,deadline_s,declared_s,"
+                       "availability_pct,idempotent,count\n"
+                       "fleet,,,saaristo,Europe/Helsinki,,,,,,,,,\n";
+    int rows = 1;
+    for (const std::string pool : {"quotes", "stems", "documents"}) {
+        text += "pool," + pool + ",,,,2,no,,,,,,,\n";
+        ++rows;
+    }
+    text += "service,quotes,quotes,,,,,/quotes,short,5,0.02,65,yes,\n";
+    text += "service,stems,stems,,,,,/stems,short,5,0.02,65,no,\n";
+    text += "service,documents,documents,,,,,/documents,long," + std::to_string(60 + sheetNumber) + ",1,65,no,\n";
+    rows += 3;
+    for (const std::string pool : {"quotes", "stems", "documents"}) {
+        for (int i = 1; i <= perPool; ++i) {
+            text += "instance," + pool + "-" + std::to_string(i) + "," + pool + ",,,,,,,,,,,\n";
+            ++rows;
+        }
+    }
+    return text + "end,,,,,,,,,,,,," + std::to_string(rows) + "\n";
+}
+
+std::string header(const Response &response, const std::string &name)
+{
+    const auto it = response.headers.find(name);
+    return it == response.headers.end() ? std::string() : it->second;
+}
+
+// Callers -------------------------------------------------------------------------------------------------------------
+
+struct Kind
+{
+    std::string service;
+    std::string method;
+    std::string target;
+    int workMs = 0;
+    bool idempotent = false;
+    bool keyed = false;
+};
+
+const Kind Kinds[] = {
+    {"quotes", "GET", "/quotes/fuel", 15, true, false},
+    {"stems", "POST", "/stems/confirm", 25, false, true},
+    {"stems", "POST", "/stems/unkeyed", 25, false, false},
+    {"documents", "POST", "/documents/chase", 900, false, false},
+};
+
+void send(const harness::Fleet &fleet, const Kind &kind, const std::string &id, const std::string &key, int entry,
+          Recorder &recorder)
+{
+    std::map<std::string, std::string> headers{
+        {"X-Work-Ms", std::to_string(kind.workMs)}, {"Briarvane-Request-Id", id}, {"Briarvane-Tenant", "agent"}};
+    if (!key.empty()) {
+        headers["Idempotency-Key"] = key;
+    }
+    history::CallerEvent event{
+        .requestId = id, .service = {kind.service}, .tenant = {"agent"}, .key = key, .idempotent = kind.idempotent};
+    event.sent = unixNow();
+    const Response response
+        = harness::request(fleet.callerPort(entry), kind.method, kind.target, headers, key, RequestTimeoutMs);
+    event.told = unixNow();
+    event.outcome = response.status == 0 ? std::nullopt : parseEnum<Outcome>(header(response, "briarvane-outcome"));
+    event.whole = response.status != 0;
+    event.requestDigest = kind.method + " " + kind.target;
+    event.responseDigest = response.body;
+    const std::lock_guard lock(recorder.mutex);
+    ++recorder.outcomes[event.outcome            ? std::string(toString(*event.outcome))
+                            : response.connected ? "connection lost"
+                                                 : "not connected"];
+    recorder.history.callers.push_back(std::move(event));
+}
+
+/// A caller that does not know how its keyed request ended sends it again through another entry, as the contract asks.
+void callerLoop(const harness::Fleet &fleet, const Kind &kind, int number, unsigned seed, Recorder &recorder)
+{
+    std::mt19937 random(seed * 1000 + static_cast<unsigned>(number));
+    for (int i = 0; !recorder.stop; ++i) {
+        const std::string name = std::to_string(number) + "-" + std::to_string(i);
+        const std::string key = kind.keyed ? "key-" + name : "";
+        const int attempts = kind.keyed ? 1 + static_cast<int>(random() % 3) : 1;
+        std::vector<std::thread> sends;
+        for (int attempt = 0; attempt < attempts; ++attempt) {
+            const int entry = static_cast<int>(random() % static_cast<unsigned>(fleet.entries()));
+            sends.emplace_back([&, entry, attempt] {
+                send(fleet, kind, "r" + name + "-" + std::to_string(attempt), key, entry, recorder);
+            });
+            sleepMs(static_cast<int>(random() % 40));
+        }
+        for (std::thread &thread : sends) {
+            thread.join();
+        }
+        sleepMs(5);
+    }
+}
+
+// Observers -----------------------------------------------------------------------------------------------------------
+
+/// Versions in force as each entry itself reports them, while it may start work.
+void watchVersions(const harness::Fleet &fleet, const std::vector<std::atomic<int>> &starts, Recorder &recorder)
+{
+    while (!recorder.stop) {
+        for (int i = 0; i < fleet.entries(); ++i) {
+            const auto start = static_cast<std::uint64_t>(starts[static_cast<std::size_t>(i)].load());
+            const auto status = fleet.operatorGet(i, "/v1/status");
+            if (!status.is_object()
+                || static_cast<std::uint64_t>(starts[static_cast<std::size_t>(i)].load()) != start) {
+                continue;
+            }
+            const std::string view(status.at("view").as_string());
+            if (view != "usable" && view != "store-outage") {
+                continue;
+            }
+            const TimePoint at = unixNow();
+            const std::lock_guard lock(recorder.mutex);
+            for (const char *key : {"sheet", "alerts"}) {
+                const auto version = status.at(key).at("version").to_number<std::uint64_t>();
+                if (version > 0) {
+                    recorder.history.seen.push_back({{"e" + std::to_string(i)}, start, key, version, at});
+                }
+            }
+        }
+        sleepMs(50);
+    }
+}
+
+/// Pool of each instance as the store shows it.
+void watchPools(const harness::Fleet &fleet, Recorder &recorder)
+{
+    std::map<std::string, std::string> pools;
+    TimePoint last = unixNow();
+    while (!recorder.stop) {
+        const TimePoint asked = unixNow();
+        const auto value = fleet.storeValue("fleet");
+        const TimePoint answered = unixNow();
+        const auto parsed = value ? parseFleet(*value) : Result<Fleet>(Error{});
+        if (parsed) {
+            const std::lock_guard lock(recorder.mutex);
+            for (const auto &[id, instance] : parsed.value().instances) {
+                std::string &before = pools[id.value];
+                if (!before.empty() && before != instance.pool.value) {
+                    recorder.poolChanges.push_back({id.value, before, instance.pool.value, last, answered});
+                }
+                before = instance.pool.value;
+                recorder.history.pools.push_back({parsed.value().change, id, instance.pool});
+            }
+            last = asked;
+        }
+        sleepMs(20);
+    }
+}
+
+// Faults and operators ------------------------------------------------------------------------------------------------
+
+class Schedule
+{
+public:
+    Schedule(harness::Fleet &fleet, std::vector<std::atomic<int>> &starts, Recorder &recorder, const Options &options,
+             std::string work)
+        : m_fleet(fleet)
+        , m_starts(starts)
+        , m_recorder(recorder)
+        , m_options(options)
+        , m_work(std::move(work))
+        , m_random(options.seed)
+    {
+    }
+
+    void run()
+    {
+        const std::vector<std::function<void()>> faults{
+            [this] { kill(); },
+            [this] { freeze(FreezeLongMs); },
+            [this] { freeze(1500); },
+            [this] { storeDown(); },
+            [this] { storeSlow(); },
+            [this] { loseAnswers(); },
+            [this] { cutWatches(); },
+            [this] { upstreamFault("truncate"); },
+            [this] { upstreamFault("reset-before"); },
+            [this] { upstreamFault("reset-after"); },
+            [this] { upstreamFault("fail"); },
+            [this] { plannedStop(); },
+        };
+        const std::vector<std::function<void()>> operations{
+            [this] { drain(); },       [this] { move(); },        [this] { wave(); },
+            [this] { applySheets(); }, [this] { applyAlerts(); },
+        };
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(m_options.seconds);
+        std::vector<std::function<void()>> order = faults;
+        while (std::chrono::steady_clock::now() < end) {
+            if (m_next == 0) {
+                std::shuffle(order.begin(), order.end(), m_random);
+            }
+            // An operator acts while the fault is on, and every second fault comes together with another one.
+            std::thread operation(operations[pick(operations.size())]);
+            std::vector<std::thread> active;
+            active.emplace_back(order[m_next]);
+            m_next = (m_next + 1) % order.size();
+            if (pick(2) == 0) {
+                active.emplace_back(faults[3 + pick(8)]);
+            }
+            operation.join();
+            for (std::thread &thread : active) {
+                thread.join();
+            }
+            sleepMs(500);
+        }
+    }
+
+private:
+    std::size_t pick(std::size_t count)
+    {
+        const std::lock_guard lock(m_randomMutex);
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
+    }
+    int pickEntry()
+    {
+        return static_cast<int>(pick(static_cast<std::size_t>(m_fleet.entries())));
+    }
+    std::string pickInstance()
+    {
+        return m_fleet.instances()[pick(m_fleet.instances().size())].id;
+    }
+
+    void restart(int entry)
+    {
+        ++m_starts[static_cast<std::size_t>(entry)];
+        m_fleet.startEntry(entry);
+    }
+    void kill()
+    {
+        m_recorder.fault("entry killed");
+        const int entry = pickEntry();
+        const std::lock_guard lock(m_entryMutex);
+        m_fleet.entry(entry).signal(SIGKILL);
+        m_fleet.entry(entry).wait(5000);
+        m_fleet.listEntry(entry, "gone");
+        sleepMs(1000);
+        restart(entry);
+    }
+    void freeze(int milliseconds)
+    {
+        m_recorder.fault(milliseconds > 5000 ? "entry frozen beyond its lease" : "entry frozen briefly");
+        const int entry = pickEntry();
+        const std::lock_guard lock(m_entryMutex);
+        m_fleet.entry(entry).signal(SIGSTOP);
+        sleepMs(milliseconds);
+        m_fleet.entry(entry).signal(SIGCONT);
+    }
+    void plannedStop()
+    {
+        m_recorder.fault("entry stopped as planned");
+        const int entry = pickEntry();
+        const std::lock_guard lock(m_entryMutex);
+        m_fleet.entry(entry).signal(SIGTERM);
+        const auto code = m_fleet.entry(entry).wait(70'000);
+        if (code != 0) {
+            const std::lock_guard recorderLock(m_recorder.mutex);
+            m_recorder.broken.push_back("P7: a planned stop of an entry ended with "
+                                        + std::to_string(code.value_or(-1)));
+        }
+        m_fleet.listEntry(entry, "gone");
+        restart(entry);
+    }
+    void storeDown()
+    {
+        m_recorder.fault("store down");
+        m_fleet.platformFault("down=1");
+        sleepMs(4500);
+        m_fleet.platformFault("down=0");
+    }
+    void storeSlow()
+    {
+        m_recorder.fault("store slow");
+        m_fleet.platformFault("slow_ms=400");
+        sleepMs(3000);
+        m_fleet.platformFault("slow_ms=0");
+    }
+    void loseAnswers()
+    {
+        m_recorder.fault("answers of writes lost");
+        m_fleet.platformFault("lose_answers=20");
+        sleepMs(1000);
+    }
+    void cutWatches()
+    {
+        m_recorder.fault("watches cut");
+        m_fleet.platformFault("cut_watches=1");
+    }
+    void upstreamFault(const std::string &kind)
+    {
+        m_recorder.fault("upstream " + kind);
+        const std::string instance = pickInstance();
+        m_fleet.upstreamFault(instance, kind, 0);
+        sleepMs(2500);
+        m_fleet.upstreamFault(instance, "none", 0);
+    }
+
+    void drain()
+    {
+        m_recorder.fault("operator drains");
+        const std::string instance = pickInstance();
+        const int exit = m_fleet.command(pickEntry(), {"instance", "drain", instance}).exitCode;
+        if (exit != 0 && exit != 6) {
+            return;
+        }
+        {
+            const std::lock_guard lock(m_recorder.mutex);
+            m_recorder.leaving.push_back({instance, unixNow()});
+        }
+        sleepMs(5000);
+        const TimePoint before = unixNow();
+        for (int i = 0; i < 40; ++i) {
+            if (m_fleet.command(pickEntry(), {"instance", "drain", instance, "--undo"}).exitCode % 6 == 0) {
+                break;
+            }
+            sleepMs(250);
+        }
+        const std::lock_guard lock(m_recorder.mutex);
+        for (Leaving &item : m_recorder.leaving) {
+            if (item.instance == instance && item.until == TimePoint::max()) {
+                item.until = before;
+            }
+        }
+    }
+    void move()
+    {
+        m_recorder.fault("operator moves");
+        const char *pools[] = {"quotes", "stems", "documents"};
+        m_fleet.command(pickEntry(), {"instance", "move", pickInstance(), "--to", pools[pick(3)], "--wait-s", "5"});
+    }
+    void wave()
+    {
+        m_recorder.fault("operator starts a wave");
+        const char *pools[] = {"quotes", "stems", "documents"};
+        m_fleet.command(pickEntry(),
+                        {"wave", "start", "w" + std::to_string(++m_waves), "--pool", pools[pick(3)], "--wait-s", "6"});
+    }
+    /// Two operators at once through two entries.
+    void applySheets()
+    {
+        m_recorder.fault("two operators apply sheets");
+        std::vector<std::thread> operators;
+        for (int i = 0; i < 2; ++i) {
+            operators.emplace_back([this, number = ++m_sheets] {
+                apply("sheet", sheetText(static_cast<int>(m_fleet.instances().size()) / 3, number), number);
+            });
+        }
+        for (std::thread &thread : operators) {
+            thread.join();
+        }
+    }
+    void applyAlerts()
+    {
+        m_recorder.fault("operator applies rules");
+        const int number = ++m_sheets;
+        apply("alerts", "queue: briarvane_queue_length > " + std::to_string(number) + " for 1m severity page\n",
+              number);
+    }
+    void apply(const std::string &kind, const std::string &text, int number)
+    {
+        const std::string file = m_work + "/" + kind + "-" + std::to_string(number);
+        std::ofstream(file, std::ios::binary) << text;
+        const auto result = m_fleet.command(pickEntry(), {"--output", "json", kind, "apply", file});
+        boost::system::error_code error;
+        const boost::json::value reply = boost::json::parse(result.output, error);
+        if (!error && result.exitCode == 0 && reply.is_object()) {
+            const std::lock_guard lock(m_recorder.mutex);
+            m_recorder.history.accepted.push_back({kind, reply.at("version").to_number<std::uint64_t>(), unixNow()});
+        }
+    }
+
+    harness::Fleet &m_fleet;
+    std::vector<std::atomic<int>> &m_starts;
+    Recorder &m_recorder;
+    const Options &m_options;
+    std::string m_work;
+    std::mt19937 m_random;
+    std::mutex m_randomMutex;
+    std::mutex m_entryMutex;  // one entry at a time is killed, frozen or stopped
+    std::size_t m_next = 0;
+    std::atomic<int> m_waves = 0;
+    std::atomic<int> m_sheets = 1;
+};
+
+// Verdict -------------------------------------------------------------------------------------------------------------
+
+void addExecutions(const harness::Fleet &fleet, Recorder &recorder)
+{
+    std::map<std::string, int> numbers;
+    for (const harness::Instance &instance : fleet.instances()) {
+        numbers.emplace(instance.id, static_cast<int>(numbers.size()));
+    }
+    for (std::size_t i = 0; i < fleet.instances().size(); ++i) {
+        numbers[fleet.instances()[i].id] = static_cast<int>(i);
+    }
+    const boost::json::value executions = fleet.upstream("/executions");
+    for (const boost::json::value &item : executions.as_array()) {
+        history::Execution execution;
+        const std::string target(item.at("target").as_string());
+        const std::string instance(item.at("instance").as_string());
+        execution.requestId = std::string(item.at("request").as_string());
+        if (execution.requestId.empty()) {
+            continue;  // a check after a reboot
+        }
+        execution.service = {target.substr(1, target.find('/', 1) - 1)};
+        execution.tenant = {"agent"};
+        execution.key = std::string(item.at("key").as_string());
+        execution.instance = {instance};
+        execution.start = fromUnixMs(item.at("start_ms").to_number<double>());
+        execution.end = fromUnixMs(item.at("end_ms").to_number<double>());
+        execution.cut = item.at("state").as_string() == "cut";
+        execution.planned = true;  // only waves reboot instances in this run
+        execution.requestDigest = std::string(item.at("method").as_string()) + " " + target;
+        execution.responseDigest = item.at("state").as_string() == "failed"
+            ? std::string("failed\n")
+            : "request=" + execution.requestId + " instance=" + std::to_string(numbers[instance]) + "\n";
+        for (const Leaving &leaving : recorder.leaving) {
+            if (leaving.instance == instance && execution.start > leaving.from && execution.start < leaving.until) {
+                execution.drainAge = execution.start - leaving.from;
+            }
+        }
+        recorder.history.executions.push_back(std::move(execution));
+    }
+}
+
+/// P2 as upstreams see it: no execution of a service on an instance that belongs to another pool.
+history::Violations workInWrongPool(const Recorder &recorder)
+{
+    history::Violations found;
+    for (const PoolChange &change : recorder.poolChanges) {
+        for (const history::Execution &execution : recorder.history.executions) {
+            const bool late = execution.service.value == change.before && execution.end > change.firstAfter
+                && execution.start < change.firstAfter;
+            const bool early = execution.service.value == change.after && execution.start < change.lastBefore
+                && execution.end > change.lastBefore;
+            if (execution.instance.value == change.instance && (late || early)) {
+                found.push_back({"P2",
+                                 "request " + execution.requestId + " of service " + execution.service.value
+                                     + " ran on " + change.instance + " over its move from " + change.before + " to "
+                                     + change.after});
+            }
+        }
+    }
+    return found;
+}
+
+int report(const Recorder &recorder, const Options &options)
+{
+    history::Violations violations = history::check(recorder.history);
+    const history::Violations wrongPool = workInWrongPool(recorder);
+    violations.insert(violations.end(), wrongPool.begin(), wrongPool.end());
+    std::cout << "seed " << options.seed << ", " << options.seconds << " s, " << options.entries
+              << " entries\nfaults and operations:\n";
+    for (const auto &[name, count] : recorder.faults) {
+        std::cout << "  " << name << ": " << count << '\n';
+    }
+    std::cout << "outcomes:\n";
+    for (const auto &[name, count] : recorder.outcomes) {
+        std::cout << "  " << name << ": " << count << '\n';
+    }
+    std::cout << recorder.history.executions.size() << " executions, " << recorder.poolChanges.size()
+              << " pool changes, " << recorder.leaving.size() << " drains, " << recorder.history.accepted.size()
+              << " accepted configurations, " << recorder.history.seen.size() << " versions seen\n";
+    for (const std::string &what : recorder.broken) {
+        std::cout << "VIOLATION " << what << '\n';
+    }
+    constexpr std::size_t mostShown = 20;
+    for (std::size_t i = 0; i < violations.size() && i < mostShown; ++i) {
+        std::cout << "VIOLATION " << violations[i].guarantee << ": " << violations[i].what << '\n';
+    }
+    const std::size_t count = violations.size() + recorder.broken.size();
+    std::cout << count << " violations" << std::endl;
+    // A run in which nothing was answered proves nothing.
+    const bool worked = recorder.outcomes.count("answered") != 0 && recorder.history.executions.size() > 100;
+    if (!worked) {
+        std::cout << "too little work was done for a verdict\n";
+    }
+    return count == 0 && worked ? 0 : 1;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    Options options;
+    for (int i = 1; i + 1 < argc; i += 2) {
+        const std::string name = argv[i];
+        const std::string value = argv[i + 1];
+        if (name == "--bin") {
+            options.bin = value;
+        } else if (name == "--seed") {
+            options.seed = static_cast<unsigned>(std::stoul(value));
+        } else if (name == "--seconds") {
+            options.seconds = std::stoi(value);
+        } else if (name == "--entries") {
+            options.entries = std::stoi(value);
+        }
+    }
+    constexpr int perPool = 6;
+    harness::FleetOptions fleetOptions;
+    fleetOptions.bin = std::filesystem::absolute(options.bin).string();
+    fleetOptions.work
+        = (std::filesystem::temp_directory_path() / ("briarvane-chaos-" + std::to_string(::getpid()))).string();
+    fleetOptions.basePort = 23000;
+    fleetOptions.entries = options.entries;
+    std::filesystem::create_directories(fleetOptions.work);
+    for (const std::string pool : {"quotes", "stems", "documents"}) {
+        for (int i = 1; i <= perPool; ++i) {
+            fleetOptions.instances.push_back({pool + "-" + std::to_string(i), pool, 0});
+        }
+    }
+    std::cout << "logs in " << fleetOptions.work << std::endl;
+    harness::Fleet fleet(fleetOptions);
+    if (!fleet.start()) {
+        return 1;
+    }
+    const std::string sheet = fleetOptions.work + "/sheet-0";
+    std::ofstream(sheet, std::ios::binary) << sheetText(perPool, 0);
+    const auto applied = fleet.command(0, {"sheet", "apply", sheet});
+    if (applied.exitCode != 0) {
+        std::cerr << applied.output;
+        return 1;
+    }
+    Recorder recorder;
+    std::vector<std::atomic<int>> starts(static_cast<std::size_t>(options.entries));
+    std::vector<std::thread> threads;
+    int number = 0;
+    for (const Kind &kind : Kinds) {
+        for (int i = 0; i < 3; ++i) {
+            threads.emplace_back([&, caller = ++number] { callerLoop(fleet, kind, caller, options.seed, recorder); });
+        }
+    }
+    threads.emplace_back([&] { watchVersions(fleet, starts, recorder); });
+    threads.emplace_back([&] { watchPools(fleet, recorder); });
+    Schedule(fleet, starts, recorder, options, fleetOptions.work).run();
+    fleet.platformFault("down=0&slow_ms=0");
+    sleepMs(2000);
+    recorder.stop = true;
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    addExecutions(fleet, recorder);
+    return report(recorder, options);
+}
--- a/tests/harness.cpp
+++ b/tests/harness.cpp
@@ -374,7 +374,7 @@
                                      "127.0.0.1:" + std::to_string(operatorPort(entry))};
     command.insert(command.end(), arguments.begin(), arguments.end());
     return run(command, {std::string("BRIARVANE_OPERATOR_TOKEN=") + Token, "BRIARVANE_OPERATOR_NAME=harness"},
-               m_options.work + "/command-" + std::to_string(entry) + ".log");
+               m_options.work + "/command-" + std::to_string(m_commands++) + ".log");
 }
 
 void Fleet::platformFault(const std::string &query) const
@@ -400,6 +400,26 @@
     return boost::json::parse(request(platformPort(), "GET", "/stats", {}, "", 5000).body, error);
 }
 
+boost::json::value Fleet::operatorGet(int entry, const std::string &target) const
+{
+    boost::system::error_code error;
+    const Response response
+        = request(operatorPort(entry), "GET", target, {{"Authorization", std::string("Bearer ") + Token}}, "", 1000);
+    return response.status == 200 ? boost::json::parse(response.body, error) : boost::json::value();
+}
+
+std::optional<std::string> Fleet::storeValue(const std::string &key) const
+{
+    boost::system::error_code error;
+    const Response response = request(platformPort(), "GET", "/v1/kv?key=" + key, {}, "", 1000);
+    const boost::json::value parsed = boost::json::parse(response.body, error);
+    if (response.status != 200 || error || !parsed.is_object() || !parsed.as_object().contains("value")) {
+        return std::nullopt;
+    }
+    const boost::json::value &value = parsed.at("value");
+    return value.is_string() ? std::optional(std::string(value.as_string())) : std::nullopt;
+}
+
 void Fleet::listEntry(int index, const std::string &presence) const
 {
     const std::string id = "e" + std::to_string(index);
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -9,6 +9,7 @@
 
 #include <boost/json.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <cstdint>
 #include <map>
@@ -113,12 +114,17 @@
     void upstreamFault(const std::string &instance, const std::string &kind, int value) const;
     boost::json::value upstream(const std::string &target) const;
     boost::json::value platformStats() const;
+    /// The operator port's reply to a GET; null without a reply.
+    boost::json::value operatorGet(int entry, const std::string &target) const;
+    /// A value as the platform's store has it.
+    std::optional<std::string> storeValue(const std::string &key) const;
     /// Tells the platform's list about an entry's process, as the real platform does.
     void listEntry(int index, const std::string &presence) const;
 
 private:
     bool waitPort(std::uint16_t port, int limitMs) const;
     FleetOptions m_options;
+    mutable std::atomic<int> m_commands = 0;  // commands may run at the same time
     std::vector<Instance> m_instances;
     Process m_platform;
     Process m_upstream;
