Let two permit tests reach the case they guard against

Removal trials showed that the tests of a late grant and of a repeated grant passed without their mechanism: the fixture ended before the first gathering, whose answers freed the slot anyway, and the copy carried a guessed permit id. The fixture now waits for the gathering and the copy has the real id; both tests fail when decide() gives back every unwanted grant, or none.

--- a/tests/run_permits.cpp
+++ b/tests/run_permits.cpp
@@ -146,7 +146,7 @@
             entries[id] = std::make_unique<Entry>(net, id.value, 7 + id.value[0], all);
         }
         configure({"i1", "i2"});
-        run(20ms);
+        run(60ms);  // until the responsible entry has asked the others for their permits
     }
 
     PermitExchange<FakeCluster> &at(const std::string &id)
@@ -344,7 +344,11 @@
     SECTION("a lost grant is sent again, and its copy does not free the slot in use")
     {
         int lost = 0;
-        f.net.drop = [&](const Network::Line &line) { return line.message.has_permit_decision() && ++lost <= 1; };
+        std::uint64_t granted = 0;
+        f.net.drop = [&](const Network::Line &line) {
+            granted = line.message.has_permit_decision() ? line.message.permit_decision().permit_id() : granted;
+            return line.message.has_permit_decision() && ++lost <= 1;
+        };
         const auto answer = f.ask("b");
         f.run(1500ms);
         REQUIRE(answer->permit);
@@ -352,7 +356,7 @@
         wire::Envelope copy;
         copy.mutable_permit_decision()->set_request_id(1);
         copy.mutable_permit_decision()->set_pool("carts");
-        copy.mutable_permit_decision()->set_permit_id((std::uint64_t{7 + 'a'} << 44) + 1);
+        copy.mutable_permit_decision()->set_permit_id(granted);
         copy.mutable_permit_decision()->set_instance("i1");
         f.entries.at(EntryId{"a"})->cluster.link.send(EntryId{"b"}, copy);
         f.run(50ms);
