--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -21,7 +21,6 @@
 constexpr Duration FleetChangePeriod{30'000'000};     // 2,880 a day; the size in two years is 2,600 changes a day
 constexpr Duration InstanceChangePeriod{50'000'000};  // 859 instances fail or restart daily, each shows twice
 constexpr Duration InstancePeriod{1'000'000};
-constexpr int FullListPeriod = 10;
 constexpr int Duties = 40;  // looked up each second
 constexpr Duration Step{100'000};
 
@@ -60,9 +59,11 @@
 {
     const TimePoint start{Duration{1'000'000'000}};
     std::vector<InstanceRecord> records;
+    records.reserve(static_cast<std::size_t>(instances));
     for (int i = 0; i < instances; ++i) {
-        records.push_back({InstanceId{"instance-" + std::to_string(i)}, "10.0." + std::to_string(i / 250) + ".7", 8080,
-                           "dc-" + std::to_string(i % 5), "rack-" + std::to_string(i / 20), Presence::Live});
+        records.push_back({InstanceId{"instance-" + std::to_string(10'000 + i)},
+                           "10.0." + std::to_string(i / 250) + ".7", 8080, "dc-" + std::to_string(i % 5),
+                           "rack-" + std::to_string(i / 20), Presence::Live});
     }
     StoreValue fleet{"fleet", std::string(static_cast<std::size_t>(instances) * ValueBytesPerInstance, 'f'), 1};
     Membership membership(entryId(0), 7'000'000'000'000'000'007ULL, start);
@@ -160,16 +161,15 @@
             });
         }
         if (elapsed % InstancePeriod == Duration::zero()) {
-            const bool full = elapsed % (FullListPeriod * InstancePeriod) == Duration::zero()
-                || elapsed % InstanceChangePeriod == Duration::zero();
+            const std::vector<InstanceRecord> before = records;
+            if (elapsed % InstanceChangePeriod == Duration::zero()) {
+                Presence &presence = records[static_cast<std::size_t>(step) % records.size()].presence;
+                presence = presence == Presence::Live ? Presence::Gone : Presence::Live;
+            }
             std::string bytes;
             const double begun = processorSeconds();
             wire::Envelope message;
-            message.mutable_instance_list()->set_digest(digestOf(records));
-            message.mutable_instance_list()->set_unchanged(!full);
-            if (full) {
-                fillInstances(*message.mutable_instance_list(), records);
-            }
+            fillInstances(*message.mutable_instance_list(), records, before);
             header(message, 0, 1);
             bytes = message.SerializeAsString();
             listBytes += static_cast<double>(bytes.size()) * (entries - 1) / entries;
@@ -177,9 +177,7 @@
             timed([&] {
                 wire::Envelope received;
                 received.ParseFromString(bytes);
-                if (!received.instance_list().unchanged()) {
-                    kept += recordsOf(received.instance_list()) == records ? 1 : 0;
-                }
+                kept += recordsOf(received.instance_list(), before) ? 1 : 0;
                 for (int duty = 0; duty < Duties; ++duty) {
                     kept += membership.responsible("pool/" + std::to_string(duty), now).value.size();
                 }
--- a/src/entry_cluster_state.h
+++ b/src/entry_cluster_state.h
@@ -653,12 +653,12 @@
             return;
         }
         const bool first = !instancesAsOf;
+        std::sort(list.begin(), list.end(), [](const auto &left, const auto &right) { return left.id < right.id; });
         instancesAsOf = asOf;
         if (!first && list == instances) {
             return;
         }
         instances = std::move(list);
-        instancesDigest = digestOf(instances);
         for (const InstanceRecord &record : instances) {
             if (record.presence == Presence::Gone) {
                 membership.gone(EntryId{record.id.value});
@@ -670,34 +670,25 @@
         }
     }
 
+    /// Sends the changed lines only. A receiver that holds another list reads the platform's itself.
     void sendInstances()
     {
-        const bool full = sentDigest != instancesDigest || ++sentUnchanged >= FullListPeriod;
         wire::Envelope message;
         wire::InstanceList &list = *message.mutable_instance_list();
         list.set_age_us(static_cast<std::uint64_t>((now() - *instancesAsOf).count()));
-        list.set_digest(instancesDigest);
-        list.set_unchanged(!full);
-        if (full) {
-            sentUnchanged = 0;
-            sentDigest = instancesDigest;
-            fillInstances(list, instances);
-        }
+        fillInstances(list, instances, sentInstances);
+        sentInstances = instances;
         peers.broadcast(message);
     }
 
     void onInstanceList(const wire::InstanceList &list)
     {
-        const TimePoint asOf = now() - Duration(static_cast<Duration::rep>(list.age_us()));
-        if (list.unchanged()) {
-            if (!instancesAsOf || list.digest() != instancesDigest) {
-                readInstances();
-            } else {
-                instancesAsOf = std::max(*instancesAsOf, asOf);
-            }
+        Result<std::vector<InstanceRecord>> records = recordsOf(list, instances);
+        if (!records) {
+            readInstances();
             return;
         }
-        setInstances(recordsOf(list), asOf);
+        setInstances(std::move(records.value()), now() - Duration(static_cast<Duration::rep>(list.age_us())));
     }
 
     // Stop
@@ -778,9 +769,7 @@
     std::vector<InstanceRecord> instances;
     std::vector<std::function<void()>> instanceHandlers;
     std::optional<TimePoint> instancesAsOf;
-    std::uint64_t instancesDigest = 0;
-    std::uint64_t sentDigest = 0;
-    std::uint32_t sentUnchanged = 0;
+    std::vector<InstanceRecord> sentInstances;  // as last sent to the other entries
     bool readingInstances = false;
     bool registering = false;
     bool superseded = false;
--- a/src/peers_messages.cpp
+++ b/src/peers_messages.cpp
@@ -72,9 +72,24 @@
     return message;
 }
 
-void fillInstances(wire::InstanceList &list, const std::vector<InstanceRecord> &records)
+void fillInstances(wire::InstanceList &list, const std::vector<InstanceRecord> &records,
+                   const std::vector<InstanceRecord> &base)
 {
+    const auto earlier = [](const InstanceRecord &left, const InstanceRecord &right) { return left.id < right.id; };
+    const bool whole
+        = base.empty() || !std::includes(records.begin(), records.end(), base.begin(), base.end(), earlier);
+    list.set_digest(digestOf(records));
+    list.set_base_digest(whole ? 0 : digestOf(base));
+    auto place = base.begin();
     for (const InstanceRecord &record : records) {
+        if (!whole) {
+            while (place != base.end() && earlier(*place, record)) {
+                ++place;
+            }
+            if (place != base.end() && *place == record) {
+                continue;
+            }
+        }
         wire::InstanceEntry &line = *list.add_instances();
         line.set_id(record.id.value);
         line.set_address(record.address);
@@ -85,15 +100,40 @@
     }
 }
 
-std::vector<InstanceRecord> recordsOf(const wire::InstanceList &list)
+Result<std::vector<InstanceRecord>> recordsOf(const wire::InstanceList &list,
+                                              const std::vector<InstanceRecord> &present)
 {
-    std::vector<InstanceRecord> records;
+    const bool unchanged = list.instances().empty() && list.digest() == list.base_digest();
+    if (unchanged && digestOf(present) == list.digest()) {
+        return present;
+    }
+    std::map<InstanceId, InstanceRecord> records;
+    if (list.base_digest() != 0) {
+        if (list.base_digest() != digestOf(present)) {
+            return Error{ErrorCode::Conflict, "the list is relative to another one"};
+        }
+        for (const InstanceRecord &record : present) {
+            records[record.id] = record;
+        }
+    }
     for (const wire::InstanceEntry &line : list.instances()) {
-        records.push_back({InstanceId{line.id()}, line.address(), static_cast<std::uint16_t>(line.port()),
-                           line.data_centre(), line.rack(),
-                           parseEnum<Presence>(line.presence()).value_or(Presence::Gone)});
+        const InstanceId id{line.id()};
+        records[id] = {id,
+                       line.address(),
+                       static_cast<std::uint16_t>(line.port()),
+                       line.data_centre(),
+                       line.rack(),
+                       parseEnum<Presence>(line.presence()).value_or(Presence::Gone)};
+    }
+    std::vector<InstanceRecord> sorted;
+    sorted.reserve(records.size());
+    for (auto &[id, record] : records) {
+        sorted.push_back(std::move(record));
+    }
+    if (digestOf(sorted) != list.digest()) {
+        return Error{ErrorCode::Conflict, "the list is not the one with its digest"};
     }
-    return records;
+    return sorted;
 }
 
 std::uint64_t digestOf(const std::vector<InstanceRecord> &records)
@@ -108,7 +148,7 @@
         }
         text += std::to_string(record.port) + '\n';
     }
-    return XXH3_64bits(text.data(), text.size());
+    return std::max<std::uint64_t>(XXH3_64bits(text.data(), text.size()), 1);
 }
 
 }
--- a/src/peers_messages.h
+++ b/src/peers_messages.h
@@ -18,8 +18,13 @@
 
 wire::Envelope updateOf(const StoreValue &value);  // a ConfigUpdate
 
-void fillInstances(wire::InstanceList &list, const std::vector<InstanceRecord> &records);
-std::vector<InstanceRecord> recordsOf(const wire::InstanceList &list);  // an unknown presence counts as gone
-std::uint64_t digestOf(const std::vector<InstanceRecord> &records);
+/// The whole list, or, when `base` is not empty, the lines that differ from it. Lists are in the order of ids; one that
+/// lost a line is sent as a whole.
+void fillInstances(wire::InstanceList &list, const std::vector<InstanceRecord> &records,
+                   const std::vector<InstanceRecord> &base);
+/// The sender's list, from `present`, the list held here. Error: Conflict when the lines are relative to another list.
+Result<std::vector<InstanceRecord>> recordsOf(const wire::InstanceList &list,
+                                              const std::vector<InstanceRecord> &present);
+std::uint64_t digestOf(const std::vector<InstanceRecord> &records);  // never 0
 
 }
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -37,7 +37,7 @@
 
 std::string encode(const std::string &text)
 {
-    static constexpr std::string_view Digits = "0123456789ABCDEF";
+    static constexpr std::string_view digits = "0123456789ABCDEF";
     std::string encoded;
     for (const char c : text) {
         const auto byte = static_cast<unsigned char>(c);
@@ -47,8 +47,8 @@
             encoded += c;
         } else {
             encoded += '%';
-            encoded += Digits[byte >> 4U];
-            encoded += Digits[byte & 15U];
+            encoded += digits[byte >> 4U];
+            encoded += digits[byte & 15U];
         }
     }
     return encoded;
@@ -424,9 +424,9 @@
     }
 }
 
-void HttpPlatform::read(const std::string &key, Done<StoreValue> done)
+void HttpPlatform::read(const std::string &key, const Done<StoreValue> &done)
 {
-    const Done<StoreValue> missing = [key, done = std::move(done)](Result<StoreValue> result) {
+    const Done<StoreValue> missing = [key, done](Result<StoreValue> result) {
         if (!result && result.error().code == ErrorCode::NotFound) {
             result = StoreValue{key, "", 0};
         }
@@ -436,13 +436,13 @@
                              storeValue);
 }
 
-void HttpPlatform::list(const std::string &prefix, Done<std::vector<StoreValue>> done)
+void HttpPlatform::list(const std::string &prefix, const Done<std::vector<StoreValue>> &done)
 {
     m_impl->send<std::vector<StoreValue>>(
         m_impl->makeCall(http::verb::get, "/v1/kv?prefix=" + encode(prefix), "", false), done, storeValues);
 }
 
-void HttpPlatform::swap(const SwapRequest &request, Done<std::uint64_t> done)
+void HttpPlatform::swap(const SwapRequest &request, const Done<std::uint64_t> &done)
 {
     std::string target = "/v1/kv?key=" + encode(request.key) + "&expected=" + std::to_string(request.expected);
     if (!request.lease.empty()) {
@@ -452,7 +452,7 @@
                                 [](const json::value &answer) { return number(answer.as_object().at("version")); });
 }
 
-void HttpPlatform::remove(const std::string &key, std::uint64_t expected, Done<bool> done)
+void HttpPlatform::remove(const std::string &key, std::uint64_t expected, const Done<bool> &done)
 {
     m_impl->send<bool>(m_impl->makeCall(http::verb::delete_,
                                         "/v1/kv?key=" + encode(key) + "&expected=" + std::to_string(expected), "",
@@ -460,7 +460,7 @@
                        done, [](const json::value &) { return true; });
 }
 
-void HttpPlatform::watch(const std::string &prefix, std::uint64_t after, Done<WatchBatch> done)
+void HttpPlatform::watch(const std::string &prefix, std::uint64_t after, const Done<WatchBatch> &done)
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(m_impl->settings.watchTimeout);
     Impl::Call call = m_impl->makeCall(http::verb::get,
@@ -468,7 +468,7 @@
                                            + "&timeout_ms=" + std::to_string(milliseconds.count()),
                                        "", false);
     call.deadline = steadyNow() + m_impl->settings.watchTimeout + WatchGrace;
-    call.done = [done = std::move(done)](const Impl::Answer &answer) {
+    call.done = [done](const Impl::Answer &answer) {
         done(Impl::decode<WatchBatch>(answer, false, [](const json::value &value) {
             return WatchBatch{number(value.as_object().at("version")), storeValues(value)};
         }));
@@ -488,7 +488,7 @@
     });
 }
 
-void HttpPlatform::grantLease(Duration ttl, Done<std::string> done)
+void HttpPlatform::grantLease(Duration ttl, const Done<std::string> &done)
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(ttl);
     m_impl->send<std::string>(
@@ -496,9 +496,9 @@
         [](const json::value &answer) { return std::string(answer.as_object().at("lease").as_string()); });
 }
 
-void HttpPlatform::renewLease(const std::string &lease, Done<bool> done)
+void HttpPlatform::renewLease(const std::string &lease, const Done<bool> &done)
 {
-    const Done<bool> lapsed = [done = std::move(done)](Result<bool> result) {
+    const Done<bool> lapsed = [done](Result<bool> result) {
         if (!result && result.error().code == ErrorCode::NotFound) {
             result = false;
         }
@@ -508,7 +508,7 @@
                        [](const json::value &answer) { return answer.as_object().at("renewed").as_bool(); });
 }
 
-void HttpPlatform::instances(Done<std::vector<InstanceRecord>> done)
+void HttpPlatform::instances(const Done<std::vector<InstanceRecord>> &done)
 {
     m_impl->send<std::vector<InstanceRecord>>(
         m_impl->makeCall(http::verb::get, "/v1/instances", "", false), done, [](const json::value &answer) {
@@ -520,7 +520,7 @@
         });
 }
 
-void HttpPlatform::reboot(const InstanceId &instance, Done<bool> done)
+void HttpPlatform::reboot(const InstanceId &instance, const Done<bool> &done)
 {
     m_impl->send<bool>(
         m_impl->makeCall(http::verb::post, "/v1/instances/" + encode(instance.value) + "/reboot", "", true), done,
--- a/src/platform.h
+++ b/src/platform.h
@@ -82,15 +82,15 @@
     HttpPlatform(const HttpPlatform &) = delete;
     HttpPlatform &operator=(const HttpPlatform &) = delete;
 
-    void read(const std::string &key, Done<StoreValue> done);
-    void list(const std::string &prefix, Done<std::vector<StoreValue>> done);
-    void swap(const SwapRequest &request, Done<std::uint64_t> done);
-    void remove(const std::string &key, std::uint64_t expected, Done<bool> done);
-    void watch(const std::string &prefix, std::uint64_t after, Done<WatchBatch> done);
-    void grantLease(Duration ttl, Done<std::string> done);
-    void renewLease(const std::string &lease, Done<bool> done);
-    void instances(Done<std::vector<InstanceRecord>> done);
-    void reboot(const InstanceId &instance, Done<bool> done);
+    void read(const std::string &key, const Done<StoreValue> &done);
+    void list(const std::string &prefix, const Done<std::vector<StoreValue>> &done);
+    void swap(const SwapRequest &request, const Done<std::uint64_t> &done);
+    void remove(const std::string &key, std::uint64_t expected, const Done<bool> &done);
+    void watch(const std::string &prefix, std::uint64_t after, const Done<WatchBatch> &done);
+    void grantLease(Duration ttl, const Done<std::string> &done);
+    void renewLease(const std::string &lease, const Done<bool> &done);
+    void instances(const Done<std::vector<InstanceRecord>> &done);
+    void reboot(const InstanceId &instance, const Done<bool> &done);
 
 private:
     struct Impl;
@@ -118,15 +118,15 @@
     EmbeddedPlatform(const EmbeddedPlatform &) = delete;
     EmbeddedPlatform &operator=(const EmbeddedPlatform &) = delete;
 
-    void read(const std::string &key, Done<StoreValue> done);
-    void list(const std::string &prefix, Done<std::vector<StoreValue>> done);
-    void swap(const SwapRequest &request, Done<std::uint64_t> done);
-    void remove(const std::string &key, std::uint64_t expected, Done<bool> done);
-    void watch(const std::string &prefix, std::uint64_t after, Done<WatchBatch> done);
-    void grantLease(Duration ttl, Done<std::string> done);
-    void renewLease(const std::string &lease, Done<bool> done);
-    void instances(Done<std::vector<InstanceRecord>> done);
-    void reboot(const InstanceId &instance, Done<bool> done);
+    void read(const std::string &key, const Done<StoreValue> &done);
+    void list(const std::string &prefix, const Done<std::vector<StoreValue>> &done);
+    void swap(const SwapRequest &request, const Done<std::uint64_t> &done);
+    void remove(const std::string &key, std::uint64_t expected, const Done<bool> &done);
+    void watch(const std::string &prefix, std::uint64_t after, const Done<WatchBatch> &done);
+    void grantLease(Duration ttl, const Done<std::string> &done);
+    void renewLease(const std::string &lease, const Done<bool> &done);
+    void instances(const Done<std::vector<InstanceRecord>> &done);
+    void reboot(const InstanceId &instance, const Done<bool> &done);
 
     EmbeddedFaults faults;
     std::vector<InstanceRecord> records;  // what instances() answers
--- a/src/platform_embedded.cpp
+++ b/src/platform_embedded.cpp
@@ -196,50 +196,50 @@
     m_impl->held.clear();
 }
 
-void EmbeddedPlatform::read(const std::string &key, Done<StoreValue> done)
+void EmbeddedPlatform::read(const std::string &key, const Done<StoreValue> &done)
 {
     m_impl->reading<StoreValue>(done, [impl = m_impl.get(), key] { return impl->store.read(key); });
 }
 
-void EmbeddedPlatform::list(const std::string &prefix, Done<std::vector<StoreValue>> done)
+void EmbeddedPlatform::list(const std::string &prefix, const Done<std::vector<StoreValue>> &done)
 {
     m_impl->reading<std::vector<StoreValue>>(done, [impl = m_impl.get(), prefix] { return impl->store.list(prefix); });
 }
 
-void EmbeddedPlatform::swap(const SwapRequest &request, Done<std::uint64_t> done)
+void EmbeddedPlatform::swap(const SwapRequest &request, const Done<std::uint64_t> &done)
 {
     m_impl->writing<std::uint64_t>(done, [impl = m_impl.get(), request] { return impl->store.swap(request); });
 }
 
-void EmbeddedPlatform::remove(const std::string &key, std::uint64_t expected, Done<bool> done)
+void EmbeddedPlatform::remove(const std::string &key, std::uint64_t expected, const Done<bool> &done)
 {
     m_impl->writing<bool>(done, [impl = m_impl.get(), key, expected] { return impl->store.remove(key, expected); });
 }
 
-void EmbeddedPlatform::watch(const std::string &prefix, std::uint64_t after, Done<WatchBatch> done)
+void EmbeddedPlatform::watch(const std::string &prefix, std::uint64_t after, const Done<WatchBatch> &done)
 {
-    m_impl->run([impl = m_impl.get(), prefix, after, done = std::move(done)] {
+    m_impl->run([impl = m_impl.get(), prefix, after, done] {
         ++impl->owner->reads;
         impl->watches.push_back({prefix, after, steadyNow() + DefaultWatchTimeout, done});
     });
 }
 
-void EmbeddedPlatform::grantLease(Duration ttl, Done<std::string> done)
+void EmbeddedPlatform::grantLease(Duration ttl, const Done<std::string> &done)
 {
     m_impl->other<std::string>(done, [impl = m_impl.get(), ttl] { return impl->store.grantLease(ttl, steadyNow()); });
 }
 
-void EmbeddedPlatform::renewLease(const std::string &lease, Done<bool> done)
+void EmbeddedPlatform::renewLease(const std::string &lease, const Done<bool> &done)
 {
     m_impl->other<bool>(done, [impl = m_impl.get(), lease] { return impl->store.renewLease(lease, steadyNow()); });
 }
 
-void EmbeddedPlatform::instances(Done<std::vector<InstanceRecord>> done)
+void EmbeddedPlatform::instances(const Done<std::vector<InstanceRecord>> &done)
 {
     m_impl->reading<std::vector<InstanceRecord>>(done, [impl = m_impl.get()] { return impl->owner->records; });
 }
 
-void EmbeddedPlatform::reboot(const InstanceId &instance, Done<bool> done)
+void EmbeddedPlatform::reboot(const InstanceId &instance, const Done<bool> &done)
 {
     m_impl->other<bool>(done, [impl = m_impl.get(), instance]() -> Result<bool> {
         if (!impl->setPresence(instance, Presence::Gone)) {
--- a/src/platform_store.cpp
+++ b/src/platform_store.cpp
@@ -110,7 +110,7 @@
 
 std::string MemoryStore::grantLease(Duration ttl, TimePoint now)
 {
-    const std::string lease = std::to_string(m_nextLease++);
+    std::string lease = std::to_string(m_nextLease++);
     m_leases[lease] = {ttl, now + ttl};
     return lease;
 }
--- a/tests/run_cluster.cpp
+++ b/tests/run_cluster.cpp
@@ -260,7 +260,7 @@
         fake.connect(EntryId{"three"}, three.endpoint);
         fixture.until([&] {
             wire::Envelope probe;
-            probe.mutable_instance_list()->set_unchanged(true);
+            probe.mutable_instance_list()->set_base_digest(1);
             fake.send(EntryId{"three"}, probe);
             return fake.counters().sent > 0;
         });
@@ -321,10 +321,12 @@
         fixture.until([&] { return one.access.listReads + two.access.listReads + three.access.listReads >= 10; });
         // The others read only now and then, when a message is late.
         CHECK(std::max({one.access.listReads, two.access.listReads, three.access.listReads}) >= 7);
+        fixture.store.records.push_back({InstanceId{"i-0"}, "127.0.0.1", 81, "dc-1", "r-1", Presence::Live});
+        fixture.until([&] { return all(2); });
         fixture.store.records[0].presence = Presence::Gone;
         fixture.until([&] {
             return std::all_of(fixture.nodes.begin(), fixture.nodes.end(), [](const auto &node) {
-                return node->cluster.instances().at(0).presence == Presence::Gone;
+                return node->cluster.instances().at(1).presence == Presence::Gone;
             });
         });
     }
--- a/tests/standin_platform.h
+++ b/tests/standin_platform.h
@@ -364,8 +364,8 @@
     static void setPresence(Listed &listed, Presence presence)
     {
         listed.history.emplace_back(steadyNow(), presence);
-        constexpr std::size_t Kept = 16;
-        if (listed.history.size() > Kept) {
+        constexpr std::size_t kept = 16;
+        if (listed.history.size() > kept) {
             listed.history.pop_front();
         }
     }
