--- a/tests/run_cluster.cpp
+++ b/tests/run_cluster.cpp
@@ -30,45 +30,45 @@
         }
         return cut;
     }
-    void read(const std::string &key, Done<StoreValue> done)
+    void read(const std::string &key, const Done<StoreValue> &done)
     {
-        cutOff(done) ? void() : store.read(key, std::move(done));
+        cutOff(done) ? void() : store.read(key, done);
     }
-    void list(const std::string &prefix, Done<std::vector<StoreValue>> done)
+    void list(const std::string &prefix, const Done<std::vector<StoreValue>> &done)
     {
-        cutOff(done) ? void() : store.list(prefix, std::move(done));
+        cutOff(done) ? void() : store.list(prefix, done);
     }
-    void swap(const SwapRequest &request, Done<std::uint64_t> done)
+    void swap(const SwapRequest &request, const Done<std::uint64_t> &done)
     {
-        cutOff(done) ? void() : store.swap(request, std::move(done));
+        cutOff(done) ? void() : store.swap(request, done);
     }
-    void remove(const std::string &key, std::uint64_t expected, Done<bool> done)
+    void remove(const std::string &key, std::uint64_t expected, const Done<bool> &done)
     {
-        cutOff(done) ? void() : store.remove(key, expected, std::move(done));
+        cutOff(done) ? void() : store.remove(key, expected, done);
     }
-    void watch(const std::string &prefix, std::uint64_t after, Done<WatchBatch> done)
+    void watch(const std::string &prefix, std::uint64_t after, const Done<WatchBatch> &done)
     {
         const Done<WatchBatch> checked = [this, done](Result<WatchBatch> result) {
             done(cut ? Result<WatchBatch>(Error{ErrorCode::Unavailable, "cut off"}) : std::move(result));
         };
         cutOff(done) ? void() : store.watch(prefix, after, checked);
     }
-    void grantLease(Duration ttl, Done<std::string> done)
+    void grantLease(Duration ttl, const Done<std::string> &done)
     {
-        cutOff(done) ? void() : store.grantLease(ttl, std::move(done));
+        cutOff(done) ? void() : store.grantLease(ttl, done);
     }
-    void renewLease(const std::string &lease, Done<bool> done)
+    void renewLease(const std::string &lease, const Done<bool> &done)
     {
-        cutOff(done) ? void() : store.renewLease(lease, std::move(done));
+        cutOff(done) ? void() : store.renewLease(lease, done);
     }
-    void instances(Done<std::vector<InstanceRecord>> done)
+    void instances(const Done<std::vector<InstanceRecord>> &done)
     {
         ++listReads;
-        cutOff(done) ? void() : store.instances(std::move(done));
+        cutOff(done) ? void() : store.instances(done);
     }
-    void reboot(const InstanceId &instance, Done<bool> done)
+    void reboot(const InstanceId &instance, const Done<bool> &done)
     {
-        cutOff(done) ? void() : store.reboot(instance, std::move(done));
+        cutOff(done) ? void() : store.reboot(instance, done);
     }
 
     boost::asio::io_context &io;
--- a/tests/run_platform.cpp
+++ b/tests/run_platform.cpp
@@ -260,7 +260,7 @@
         int answered = 0;
         for (int i = 0; i < 100; ++i) {
             const std::string key = "key-" + std::to_string(i);
-            platform.swap({key, 0, "value of " + key, ""}, [&, key](Result<std::uint64_t> swapped) {
+            platform.swap({key, 0, "value of " + key, ""}, [&, key](const Result<std::uint64_t> &swapped) {
                 REQUIRE(swapped);
                 platform.read(key, [&, key](Result<StoreValue> found) {
                     ++answered;
