--- a/tests/run_cluster.cpp
+++ b/tests/run_cluster.cpp
@@ -30,45 +30,45 @@
         }
         return cut;
     }
-    void read(const std::string &key, Done<StoreValue> done)
+    void read(const std::string &key, const Done<StoreValue> &done)
     {
-        cutOff(done) ? void() : store.read(key, std::move(done));
+        cutOff(done) ? void() : store.read(key, done);
     }
-    void list(const std::string &prefix, Done<std::vector<StoreValue>> done)
+    void list(const std::string &prefix, const Done<std::vector<StoreValue>> &done)
     {
-        cutOff(done) ? void() : store.list(prefix, std::move(done));
+        cutOff(done) ? void() : store.list(prefix, done);
     }
-    void swap(const SwapRequest &request, Done<std::uint64_t> done)
+    void swap(const SwapRequest &request, const Done<std::uint64_t> &done)
     {
-        cutOff(done) ? void() : store.swap(request, std::move(done));
+        cutOff(done) ? void() : store.swap(request, done);
     }
-    void remove(const std::string &key, std::uint64_t expected, Done<bool> done)
+    void remove(const std::string &key, std::uint64_t expected, const Done<bool> &done)
     {
-        cutOff(done) ? void() : store.remove(key, expected, std::move(done));
+        cutOff(done) ? void() : store.remove(key, expected, done);
     }
-    void watch(const std::string &prefix, std::uint64_t after, Done<WatchBatch> done)
+    void watch(const std::string &prefix, std::uint64_t after, const Done<WatchBatch> &done)
     {
         const Done<WatchBatch> checked = [this, done](Result<WatchBatch> result) {
             done(cut ? Result<WatchBatch>(Error{ErrorCode::Unavailable, "cut off"}) : std::move(result));
         };
         cutOff(done) ? void() : store.watch(prefix, after, checked);
     }
-    void grantLease(Duration ttl, Done<std::string> done)
+    void grantLease(Duration ttl, const Done<std::string> &done)
     {
-        cutOff(done) ? void() : store.grantLease(ttl, std::move(done));
+        cutOff(done) ? void() : store.grantLease(ttl, done);
     }
-    void renewLease(const std::string &lease, Done<bool> done)
+    void renewLease(const std::string &lease, const Done<bool> &done)
     {
-        cutOff(done) ? void() : store.renewLease(lease, std::move(done));
+        cutOff(done) ? void() : store.renewLease(lease, done);
     }
-    void instances(Done<std::vector<InstanceRecord>> done)
+    void instances(const Done<std::vector<InstanceRecord>> &done)
     {
         ++listReads;
-        cutOff(done) ? void() : store.instances(std::move(done));
+        cutOff(done) ? void() : store.instances(done);
     }
-    void reboot(const InstanceId &instance, Done<bool> done)
+    void reboot(const InstanceId &instance, const Done<bool> &done)
     {
-        cutOff(done) ? void() : store.reboot(instance, std::move(done));
+        cutOff(done) ? void() : store.reboot(instance, done);
     }
 
     boost::asio::io_context &io;
@@ -260,7 +260,7 @@
         fake.connect(EntryId{"three"}, three.endpoint);
         fixture.until([&] {
             wire::Envelope probe;
-            probe.mutable_instance_list()->set_unchanged(true);
+            probe.mutable_instance_list()->set_base_digest(1);
             fake.send(EntryId{"three"}, probe);
             return fake.counters().sent > 0;
         });
@@ -321,10 +321,12 @@
         fixture.until([&] { return one.access.listReads + two.access.listReads + three.access.listReads >= 10; });
         // The others read only now and then, when a message is late.
         CHECK(std::max({one.access.listReads, two.access.listReads, three.access.listReads}) >= 7);
+        fixture.store.records.push_back({InstanceId{"i-0"}, "127.0.0.1", 81, "dc-1", "r-1", Presence::Live});
+        fixture.until([&] { return all(2); });
         fixture.store.records[0].presence = Presence::Gone;
         fixture.until([&] {
             return std::all_of(fixture.nodes.begin(), fixture.nodes.end(), [](const auto &node) {
-                return node->cluster.instances().at(0).presence == Presence::Gone;
+                return node->cluster.instances().at(1).presence == Presence::Gone;
             });
         });
     }
