--- /dev/null
+++ b/tests/run_settings.cpp
@@ -0,0 +1,128 @@
+#include "config.h"
+#include "operator_api.h"
+#include "settings.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sstream>
+
+using namespace briarvane;
+
+namespace
+{
+
+std::map<std::string, std::string> completeFlags()
+{
+    return {
+        {"id", "e1"}, {"data-centre", "perth"}, {"platform", "127.0.0.1:7000"}, {"operator-token", "0123456789abcdef"}};
+}
+
+bool anyContains(const std::vector<std::string> &lines, const std::string &text)
+{
+    return std::any_of(lines.begin(), lines.end(),
+                       [&](const std::string &line) { return line.find(text) != std::string::npos; });
+}
+
+}
+
+TEST_CASE("Settings of an entry are checked together", "[settings]")
+{
+    auto flags = completeFlags();
+
+    SECTION("complete settings are accepted")
+    {
+        const auto check = checkEntrySettings(flags, {});
+        CHECK(check.errors.empty());
+        CHECK(check.settings.platform == Endpoint{"127.0.0.1", 7000});
+    }
+    SECTION("all errors are listed at once, so that an operator does not mend one at a time")
+    {
+        flags["listen"] = "localhost";
+        flags["grace-ms"] = "-1";
+        flags["log-level"] = "loud";
+        flags.erase("id");
+        const auto check = checkEntrySettings(flags, {});
+        CHECK(check.errors.size() == 4);
+        CHECK(anyContains(check.errors, "'localhost' is not accepted"));
+        CHECK(anyContains(check.errors, "0 to 600000"));
+        CHECK(anyContains(check.errors, "BRIARVANE_ID"));
+    }
+    SECTION("a flag goes before the environment, and the source is shown")
+    {
+        const auto check = checkEntrySettings(flags, {{"id", "from-environment"}, {"grace-ms", "7"}});
+        CHECK(check.settings.id == EntryId{"e1"});
+        CHECK(check.settings.grace == Duration{7000});
+        const auto grace = std::find_if(check.effective.begin(), check.effective.end(),
+                                        [](const SettingValue &value) { return value.name == "grace-ms"; });
+        CHECK(grace->source == "environment");
+    }
+    SECTION("the token is never shown, also when it is wrong")
+    {
+        flags["operator-token"] = "too short";
+        const auto check = checkEntrySettings(flags, {});
+        CHECK(check.errors.size() == 1);
+        CHECK_FALSE(anyContains(check.errors, "too short"));
+        for (const SettingValue &value : check.effective) {
+            CHECK(value.value != "too short");
+        }
+    }
+    SECTION("the in-process store is refused with peers, which would each have a store of their own")
+    {
+        flags["platform"] = "embedded";
+        flags["peers"] = "e2=127.0.0.1:9000";
+        CHECK(anyContains(checkEntrySettings(flags, {}).errors, "--peers must be empty"));
+    }
+    SECTION("the same address twice, an instance list without the in-process store, an own peer are refused")
+    {
+        flags["listen"] = "127.0.0.1:8081";
+        flags["instances"] = "i-1=127.0.0.1:9000";
+        flags["peers"] = "e1=127.0.0.1:9000";
+        CHECK(checkEntrySettings(flags, {}).errors.size() == 3);
+    }
+    SECTION("an address is an IPv4 number and a port")
+    {
+        CHECK(parseEndpoint("127.0.0.1:80"));
+        for (const char *text : {"127.0.0.1", "127.0.0.1:", ":80", "127.0.0.1:65536", "127.0.0.1:8x", "a.b:80", ""}) {
+            CHECK_FALSE(parseEndpoint(text));
+        }
+    }
+    SECTION("docs/settings.md is the program's own reference")
+    {
+        std::ostringstream page;
+        page << std::ifstream(BRIARVANE_SOURCE_DIR "/docs/settings.md").rdbuf();
+        CHECK(page.str() == settingsReference());
+    }
+}
+
+TEST_CASE("The operator port reads targets and tokens strictly", "[operator]")
+{
+    SECTION("path and query are decoded")
+    {
+        const OperatorTarget target = parseOperatorTarget("/v1/instances/a%2Fb/move?pool=x%20y&empty=&flag");
+        CHECK(target.path == std::vector<std::string>{"v1", "instances", "a/b", "move"});
+        CHECK(target.query.at("pool") == "x y");
+        CHECK(target.query.at("empty").empty());
+        CHECK(target.query.count("flag") == 1);
+    }
+    SECTION("only the whole token is accepted; an empty token accepts nobody")
+    {
+        CHECK(bearerMatches("Bearer secret", "secret"));
+        for (const char *header :
+             {"", "Bearer", "Bearer ", "Bearer secre", "Bearer secrets", "bearer secret", "secret"}) {
+            CHECK_FALSE(bearerMatches(header, "secret"));
+        }
+        CHECK_FALSE(bearerMatches("Bearer ", ""));
+    }
+    SECTION("a configuration value survives the store, line ends and quotes included")
+    {
+        const ConfigValue value{"a,\"b\"\r\nc", "digest", "e1-7", "Åsa", 12};
+        const auto parsed = parseConfig(formatConfig(value));
+        REQUIRE(parsed);
+        CHECK(parsed.value().text == value.text);
+        CHECK(parsed.value().operatorName == value.operatorName);
+        CHECK(parsed.value().appliedMs == 12);
+        CHECK_FALSE(parseConfig("{}"));
+        CHECK_FALSE(parseConfig("["));
+    }
+}
