Decode percent escapes in one place

Cause: duplicates showed the same decoder in the HTTP server and in the operators' API. Ruled out: keeping two, since they differed in the plus sign, which is a space only in a query; now an argument says so.

--- a/src/http.cpp
+++ b/src/http.cpp
@@ -50,28 +50,6 @@
     out.append(digits.data(), result.ptr);
 }
 
-int hexDigit(char c)
-{
-    return c >= '0' && c <= '9' ? c - '0'
-        : c >= 'a' && c <= 'f'  ? c - 'a' + 10
-        : c >= 'A' && c <= 'F'  ? c - 'A' + 10
-                                : -1;
-}
-
-std::string percentDecoded(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        if (text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0) {
-            decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
-            i += 2;
-        } else {
-            decoded += text[i] == '+' ? ' ' : text[i];
-        }
-    }
-    return decoded;
-}
-
 }
 
 std::string_view HttpRequest::path() const
@@ -91,7 +69,7 @@
         const std::string_view pair = rest.substr(0, rest.find('&'));
         const std::string_view key = pair.substr(0, pair.find('='));
         if (key == name) {
-            return percentDecoded(pair.substr(std::min(key.size() + 1, pair.size())));
+            return percentDecoded(pair.substr(std::min(key.size() + 1, pair.size())), true);
         }
         rest.remove_prefix(std::min(pair.size() + 1, rest.size()));
     }
--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -12,6 +12,33 @@
 namespace
 {
 
+int hexDigit(char c)
+{
+    return c >= '0' && c <= '9' ? c - '0'
+        : c >= 'a' && c <= 'f'  ? c - 'a' + 10
+        : c >= 'A' && c <= 'F'  ? c - 'A' + 10
+                                : -1;
+}
+
+}
+
+std::string percentDecoded(std::string_view text, bool plusIsSpace)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0) {
+            decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
+            i += 2;
+        } else {
+            decoded += plusIsSpace && text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return decoded;
+}
+
+namespace
+{
+
 namespace http = boost::beast::http;
 
 std::string_view toView(boost::beast::string_view text)
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -127,4 +127,7 @@
 extern template class HttpParser<true>;
 extern template class HttpParser<false>;
 
+/// Decodes %XX; a malformed escape stays as it is. In a query, `plusIsSpace` is true.
+std::string percentDecoded(std::string_view text, bool plusIsSpace);
+
 }
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -1,34 +1,13 @@
 #include "operator_api.h"
 
+#include "http_message.h"
+
 namespace briarvane
 {
 
 namespace
 {
 
-int hexDigit(char c)
-{
-    if (c >= '0' && c <= '9') {
-        return c - '0';
-    }
-    const char lower = static_cast<char>(c | 0x20);
-    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
-std::string decodePercent(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        if (text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0) {
-            decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
-            i += 2;
-        } else {
-            decoded += text[i];
-        }
-    }
-    return decoded;
-}
-
 std::vector<std::string_view> split(std::string_view text, char separator)
 {
     std::vector<std::string_view> parts;
@@ -67,12 +46,12 @@
     OperatorTarget parsed;
     const std::size_t question = std::min(target.find('?'), target.size());
     for (const std::string_view segment : split(target.substr(0, question), '/')) {
-        parsed.path.push_back(decodePercent(segment));
+        parsed.path.push_back(percentDecoded(segment, false));
     }
     for (const std::string_view item : split(target.substr(std::min(question + 1, target.size())), '&')) {
         const std::size_t equals = std::min(item.find('='), item.size());
-        parsed.query[decodePercent(item.substr(0, equals))]
-            = decodePercent(item.substr(std::min(equals + 1, item.size())));
+        parsed.query[percentDecoded(item.substr(0, equals), true)]
+            = percentDecoded(item.substr(std::min(equals + 1, item.size())), true);
     }
     return parsed;
 }
