--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -473,9 +473,11 @@
             return code(ExitCode::Unavailable);
         }
         const std::string state = cell(wave->at("state"));
-        const std::string line = "wave " + id + " is " + state + ": waiting "
-            + std::to_string(wave->at("waiting").as_array().size()) + ", running " + cell(wave->at("running"))
-            + ", finished " + std::to_string(wave->at("finished").as_array().size()) + " " + cell(wave->at("reason"));
+        const auto sizeOf = [wave](const char *list) { return wave->at(list).as_array().size(); };
+        std::ostringstream text;
+        text << "wave " << id << " is " << state << ": waiting " << sizeOf("waiting") << ", running "
+             << cell(wave->at("running")) << ", finished " << sizeOf("finished") << ' ' << cell(wave->at("reason"));
+        const std::string line = text.str();
         if (line != shown && !options.asJson) {
             std::cout << line << std::endl;
             shown = line;
--- a/src/entry_control.h
+++ b/src/entry_control.h
@@ -273,12 +273,13 @@
         if (isRebooting && !progress.accepted
             && (progress.asked == TimePoint{} || now - progress.asked >= RebootAskPeriod)) {
             progress.asked = now;
-            m_cluster.platform().reboot(id, [this, alive = std::weak_ptr<bool>(m_alive), id = id](Result<bool> result) {
-                const auto it = alive.expired() ? m_reboots.end() : m_reboots.find(id);
-                if (!alive.expired() && it != m_reboots.end() && result) {
-                    it->second.accepted = m_cluster.now();
-                }
-            });
+            m_cluster.platform().reboot(
+                id, [this, alive = std::weak_ptr<bool>(m_alive), id = id](const Result<bool> &result) {
+                    const auto it = alive.expired() ? m_reboots.end() : m_reboots.find(id);
+                    if (!alive.expired() && it != m_reboots.end() && result) {
+                        it->second.accepted = m_cluster.now();
+                    }
+                });
         }
         if (needsCheck && now - progress.checked >= CheckPeriod) {
             progress.checked = now;
--- a/src/operator_api.h
+++ b/src/operator_api.h
@@ -289,7 +289,7 @@
 {
     constexpr Duration confirmTimeout{3'000'000};  // a change is in force everywhere within 3 s
     m_cluster.waitInForce(key, version, confirmTimeout,
-                          [reply = std::move(reply), done](std::vector<EntryId> missing) mutable {
+                          [reply = std::move(reply), done](const std::vector<EntryId> &missing) mutable {
                               boost::json::array names;
                               for (const EntryId &entry : missing) {
                                   names.emplace_back(entry.value);
--- a/tests/chaos.cpp
+++ b/tests/chaos.cpp
@@ -102,7 +102,8 @@
     rows += 3;
     for (const std::string pool : {"quotes", "stems", "documents"}) {
         for (int i = 1; i <= perPool; ++i) {
-            text += "instance," + pool + "-" + std::to_string(i) + "," + pool + ",,,,,,,,,,,\n";
+            text.append("instance,").append(pool).append("-").append(std::to_string(i));
+            text.append(",").append(pool).append(",,,,,,,,,,,\n");
             ++rows;
         }
     }
@@ -430,6 +431,7 @@
     {
         m_recorder.fault("two operators apply sheets");
         std::vector<std::thread> operators;
+        operators.reserve(2);
         for (int i = 0; i < 2; ++i) {
             operators.emplace_back([this, number = ++m_sheets] {
                 apply("sheet", sheetText(static_cast<int>(m_fleet.instances().size()) / 3, number), number);
--- a/tests/demo.cpp
+++ b/tests/demo.cpp
@@ -139,7 +139,9 @@
         std::cout << std::setw(13) << column;
     }
     std::cout << '\n' << std::fixed << std::setprecision(1);
-    for (const auto &[name, tally] : shared.tallies) {
+    for (const auto &item : shared.tallies) {
+        const std::string &name = item.first;
+        const Tally &tally = item.second;
         const auto count = [&tally](const std::string &outcome) {
             const auto it = tally.outcomes.find(outcome);
             return it == tally.outcomes.end() ? 0 : it->second;
--- a/tests/harness.cpp
+++ b/tests/harness.cpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -63,6 +64,7 @@
           const std::string &outputFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &argument : command) {
         arguments.push_back(const_cast<char *>(argument.c_str()));
     }
@@ -155,7 +157,7 @@
 CommandResult run(const std::vector<std::string> &command, const std::vector<std::string> &environment,
                   const std::string &outputFile)
 {
-    std::ofstream(outputFile, std::ios::trunc);
+    std::filesystem::remove(outputFile);
     Process process(command, environment, outputFile);
     constexpr int limitMs = 300'000;
     CommandResult result;
