--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -1,6 +1,7 @@
 #include "cli.h"
 
 #include "entry.h"
+#include "job_entry.h"
 #include "settings.h"
 
 #include <CLI/App.hpp>
@@ -549,6 +550,101 @@
     return checkOnly ? code(ExitCode::Ok) : runEntry(check.settings);
 }
 
+/// Flags of `briarvane serve`, all checked before anything is opened.
+struct ServeArguments
+{
+    JobEntrySettings settings;
+    std::string listen;
+    std::string readiness;
+    std::string metrics;
+    std::string store;
+    std::string machines;
+    std::string orders = "invocation";
+    int longestLeaseMs = 6000;
+    int stopMs = 400;
+    int holderTurnMs = 3000;
+    double graceS = 6;
+    double statusS = 120;
+    bool checkOnly = false;
+};
+
+int startServe(ServeArguments &arguments)
+{
+    std::vector<std::string> errors;
+    const auto endpoint = [&errors](const std::string &flag, const std::string &text) {
+        const auto parsed = parseEndpoint(text);
+        if (!parsed) {
+            errors.push_back("--" + flag + " '" + text + "' is not an IPv4 address and a port");
+        }
+        return parsed.value_or(Endpoint{});
+    };
+    JobEntrySettings &settings = arguments.settings;
+    settings.listen = endpoint("listen", arguments.listen);
+    settings.readiness = endpoint("readiness", arguments.readiness);
+    settings.store = endpoint("store", arguments.store);
+    settings.machines = endpoint("machines", arguments.machines);
+    if (!arguments.metrics.empty()) {
+        settings.metrics = endpoint("metrics", arguments.metrics);
+    }
+    if (arguments.orders != "invocation") {
+        errors.push_back("--orders '" + arguments.orders
+                         + "' is not supported: executors take orders by invocation only");
+    }
+    constexpr int longestLeaseMs = 6000;  // frees the work of a lost executor soon, and outlives a takeover
+    settings.runLease = std::chrono::milliseconds(std::min(arguments.longestLeaseMs, longestLeaseMs));
+    settings.stopTime = std::chrono::milliseconds(arguments.stopMs);
+    settings.holderTurn = std::chrono::milliseconds(arguments.holderTurnMs);
+    settings.grace = std::chrono::milliseconds(static_cast<int>(arguments.graceS * 1000));
+    settings.keepFinal = std::chrono::milliseconds(static_cast<int>(arguments.statusS * 1500));
+    for (const std::string &error : errors) {
+        std::cerr << "briarvane serve: " << error << '\n';
+    }
+    if (!errors.empty()) {
+        return code(ExitCode::Usage);
+    }
+    return arguments.checkOnly ? code(ExitCode::Ok) : runJobEntry(settings);
+}
+
+void addServeCommand(CLI::App &app, ServeArguments &arguments, int &exit)
+{
+    CLI::App *serve = app.add_subcommand("serve", "Run an entry on the users' platform");
+    serve->footer("Example: briarvane serve --node e1 --data-centre perth --listen 127.0.0.1:8624 --readiness "
+                  "127.0.0.1:8622 --store 127.0.0.1:8621 --machines 127.0.0.1:8620");
+    const auto text = [serve](const std::string &name, std::string &value, const std::string &help) {
+        std::string variable = environmentName("serve-" + name);
+        return serve->add_option("--" + name, value, help)->envname(variable)->capture_default_str();
+    };
+    text("node", arguments.settings.name, "name of this entry, unique in the deployment")->required();
+    text("data-centre", arguments.settings.dataCentre, "data centre of this entry")->required();
+    text("listen", arguments.listen, "IPv4 address and port for callers")->required();
+    text("readiness", arguments.readiness, "IPv4 address and port for readiness checks and metrics")->required();
+    text("metrics", arguments.metrics, "IPv4 address and port for metrics alone");
+    text("store", arguments.store, "IPv4 address and port of the key-value store")->required();
+    text("machines", arguments.machines, "IPv4 address and port of the machines API")->required();
+    text("orders", arguments.orders, "how executors take orders: invocation");
+    text("log-level", arguments.settings.logLevel, "debug, info, warn or error")
+        ->check(CLI::IsMember({"debug", "info", "warn", "error"}));
+    const auto milliseconds = [serve](const std::string &name, int &value, const std::string &help) {
+        serve->add_option("--" + name, value, help)
+            ->envname(environmentName("serve-" + name))
+            ->check(CLI::Range(1, 3'600'000))
+            ->capture_default_str();
+    };
+    milliseconds("longest-lease-ms", arguments.longestLeaseMs, "longest lease of a run that executors take, ms");
+    milliseconds("stop-ms", arguments.stopMs, "time that an executor takes to stop a task, ms");
+    milliseconds("holder-turn-ms", arguments.holderTurnMs, "pause between two holders' orders for an instance, ms");
+    serve->add_option("--grace-s", arguments.graceS, "time between SIGTERM and SIGKILL, seconds")
+        ->envname(environmentName("serve-grace-s"))
+        ->check(CLI::Range(0.1, 3600.0))
+        ->capture_default_str();
+    serve->add_option("--status-s", arguments.statusS, "final states stay readable this long, seconds")
+        ->envname(environmentName("serve-status-s"))
+        ->check(CLI::Range(1.0, 864000.0))
+        ->capture_default_str();
+    serve->add_flag("--check", arguments.checkOnly, "check the settings, then exit");
+    serve->callback([&] { exit = startServe(arguments); });
+}
+
 }
 
 int runCommandLine(const std::vector<std::string> &arguments)
@@ -585,6 +681,8 @@
             std::string(spec.help) + "; " + std::string(spec.accepted) + " [" + environmentName(spec.name) + "]");
     }
     entry->callback([&] { exit = startEntry(flags, checkOnly); });
+    ServeArguments serve;
+    addServeCommand(app, serve, exit);
 
     std::string file;
     std::string expected;
--- /dev/null
+++ b/src/executor.h
@@ -0,0 +1,124 @@
+#pragma once
+
+// Executors as the scheduler sees them: records, orders, and what they report.
+//
+// Index
+// [1] Records
+// [2] Reports
+// [3] Orders
+
+#include "job.h"
+
+namespace briarvane
+{
+
+// [1] Records ---------------------------------------------------------------------------------------------------------
+
+/// One incarnation of a worker, as it registers itself.
+struct ExecutorRecord
+{
+    std::string id;
+    std::string service;
+    std::string address;  // IP number
+    std::uint16_t port = 0;
+    std::string dataCentre;
+    std::string rack;
+    std::vector<std::string> labels;  // kind and rack
+    Resources capacity;
+    bool draining = false;
+    std::int64_t born = 0;  // Unix ms of the start; changes when the id comes back with nothing known
+};
+
+// [2] Reports ---------------------------------------------------------------------------------------------------------
+
+struct RunningReport
+{
+    std::string task;
+    int run = 0;
+    std::string checkpoint;
+    int percent = 0;  // 100: at work
+    double load = 0;  // long-running with a latency target: tail in ms; others: milli-cores in use
+};
+
+enum class RunEnd { Done, Failed, Stopped, Lapsed, Broken, Alone };
+
+template<>
+struct EnumNames<RunEnd>
+{
+    static constexpr std::array<EnumName<RunEnd>, 6> names = {{{RunEnd::Done, "done"},
+                                                               {RunEnd::Failed, "failed"},
+                                                               {RunEnd::Stopped, "stopped"},
+                                                               {RunEnd::Lapsed, "lapsed"},
+                                                               {RunEnd::Broken, "broken"},
+                                                               {RunEnd::Alone, "alone"}}};
+};
+
+struct EndReport
+{
+    std::uint64_t number = 0;  // rises within an incarnation
+    std::string task;
+    int run = 0;
+    RunEnd how = RunEnd::Lapsed;
+    std::string checkpoint;
+};
+
+struct HoldReport
+{
+    std::int64_t clockMs = 0;  // the executor's clock
+    std::int64_t born = 0;
+    std::vector<RunningReport> running;
+    std::vector<EndReport> ended;
+};
+
+// [3] Orders ----------------------------------------------------------------------------------------------------------
+
+enum class OrderResult {
+    Done,
+    Fenced,      // a higher fencing token was seen there
+    Superseded,  // that run or a higher one was stopped or has ended there
+    Late,        // the lease time of the order has passed
+    NoRoom,
+    NoTicket,  // the advice ticket is missing or has lapsed
+    Malformed,
+    Unhealthy,   // refused without effect
+    Replaced,    // another incarnation answers there
+    NotSent,     // no byte left
+    Unanswered,  // may still be carried out
+};
+
+template<>
+struct EnumNames<OrderResult>
+{
+    static constexpr std::array<EnumName<OrderResult>, 11> names = {{{OrderResult::Done, "done"},
+                                                                     {OrderResult::Fenced, "fenced"},
+                                                                     {OrderResult::Superseded, "superseded"},
+                                                                     {OrderResult::Late, "late"},
+                                                                     {OrderResult::NoRoom, "no-room"},
+                                                                     {OrderResult::NoTicket, "no-ticket"},
+                                                                     {OrderResult::Malformed, "malformed"},
+                                                                     {OrderResult::Unhealthy, "unhealthy"},
+                                                                     {OrderResult::Replaced, "replaced"},
+                                                                     {OrderResult::NotSent, "not-sent"},
+                                                                     {OrderResult::Unanswered, "unanswered"}}};
+};
+
+enum class OrderKind { Start, Stop, Hold, Pace };
+
+/// One call to an executor. Fields that a kind does not use stay at their defaults.
+struct ExecutorOrder
+{
+    OrderKind kind = OrderKind::Hold;
+    std::string executor;
+    std::uint64_t fencingToken = 0;
+    std::string task;               // Start, Stop, Pace
+    int run = 0;                    // Start, Stop, Pace
+    std::string payload;            // Start
+    std::string checkpoint;         // Start; empty: from the beginning
+    std::int64_t leaseUntilMs = 0;  // Start, Hold; on the executor's clock; 0: not extended
+    std::uint64_t observed = 0;     // Hold: ends up to this one are durable here
+    Duration wait{0};               // Hold: the answer waits this long for an end
+    int percent = 0;                // Pace
+    Duration timeout{0};
+};
+
+}
--- /dev/null
+++ b/src/fleet_owner.h
@@ -0,0 +1,312 @@
+#pragma once
+
+// Runs the maintenance waves while this entry owns the fleet share.
+
+#include "boot_clock.h"
+#include "job_keys.h"
+#include "log.h"
+#include "store_view.h"
+#include "wave_planner.h"
+
+#include <boost/json.hpp>
+
+namespace briarvane
+{
+
+struct FleetOwnerSettings
+{
+    WavePlannerSettings waves;
+    Duration lookPeriod{1'000'000};  // of the machines' list while a wave runs; the list's rate is shared by all
+    Duration idlePeriod{3'000'000};  // and while none does
+    Duration turnPause{3'300'000};   // after a takeover: orders of two holders must not come close together
+    Duration storeTimeout{700'000};
+    Duration retryPause{150'000};
+};
+
+enum class MaintenanceResult { Begun, Refused, Impossible, Fenced, Unknown };
+
+/// What the owner needs from its entry.
+struct FleetOwnerHooks
+{
+    using Listed = std::function<void(const Result<std::vector<PooledInstance>> &)>;
+    std::function<void(Listed)> list;
+    std::function<void(const MaintenanceOrder &, std::uint64_t fencingToken, std::function<void(MaintenanceResult)>)>
+        maintain;
+    std::function<StoreWrite(std::int64_t wave, bool completed)> status;  // the wave's status for the operator
+    std::function<void(std::string_view why)> lost;
+};
+
+template<Store S>
+class FleetOwner
+{
+public:
+    FleetOwner(S &store, Timers &timers, std::uint64_t fencingToken, bool hadOwner, FleetOwnerSettings settings,
+               FleetOwnerHooks hooks, TimePoint acquiredAt)
+        : m_store(store)
+        , m_timers(timers)
+        , m_fencingToken(fencingToken)
+        , m_settings(settings)
+        , m_hooks(std::move(hooks))
+        , m_planner(settings.waves)
+        , m_ordersFrom(hadOwner ? acquiredAt + settings.turnPause : acquiredAt)
+        , m_alive(std::make_shared<bool>(true))
+    {
+    }
+    FleetOwner(const FleetOwner &) = delete;
+    FleetOwner &operator=(const FleetOwner &) = delete;
+    ~FleetOwner()
+    {
+        *m_alive = false;
+    }
+
+    void start()
+    {
+        m_store.read(keys::FleetDone, m_settings.storeTimeout, guarded([this](const StoreReply &reply) {
+                         if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                             readDone(reply.items.front().value);
+                         } else if (reply.outcome != StoreOutcome::NotFound) {
+                             later(m_settings.retryPause, [this] { start(); });
+                             return;
+                         }
+                         m_loaded = true;
+                         for (const auto &[id, wave] : m_waves) {
+                             m_planner.addWave(wave, m_done[id], bootNow());
+                         }
+                         look();
+                         confirm();
+                     }));
+    }
+
+    void addWave(const MaintenanceWave &wave)
+    {
+        m_waves[wave.id] = wave;
+        if (m_loaded) {
+            m_planner.addWave(wave, m_done[wave.id], bootNow());
+            act();
+        }
+    }
+    void setSparePools(std::set<std::string> pools)
+    {
+        m_sparePools = std::move(pools);
+    }
+    void setCleared(std::set<std::string> executors)
+    {
+        m_planner.setCleared(std::move(executors));
+        act();
+    }
+    std::uint64_t fencingToken() const
+    {
+        return m_fencingToken;
+    }
+
+private:
+    template<class F>
+    auto guarded(F function)
+    {
+        return [alive = m_alive, function = std::move(function)](const auto &...arguments) mutable {
+            if (*alive) {
+                function(arguments...);
+            }
+        };
+    }
+
+    void later(Duration pause, std::function<void()> function)
+    {
+        m_timers.at(steadyNow() + pause, [alive = m_alive, function = std::move(function)] {
+            if (*alive) {
+                function();
+            }
+        });
+    }
+
+    void lose(std::string_view why)
+    {
+        if (!std::exchange(m_lost, true)) {
+            m_hooks.lost(why);
+        }
+    }
+
+    void readDone(const std::string &text)
+    {
+        boost::system::error_code error;
+        const boost::json::value value = boost::json::parse(text, error);
+        if (error || !value.is_object()) {
+            logEvent(LogLevel::Error, "wave-record-unreadable");
+            return;
+        }
+        for (const auto &[wave, instances] : value.get_object()) {
+            for (const boost::json::value &instance : instances.as_array()) {
+                m_done[std::stoll(std::string(wave))].insert(std::string(instance.as_string()));
+            }
+        }
+        m_storedDone = text;
+    }
+
+    /// Proves the ownership; without proof no orders are given.
+    void confirm()
+    {
+        const TimePoint sentAt = bootNow();
+        m_store.read(keys::owner(keys::FleetShare), m_settings.storeTimeout,
+                     guarded([this, sentAt](const StoreReply &reply) {
+                         const bool answered = reply.outcome == StoreOutcome::Done;
+                         if (reply.outcome == StoreOutcome::NotFound
+                             || (answered && (reply.items.empty() || reply.items.front().revision != m_fencingToken))) {
+                             lose("ownership-key-gone");
+                             return;
+                         }
+                         if (answered) {
+                             m_confirmedAt = sentAt;
+                         }
+                         later(answered ? m_settings.lookPeriod : m_settings.retryPause, [this] { confirm(); });
+                     }));
+    }
+
+    void look()
+    {
+        if (m_planner.idle()) {
+            later(m_settings.idlePeriod, [this] { look(); });
+            return;
+        }
+        m_hooks.list(guarded([this](const Result<std::vector<PooledInstance>> &listed) {
+            if (listed) {
+                m_planner.setInstances(listed.value(), m_sparePools, bootNow());
+                m_listed = true;
+                act();
+            } else {
+                logRepeated(LogLevel::Warn, "machines-not-listed", "list", {{"why", listed.error().message}});
+            }
+            later(m_settings.lookPeriod, [this] { look(); });
+        }));
+    }
+
+    void act()
+    {
+        const TimePoint now = bootNow();
+        if (m_lost || !m_loaded || !m_listed) {
+            return;
+        }
+        constexpr Duration proofAge{2'500'000};  // an owner that cannot prove its duty for this long pauses
+        if (now >= m_ordersFrom && now - m_confirmedAt < proofAge) {
+            for (const MaintenanceOrder &order : m_planner.tick(now)) {
+                maintain(order);
+            }
+        }
+        publish();
+        if (!m_planner.idle() && !std::exchange(m_actDue, true)) {
+            constexpr Duration period{250'000};
+            later(period, [this] {
+                m_actDue = false;
+                act();
+            });
+        }
+    }
+
+    void maintain(const MaintenanceOrder &order)
+    {
+        logEvent(LogLevel::Info, "maintenance-ordered",
+                 {{"instance", order.instance}, {"wave", std::to_string(order.wave)}});
+        m_hooks.maintain(order, m_fencingToken, guarded([this, order](MaintenanceResult result) {
+                             const TimePoint now = bootNow();
+                             switch (result) {
+                             case MaintenanceResult::Begun:
+                                 m_planner.begun(order.wave, order.instance, now);
+                                 break;
+                             case MaintenanceResult::Fenced:
+                                 lose("fenced");
+                                 return;
+                             case MaintenanceResult::Refused:
+                             case MaintenanceResult::Impossible:
+                                 m_planner.refused(order.wave, order.instance, result == MaintenanceResult::Impossible,
+                                                   now);
+                                 break;
+                             case MaintenanceResult::Unknown:
+                                 break;  // repeated; the same order again has no second effect
+                             }
+                             act();
+                         }));
+    }
+
+    /// One write at a time: which executors must become empty, what has begun, and the status of the waves.
+    void publish()
+    {
+        if (m_publishing) {
+            return;
+        }
+        boost::json::array vacate;
+        for (const std::string &executor : m_planner.vacating()) {
+            vacate.push_back(boost::json::string(executor));
+        }
+        boost::json::object done;
+        for (const auto &[wave, instances] : m_planner.begunInstances()) {
+            done[std::to_string(wave)] = boost::json::value_from(instances);
+        }
+        const std::string vacateText = boost::json::serialize(vacate);
+        const std::string doneText = boost::json::serialize(done);
+        const std::vector<std::int64_t> announced = m_planner.unannouncedWaves();
+        std::vector<std::int64_t> completed;
+        StoreTxn txn;
+        txn.expected.emplace_back(keys::owner(keys::FleetShare), m_fencingToken);
+        if (vacateText != m_storedVacate) {
+            txn.writes.push_back({keys::FleetVacate, vacateText, 0});
+        }
+        if (doneText != m_storedDone) {
+            txn.writes.push_back({keys::FleetDone, doneText, 0});
+        } else {
+            completed = m_planner.completedWaves();  // their record is stored
+        }
+        for (const std::int64_t wave : announced) {
+            txn.writes.push_back(m_hooks.status(wave, false));
+        }
+        for (const std::int64_t wave : completed) {
+            txn.writes.push_back(m_hooks.status(wave, true));
+        }
+        if (txn.writes.empty()) {
+            return;
+        }
+        m_publishing = true;
+        m_store.commit(txn, m_settings.storeTimeout,
+                       guarded([this, vacateText, doneText, announced, completed](const StoreReply &reply) {
+                           m_publishing = false;
+                           if (reply.outcome == StoreOutcome::Conflict) {
+                               lose("precondition");
+                               return;
+                           }
+                           if (reply.outcome != StoreOutcome::Done) {
+                               later(m_settings.retryPause, [this] { act(); });
+                               return;
+                           }
+                           m_storedVacate = vacateText;
+                           m_storedDone = doneText;
+                           for (const std::int64_t wave : announced) {
+                               m_planner.announced(wave);
+                           }
+                           for (const std::int64_t wave : completed) {
+                               m_planner.reportedCompleted(wave);
+                               logEvent(LogLevel::Info, "wave-completed", {{"wave", std::to_string(wave)}});
+                           }
+                           act();
+                       }));
+    }
+
+    S &m_store;
+    Timers &m_timers;
+    std::uint64_t m_fencingToken;
+    FleetOwnerSettings m_settings;
+    FleetOwnerHooks m_hooks;
+    WavePlanner m_planner;
+    TimePoint m_ordersFrom;
+    TimePoint m_confirmedAt;
+    std::shared_ptr<bool> m_alive;
+    std::map<std::int64_t, MaintenanceWave> m_waves;
+    std::map<std::int64_t, std::set<std::string>> m_done;
+    std::set<std::string> m_sparePools;
+    std::string m_storedVacate;
+    std::string m_storedDone;
+    bool m_loaded = false;
+    bool m_listed = false;
+    bool m_publishing = false;
+    bool m_actDue = false;
+    bool m_lost = false;
+};
+
+}
--- /dev/null
+++ b/src/scheduler.cpp
@@ -0,0 +1,1051 @@
+#include "scheduler.h"
+
+#include <algorithm>
+
+namespace briarvane
+{
+
+namespace
+{
+
+constexpr int AtWork = 100;              // percent of a long-running task that serves
+constexpr double FailureDecay = 0.8;     // per outcome: about the last five decide
+constexpr double FailureLimit = 0.66;    // three failures in a row from a clean record reach 0.49, five 0.67
+constexpr Duration RetryPause{200'000};  // after a start that an executor refused
+
+}
+
+Scheduler::Scheduler(SchedulerSettings settings, std::string service, std::uint64_t fencingToken,
+                     TimePoint inheritedUntil)
+    : m_settings(settings)
+    , m_service(std::move(service))
+    , m_fencingToken(fencingToken)
+    , m_inheritedUntil(inheritedUntil)
+{
+}
+
+void Scheduler::decide(std::string event, std::string job, std::string detail)
+{
+    m_decisions.push_back({std::move(event), std::move(job), std::move(detail)});
+}
+
+// Jobs ----------------------------------------------------------------------------------------------------------------
+
+void Scheduler::makeOccurrence(Job &job, int number)
+{
+    Occurrence &occurrence = job.occurrences[number];
+    if (!occurrence.steps.empty()) {
+        return;
+    }
+    for (const StepSpec &step : job.spec.steps) {
+        occurrence.steps.emplace_back(static_cast<std::size_t>(step.count));
+    }
+    occurrence.done.assign(job.spec.steps.size(), 0);
+}
+
+void Scheduler::addJob(JobSpec spec, std::uint64_t revision, const JobProgress *progress, bool inherited, TimePoint now,
+                       std::int64_t wallMs)
+{
+    const std::string id = spec.id;
+    if (m_jobs.contains(id)) {
+        return;
+    }
+    auto job = std::make_unique<Job>();
+    job->spec = std::move(spec);
+    job->revision = revision;
+    job->inherited = inherited;
+    job->chain = longestChain(job->spec.steps);
+    const auto age = std::chrono::milliseconds(std::clamp<std::int64_t>(wallMs - job->spec.acceptedMs, 0, 60'000));
+    job->learned = now - age;
+    job->objective = job->learned + job->spec.targetLatency
+        + Duration(static_cast<std::int64_t>(job->spec.stretch * static_cast<double>(job->chain.count())));
+    if (progress != nullptr) {
+        for (const auto &[key, saved] : *progress) {
+            const auto &[number, step, index] = key;
+            const bool inRange = step >= 0 && step < static_cast<int>(job->spec.steps.size()) && index >= 0
+                && index < job->spec.steps[static_cast<std::size_t>(step)].count;
+            if (!inRange) {
+                continue;
+            }
+            makeOccurrence(*job, number);
+            Occurrence &occurrence = job->occurrences[number];
+            Task &task = occurrence.steps[static_cast<std::size_t>(step)][static_cast<std::size_t>(index)];
+            task.run = saved.run;
+            task.settledRun = saved.settledRun;
+            task.failures = saved.failures;
+            task.checkpoint = saved.checkpoint;
+            task.touched = true;
+            job->state = JobState::Running;
+            if (saved.done) {
+                task.done = true;
+                const auto at = static_cast<std::size_t>(step);
+                if (++occurrence.done[at] == job->spec.steps[at].count
+                    && ++occurrence.stepsDone == static_cast<int>(occurrence.steps.size())) {
+                    ++job->occurrencesDone;
+                }
+            }
+        }
+    }
+    Job &added = *m_jobs.emplace(id, std::move(job)).first->second;
+    openDueOccurrences(added, now, wallMs);
+    if (added.occurrencesDone == std::max(1, added.spec.occurrences)) {
+        finishJob(added, JobState::Completed, now);
+    }
+    m_changed = true;
+}
+
+void Scheduler::openDueOccurrences(Job &job, TimePoint /*now*/, std::int64_t wallMs)
+{
+    if (job.spec.occurrences == 0) {
+        makeOccurrence(job, 0);
+        return;
+    }
+    while (job.nextOccurrence < job.spec.occurrences
+           && wallMs >= job.spec.firstDueMs + job.nextOccurrence * job.spec.intervalMs) {
+        makeOccurrence(job, job.nextOccurrence++);
+        m_changed = true;
+    }
+}
+
+void Scheduler::endJob(const std::string &id, JobState state, TimePoint now)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || isFinal(found->second->state)) {
+        return;
+    }
+    Job &job = *found->second;
+    job.state = state;
+    job.committing = true;
+    decide("job-ended", id, std::string("state=") + std::string(toString(state)) + " by=caller");
+    stopAllRuns(job, now, "job-ended");
+    m_dirty.insert(id);
+    m_changed = true;
+}
+
+bool Scheduler::knows(const std::string &id) const
+{
+    return m_jobs.contains(id);
+}
+
+const Job *Scheduler::job(const std::string &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+Task *Scheduler::findTask(const TaskName &name, Job **job)
+{
+    const auto found = m_jobs.find(name.job);
+    if (found == m_jobs.end()) {
+        return nullptr;
+    }
+    if (job != nullptr) {
+        *job = found->second.get();
+    }
+    const auto occurrence = found->second->occurrences.find(name.occurrence);
+    if (occurrence == found->second->occurrences.end()
+        || name.step >= static_cast<int>(occurrence->second.steps.size())) {
+        return nullptr;
+    }
+    auto &tasks = occurrence->second.steps[static_cast<std::size_t>(name.step)];
+    return name.index < static_cast<int>(tasks.size()) ? &tasks[static_cast<std::size_t>(name.index)] : nullptr;
+}
+
+void Scheduler::finishJob(Job &job, JobState state, TimePoint now)
+{
+    job.state = state;
+    job.committing = true;
+    m_dirty.insert(job.spec.id);
+    const bool inTime = now <= job.objective;
+    ++(state == JobState::Completed ? m_counts.completed : m_counts.failed);
+    m_counts.late += inTime ? 0 : 1;
+    m_finished.push_back({job.spec.queue, now - job.learned, inTime});
+    decide("job-ended", job.spec.id,
+           "state=" + std::string(toString(state)) + " queue=" + job.spec.queue + " total_ms="
+               + std::to_string((now - job.learned).count() / 1000) + " in_time=" + (inTime ? "yes" : "no"));
+    stopAllRuns(job, now, "job-ended");
+}
+
+void Scheduler::forgetIfGone(const std::string &id)
+{
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && isFinal(found->second->state) && !found->second->committing
+        && found->second->runs == 0) {
+        m_jobs.erase(found);
+    }
+}
+
+// Tasks ---------------------------------------------------------------------------------------------------------------
+
+void Scheduler::requeue(const TaskName &name, TimePoint retryAt)
+{
+    Task *task = findTask(name);
+    if (task != nullptr) {
+        task->executor.clear();
+        task->retryAt = retryAt;
+        m_changed = true;
+    }
+}
+
+/// Frees what the run held. The task itself is not touched.
+void Scheduler::dropRun(Executor &executor, std::map<std::string, Run>::iterator place)
+{
+    executor.used -= place->second.held;
+    const std::string id = place->second.task.job;
+    executor.runs.erase(place);
+    m_changed = true;
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end()) {
+        --found->second->runs;
+        forgetIfGone(id);
+    }
+}
+
+void Scheduler::handleEnd(Executor &executor, const EndReport &end, TimePoint now)
+{
+    bool wasPlaced = false;
+    bool wasStopping = false;
+    if (const auto place = executor.runs.find(end.task); place != executor.runs.end() && place->second.run <= end.run) {
+        wasPlaced = place->second.run == end.run;
+        wasStopping = place->second.state == RunState::Stopping;
+        dropRun(executor, place);
+    }
+    const auto name = parseTaskName(end.task);
+    Job *job = nullptr;
+    Task *task = name ? findTask(*name, &job) : nullptr;
+    if (task == nullptr || isFinal(job->state)) {
+        return;
+    }
+    const StepSpec &step = job->spec.steps[static_cast<std::size_t>(name->step)];
+    task->run = std::max(task->run, end.run);
+    const bool isNew = end.run > task->settledRun;
+    const bool here = task->executor == executor.record.id && wasPlaced;
+    if (!end.checkpoint.empty() && (isNew || task->checkpoint.empty())) {
+        task->checkpoint = end.checkpoint;
+    }
+    task->touched = true;
+    task->settledRun = std::max(task->settledRun, end.run);
+    m_dirty.insert(job->spec.id);
+    if (end.how == RunEnd::Done && !step.longRunning) {
+        noteOutcome(executor, true, now);
+        taskDone(*job, *name, *task, now);
+        return;
+    }
+    if (end.how == RunEnd::Failed && isNew && !task->done) {
+        noteOutcome(executor, false, now);
+        ++task->failures;
+        decide("run-failed", job->spec.id,
+               "task=" + end.task + " run=" + std::to_string(end.run) + " executor=" + executor.record.id
+                   + " failures=" + std::to_string(task->failures));
+        if (!step.longRunning && task->failures >= job->spec.maxAttempts) {
+            finishJob(*job, JobState::Failed, now);
+            return;
+        }
+    }
+    if (here || task->executor.empty()) {
+        ++m_counts.requeued;
+        if (!wasStopping && end.how == RunEnd::Lapsed) {
+            decide("run-lapsed", job->spec.id, "task=" + end.task + " executor=" + executor.record.id);
+        }
+        requeue(*name, now);
+        if (step.gang) {
+            stopOthers(*job, *name, now);
+        }
+    }
+}
+
+void Scheduler::taskDone(Job &job, const TaskName &name, Task &task, TimePoint now)
+{
+    Occurrence &occurrence = job.occurrences[name.occurrence];
+    const auto step = static_cast<std::size_t>(name.step);
+    const StepSpec &spec = job.spec.steps[step];
+    const auto mark = [&](Task &marked, int index) {
+        if (marked.done) {
+            return;
+        }
+        marked.done = true;
+        marked.touched = true;
+        if (!marked.executor.empty()) {  // another run of a task that is done
+            const auto executor = m_executors.find(marked.executor);
+            const std::string text = formatTaskName({name.job, name.occurrence, name.step, index});
+            if (executor != m_executors.end()) {
+                if (const auto run = executor->second.runs.find(text);
+                    run != executor->second.runs.end() && !spec.gang) {
+                    stopRun(executor->second, text, run->second, now, "task-done");
+                }
+            }
+            marked.executor.clear();
+        }
+        ++occurrence.done[step];
+    };
+    if (spec.gang) {  // one end stands for all of them
+        for (int index = 0; index < spec.count; ++index) {
+            mark(occurrence.steps[step][static_cast<std::size_t>(index)], index);
+        }
+    } else {
+        mark(task, name.index);
+    }
+    m_changed = true;
+    if (occurrence.done[step] < spec.count) {
+        return;
+    }
+    occurrence.stepsDone = 0;
+    for (std::size_t i = 0; i < job.spec.steps.size(); ++i) {
+        occurrence.stepsDone += occurrence.done[i] == job.spec.steps[i].count ? 1 : 0;
+    }
+    if (occurrence.complete()) {
+        int complete = 0;
+        for (const auto &[number, one] : job.occurrences) {
+            complete += one.complete() ? 1 : 0;
+        }
+        job.occurrencesDone = complete;
+        if (complete == std::max(1, job.spec.occurrences)) {
+            finishJob(job, JobState::Completed, now);
+        }
+    }
+}
+
+/// The members of a gang end together.
+void Scheduler::stopOthers(Job &job, const TaskName &name, TimePoint now)
+{
+    auto &tasks = job.occurrences[name.occurrence].steps[static_cast<std::size_t>(name.step)];
+    for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
+        const std::string &at = tasks[static_cast<std::size_t>(index)].executor;
+        const auto executor = m_executors.find(at);
+        if (index == name.index || executor == m_executors.end()) {
+            continue;
+        }
+        const std::string text = formatTaskName({name.job, name.occurrence, name.step, index});
+        if (const auto run = executor->second.runs.find(text); run != executor->second.runs.end()) {
+            stopRun(executor->second, text, run->second, now, "gang-member-ended");
+        }
+    }
+}
+
+void Scheduler::stopRun(Executor &executor, const std::string &name, Run &run, TimePoint now, std::string_view why)
+{
+    if (run.state == RunState::Stopping) {
+        return;
+    }
+    run.state = RunState::Stopping;
+    run.stopSentAt = now;
+    run.stopAnsweredAt = {};
+    ++m_counts.stops;
+    decide("run-stopped", run.task.job,
+           "task=" + name + " run=" + std::to_string(run.run) + " executor=" + executor.record.id
+               + " why=" + std::string(why));
+    ExecutorOrder order;
+    order.kind = OrderKind::Stop;
+    order.executor = executor.record.id;
+    order.fencingToken = m_fencingToken;
+    order.task = name;
+    order.run = run.run;
+    order.timeout = m_settings.orderTimeout;
+    m_orders.push_back(std::move(order));
+    executor.nextHold = std::min(executor.nextHold, now + m_settings.holdPause);
+}
+
+void Scheduler::stopAllRuns(Job &job, TimePoint now, std::string_view why)
+{
+    if (job.runs == 0) {
+        return;
+    }
+    for (auto &[id, executor] : m_executors) {
+        for (auto &[name, run] : executor.runs) {
+            if (run.task.job == job.spec.id) {
+                stopRun(executor, name, run, now, why);
+            }
+        }
+    }
+}
+
+// Executors -----------------------------------------------------------------------------------------------------------
+
+void Scheduler::setExecutors(const std::vector<ExecutorRecord> &records, TimePoint now)
+{
+    for (auto &[id, executor] : m_executors) {
+        executor.listed = false;
+    }
+    for (const ExecutorRecord &record : records) {
+        if (record.service != m_service) {
+            continue;
+        }
+        auto [place, isNew] = m_executors.try_emplace(record.id);
+        Executor &executor = place->second;
+        if (isNew) {
+            executor.listedSince = now;
+            executor.nextHold = now;
+            m_changed = true;
+        } else if (executor.record.born != 0 && record.born > executor.record.born) {
+            loseRuns(executor, now, "executor-restarted");
+        }
+        const std::int64_t born = std::max(record.born, executor.record.born);
+        if (record.draining != executor.record.draining) {
+            m_changed = true;
+        }
+        executor.record = record;
+        executor.record.born = born;
+        executor.listed = true;
+    }
+    std::erase_if(m_executors, [&](const auto &entry) {
+        const Executor &executor = entry.second;
+        return !executor.listed && executor.runs.empty() && !m_inheritedDark.contains(entry.first);
+    });
+}
+
+void Scheduler::inheritExecutor(const ExecutorRecord &record, TimePoint now)
+{
+    auto [place, isNew] = m_executors.try_emplace(record.id);
+    if (isNew) {
+        place->second.record = record;
+        place->second.record.born = 0;
+        place->second.nextHold = now;
+    }
+    if (!place->second.adopted) {
+        m_inheritedDark.insert(record.id);
+    }
+}
+
+void Scheduler::setVacating(const std::unordered_set<std::string> &ids, TimePoint now)
+{
+    for (auto &[id, executor] : m_executors) {
+        const bool vacating = ids.contains(id);
+        if (vacating && !executor.vacating) {
+            executor.vacatingSince = now;
+        }
+        m_changed = m_changed || vacating != executor.vacating;
+        executor.vacating = vacating;
+    }
+}
+
+std::vector<std::string> Scheduler::vacated() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, executor] : m_executors) {
+        if (executor.vacating && executor.adopted && executor.runs.empty()
+            && executor.toldObserved == executor.lastEnd) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+/// Everything that ran there has ended without a report.
+void Scheduler::loseRuns(Executor &executor, TimePoint now, std::string_view why)
+{
+    if (!executor.runs.empty()) {
+        decide("runs-lost", {},
+               "executor=" + executor.record.id + " runs=" + std::to_string(executor.runs.size())
+                   + " why=" + std::string(why));
+    }
+    while (!executor.runs.empty()) {
+        const auto place = executor.runs.begin();
+        const TaskName name = place->second.task;
+        const bool orphan = place->second.orphan;
+        if (!place->second.checkpoint.empty()) {
+            if (Task *task = findTask(name); task != nullptr) {
+                task->checkpoint = place->second.checkpoint;
+            }
+        }
+        dropRun(executor, place);
+        Job *job = nullptr;
+        Task *task = orphan ? nullptr : findTask(name, &job);
+        if (task != nullptr && task->executor == executor.record.id) {
+            ++m_counts.requeued;
+            requeue(name, now);
+            if (job->spec.steps[static_cast<std::size_t>(name.step)].gang) {
+                stopOthers(*job, name, now);
+            }
+        }
+    }
+    executor.lastEnd = 0;
+    executor.observed = 0;
+    executor.toldObserved = 0;
+    executor.clockAt = {};
+    executor.leaseOver = {};
+}
+
+void Scheduler::noteOutcome(Executor &executor, bool good, TimePoint now)
+{
+    executor.failureScore = executor.failureScore * FailureDecay + (good ? 0 : 1 - FailureDecay);
+    if (executor.failureScore > FailureLimit && executor.ejectedUntil <= now) {
+        executor.ejectedUntil = now + m_settings.ejection;
+        executor.failureScore = FailureLimit * FailureDecay;  // one more failure after the return ejects it again
+        decide("executor-ejected", {}, "executor=" + executor.record.id);
+    }
+}
+
+void Scheduler::adopt(Executor &executor, const RunningReport &row, TimePoint now)
+{
+    Run run;
+    run.run = row.run;
+    run.state = RunState::Running;
+    run.present = true;
+    run.percent = row.percent;
+    run.load = row.load;
+    run.checkpoint = row.checkpoint;
+    run.sentAt = now;
+    run.confirmedAt = now;
+    const auto name = parseTaskName(row.task);
+    Job *job = nullptr;
+    Task *task = name ? findTask(*name, &job) : nullptr;
+    run.task = name.value_or(TaskName{});
+    bool wanted = task != nullptr && !isFinal(job->state) && !task->done && task->executor.empty();
+    if (job != nullptr) {
+        const StepSpec &step = job->spec.steps[static_cast<std::size_t>(run.task.step)];
+        run.held = step.each;
+        if (step.fills) {
+            run.held.milliCores = 0;
+        }
+        ++job->runs;
+    } else {
+        run.held = executor.record.capacity;  // unknown, so nothing else is started beside it
+    }
+    executor.used += run.held;
+    if (wanted) {
+        task->executor = executor.record.id;
+        task->run = std::max(task->run, row.run);
+        task->touched = true;
+        job->state = JobState::Running;
+    }
+    run.orphan = !wanted;
+    Run &added = executor.runs.emplace(row.task, std::move(run)).first->second;
+    if (!wanted) {
+        stopRun(executor, row.task, added, now, job == nullptr ? "job-unknown" : "not-wanted");
+    }
+}
+
+void Scheduler::reported(const std::string &id, const HoldReport &report, TimePoint sentAt, TimePoint now)
+{
+    const auto found = m_executors.find(id);
+    if (found == m_executors.end()) {
+        return;
+    }
+    Executor &executor = found->second;
+    executor.holdPending = false;
+    if (executor.record.born != 0 && report.born != executor.record.born) {
+        if (report.born < executor.record.born) {
+            return;  // an answer of the incarnation before
+        }
+        loseRuns(executor, now, "executor-restarted");
+    }
+    executor.record.born = report.born;
+    executor.lastReport = now;
+    executor.clockMs = report.clockMs;
+    executor.clockAt = now;
+    if (!executor.adopted) {
+        executor.adopted = true;
+        m_inheritedDark.erase(id);
+        m_changed = true;
+    }
+    for (const EndReport &end : report.ended) {
+        if (end.number > executor.lastEnd) {
+            executor.lastEnd = end.number;
+            handleEnd(executor, end, now);
+        }
+    }
+    if (m_dirty.empty() && !m_commitPending) {
+        executor.observed = executor.lastEnd;  // nothing that depends on these ends waits for the store
+    }
+    std::unordered_set<std::string_view> listed;
+    for (const RunningReport &row : report.running) {
+        listed.insert(row.task);
+        const auto place = executor.runs.find(row.task);
+        if (place == executor.runs.end()) {
+            adopt(executor, row, now);
+            continue;
+        }
+        Run &run = place->second;
+        if (run.run != row.run) {
+            continue;  // the answer is older or newer than our order; the next one tells
+        }
+        run.present = true;
+        run.percent = row.percent;
+        run.load = row.load;
+        if (!row.checkpoint.empty()) {
+            run.checkpoint = row.checkpoint;
+        }
+        if (run.state == RunState::Unsettled || run.state == RunState::Starting) {
+            run.state = RunState::Running;
+            run.confirmedAt = now;
+        }
+    }
+    std::vector<std::string> gone;
+    for (auto &[name, run] : executor.runs) {
+        if (listed.contains(name)) {
+            continue;
+        }
+        switch (run.state) {
+        case RunState::Starting:
+            break;
+        case RunState::Unsettled:
+            if (run.sentAt < sentAt) {
+                stopRun(executor, name, run, now, "start-unanswered");
+            }
+            break;
+        case RunState::Running:
+            if (run.confirmedAt < sentAt) {
+                gone.push_back(name);
+            }
+            break;
+        case RunState::Stopping:
+            if (run.stopAnsweredAt != TimePoint{} && run.stopAnsweredAt < sentAt) {
+                gone.push_back(name);
+            }
+            break;
+        }
+    }
+    for (const std::string &name : gone) {
+        const auto place = executor.runs.find(name);
+        const TaskName task = place->second.task;
+        const int runNumber = place->second.run;
+        dropRun(executor, place);
+        Job *job = nullptr;
+        if (Task *known = findTask(task, &job); known != nullptr && known->executor == id) {
+            known->settledRun = std::max(known->settledRun, runNumber);
+            known->touched = true;
+            m_dirty.insert(task.job);
+            ++m_counts.requeued;
+            requeue(task, now);
+            if (job->spec.steps[static_cast<std::size_t>(task.step)].gang) {
+                stopOthers(*job, task, now);
+            }
+        }
+    }
+    executor.nextHold = now + (report.ended.empty() ? Duration{0} : m_settings.holdPause);
+    pace(executor, now);
+}
+
+void Scheduler::holdFailed(const std::string &id, OrderResult result, TimePoint now)
+{
+    const auto found = m_executors.find(id);
+    if (found == m_executors.end()) {
+        return;
+    }
+    Executor &executor = found->second;
+    executor.holdPending = false;
+    executor.nextHold = now + RetryPause;
+    if (result == OrderResult::Fenced) {
+        m_deposed = true;
+    } else if (result == OrderResult::Replaced && !executor.listed) {
+        loseRuns(executor, now, "executor-replaced");
+        m_inheritedDark.erase(id);
+    }
+}
+
+void Scheduler::confirmed(TimePoint provenAt)
+{
+    m_confirmedAt = std::max(m_confirmedAt, provenAt);
+}
+
+bool Scheduler::mayOrder(TimePoint now) const
+{
+    return !m_deposed && now - m_confirmedAt < m_settings.unconfirmedLimit;
+}
+
+/// On the executor's clock, taken at its slowest, so that the lease is never longer than meant.
+std::int64_t Scheduler::leaseUntil(const Executor &executor, TimePoint now) const
+{
+    if (executor.clockAt == TimePoint{}) {
+        return 0;
+    }
+    const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(now - executor.clockAt).count();
+    return executor.clockMs + passed + m_settings.lease.count() / 1000;
+}
+
+void Scheduler::extendLease(Executor &executor, std::int64_t untilMs)
+{
+    const auto left = std::chrono::milliseconds(untilMs - executor.clockMs);
+    const auto longest = Duration(
+        static_cast<std::int64_t>(static_cast<double>(Duration(left).count()) / (1 - m_settings.clockSlowdown)));
+    executor.leaseOver = std::max(executor.leaseOver, executor.clockAt + longest + m_settings.leaseMargin);
+}
+
+// Orders --------------------------------------------------------------------------------------------------------------
+
+void Scheduler::answered(const ExecutorOrder &order, OrderResult result, std::int64_t clockMs, TimePoint now)
+{
+    const auto found = m_executors.find(order.executor);
+    if (result == OrderResult::Fenced) {
+        m_deposed = true;
+        decide("deposed", {}, "executor=" + order.executor + " token=" + std::to_string(order.fencingToken));
+        return;
+    }
+    if (found == m_executors.end() || order.kind == OrderKind::Pace) {
+        return;
+    }
+    Executor &executor = found->second;
+    const auto place = executor.runs.find(order.task);
+    if (place == executor.runs.end() || place->second.run != order.run) {
+        return;
+    }
+    Run &run = place->second;
+    if (clockMs > 0 && result == OrderResult::Done) {
+        executor.clockMs = clockMs;
+        executor.clockAt = now;
+    }
+    if (order.kind == OrderKind::Stop) {
+        if (result == OrderResult::Done) {
+            run.stopAnsweredAt = now;
+            executor.nextHold = std::min(executor.nextHold, now);
+        }
+        return;
+    }
+    if (run.state != RunState::Starting) {
+        return;
+    }
+    const TaskName name = run.task;
+    switch (result) {
+    case OrderResult::Done:
+        run.state = RunState::Running;
+        run.confirmedAt = now;
+        return;
+    case OrderResult::Unanswered:
+        run.state = RunState::Unsettled;
+        executor.nextHold = std::min(executor.nextHold, now);
+        noteOutcome(executor, false, now);
+        decide("start-unanswered", name.job, "task=" + order.task + " executor=" + order.executor);
+        return;
+    case OrderResult::Superseded:
+        if (Task *task = findTask(name); task != nullptr) {
+            task->run += InheritedRunGap;
+        }
+        break;
+    case OrderResult::Unhealthy:
+    case OrderResult::NotSent:
+        executor.ejectedUntil = std::max(executor.ejectedUntil, now + m_settings.ejection / 4);
+        break;
+    case OrderResult::Replaced:
+        executor.ejectedUntil = std::max(executor.ejectedUntil, now + m_settings.ejection);
+        break;
+    default:
+        break;
+    }
+    ++m_counts.refusedStarts;
+    decide("start-refused", name.job,
+           "task=" + order.task + " executor=" + order.executor + " reason=" + std::string(toString(result)));
+    dropRun(executor, place);
+    Job *job = nullptr;
+    if (Task *task = findTask(name, &job); task != nullptr && task->executor == order.executor) {
+        requeue(name, now + RetryPause);
+        if (job->spec.steps[static_cast<std::size_t>(name.step)].gang) {
+            stopOthers(*job, name, now);
+        }
+    }
+}
+
+void Scheduler::holdDue(Executor &executor, TimePoint now)
+{
+    const bool needed = !executor.adopted || !executor.runs.empty() || executor.observed != executor.toldObserved
+        || executor.lastEnd != executor.observed;
+    if (executor.holdPending || executor.nextHold > now || !needed) {
+        return;
+    }
+    if (executor.runs.empty() && executor.adopted && executor.observed == executor.toldObserved) {
+        return;  // ends wait for the store; nothing to tell yet
+    }
+    ExecutorOrder order;
+    order.kind = OrderKind::Hold;
+    order.executor = executor.record.id;
+    order.fencingToken = m_fencingToken;
+    order.observed = executor.observed;
+    bool wait = executor.adopted && !executor.runs.empty();
+    for (const auto &[name, run] : executor.runs) {
+        const bool open = run.state == RunState::Unsettled
+            || (run.state == RunState::Stopping && run.stopAnsweredAt != TimePoint{});
+        wait = wait && !open;
+    }
+    order.wait = wait ? m_settings.holdWait : Duration{0};
+    order.timeout = order.wait + m_settings.holdTimeout;
+    // A silent executor may carry out an unanswered renewal late, so its leases are left to run out.
+    const bool heard = now - executor.lastReport < m_settings.silentAfter;
+    if (mayOrder(now) && heard && !executor.runs.empty()) {
+        order.leaseUntilMs = leaseUntil(executor, now);
+        if (order.leaseUntilMs > 0) {
+            extendLease(executor, order.leaseUntilMs);
+        }
+    }
+    executor.toldObserved = executor.observed;
+    executor.holdPending = true;
+    m_orders.push_back(std::move(order));
+}
+
+void Scheduler::repeatStops(Executor &executor, TimePoint now)
+{
+    for (auto &[name, run] : executor.runs) {
+        if (run.state == RunState::Stopping && run.stopAnsweredAt == TimePoint{}
+            && now - run.stopSentAt >= m_settings.stopRepeat) {
+            run.stopSentAt = now;
+            ExecutorOrder order;
+            order.kind = OrderKind::Stop;
+            order.executor = executor.record.id;
+            order.fencingToken = m_fencingToken;
+            order.task = name;
+            order.run = run.run;
+            order.timeout = m_settings.orderTimeout;
+            m_orders.push_back(std::move(order));
+        }
+    }
+}
+
+/// Tasks of the step that are not at work, except the named one.
+int Scheduler::awayInStep(const Job &job, const TaskName &name, TimePoint now) const
+{
+    int away = 0;
+    const auto &tasks = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
+    for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
+        if (index == name.index) {
+            continue;
+        }
+        const auto executor = m_executors.find(tasks[static_cast<std::size_t>(index)].executor);
+        bool atWork = false;
+        if (executor != m_executors.end() && now - executor->second.lastReport < m_settings.silentAfter) {
+            const auto run = executor->second.runs.find(formatTaskName({name.job, name.occurrence, name.step, index}));
+            atWork = run != executor->second.runs.end() && run->second.state == RunState::Running
+                && run->second.percent == AtWork;
+        }
+        away += atWork ? 0 : 1;
+    }
+    return away;
+}
+
+/// Moves work away from an executor that is about to leave.
+void Scheduler::vacate(Executor &executor, TimePoint now)
+{
+    const bool leaving = executor.record.draining;
+    if (!executor.vacating && !leaving) {
+        return;
+    }
+    for (auto &[name, run] : executor.runs) {
+        const auto found = m_jobs.find(run.task.job);
+        if (run.state != RunState::Running || found == m_jobs.end()) {
+            continue;
+        }
+        const Job &job = *found->second;
+        const StepSpec &step = job.spec.steps[static_cast<std::size_t>(run.task.step)];
+        if (step.longRunning) {
+            const bool allowed = run.percent < AtWork || awayInStep(job, run.task, now) < step.mayMiss;
+            if (allowed || (leaving && !executor.vacating)) {
+                stopRun(executor, name, run, now, "executor-leaves");
+            }
+        } else if (executor.vacating && now - executor.vacatingSince > m_settings.vacateLimit) {
+            stopRun(executor, name, run, now, "executor-leaves");
+        }
+    }
+}
+
+/// Slows tasks that fill when a task beside them misses its latency target.
+void Scheduler::pace(Executor &executor, TimePoint now)
+{
+    constexpr double tooClose = 0.9;  // of the target: slows before it is missed
+    constexpr double relaxed = 0.6;
+    constexpr int step = 25;
+    double worst = 0;
+    bool anyFilling = false;
+    for (const auto &[name, run] : executor.runs) {
+        const auto found = m_jobs.find(run.task.job);
+        if (found == m_jobs.end()) {
+            continue;
+        }
+        const StepSpec &spec = found->second->spec.steps[static_cast<std::size_t>(run.task.step)];
+        anyFilling = anyFilling || spec.fills;
+        if (spec.latencyTarget.count() > 0) {
+            worst = std::max(worst, run.load * 1000 / static_cast<double>(spec.latencyTarget.count()));
+        }
+    }
+    if (!anyFilling || !mayOrder(now)) {
+        return;
+    }
+    for (auto &[name, run] : executor.runs) {
+        const auto found = m_jobs.find(run.task.job);
+        if (found == m_jobs.end() || run.state != RunState::Running
+            || !found->second->spec.steps[static_cast<std::size_t>(run.task.step)].fills) {
+            continue;
+        }
+        int wanted = run.pace;
+        if (worst > tooClose) {
+            wanted = worst > 1 ? 0 : run.pace / 2;
+        } else if (worst < relaxed) {
+            wanted = std::min(AtWork, run.pace + step);
+        }
+        if (wanted != run.pace) {
+            run.pace = wanted;
+            ExecutorOrder order;
+            order.kind = OrderKind::Pace;
+            order.executor = executor.record.id;
+            order.fencingToken = m_fencingToken;
+            order.task = name;
+            order.run = run.run;
+            order.percent = wanted;
+            order.timeout = m_settings.orderTimeout;
+            m_orders.push_back(std::move(order));
+        }
+    }
+}
+
+void Scheduler::tick(TimePoint now, std::int64_t wallMs)
+{
+    for (auto &[id, job] : m_jobs) {
+        if (job->spec.occurrences > job->nextOccurrence && !isFinal(job->state)) {
+            openDueOccurrences(*job, now, wallMs);
+        }
+    }
+    if (!m_inheritedDark.empty() && now >= m_inheritedUntil) {
+        m_inheritedDark.clear();
+        m_changed = true;
+    }
+    for (auto &[id, executor] : m_executors) {
+        const bool silent = now - executor.lastReport > m_settings.silentAfter;
+        if (silent && !executor.runs.empty() && executor.leaseOver != TimePoint{} && now > executor.leaseOver) {
+            loseRuns(executor, now, "lease-over");
+        }
+        if (mayOrder(now)) {
+            repeatStops(executor, now);
+            vacate(executor, now);
+        }
+        if (!m_deposed) {
+            holdDue(executor, now);
+        }
+    }
+    if (m_changed && mayOrder(now)) {
+        place(now);
+    }
+}
+
+std::vector<ExecutorOrder> Scheduler::takeOrders()
+{
+    return std::exchange(m_orders, {});
+}
+
+std::vector<Decision> Scheduler::takeDecisions()
+{
+    return std::exchange(m_decisions, {});
+}
+
+std::vector<Scheduler::Finished> Scheduler::takeFinished()
+{
+    return std::exchange(m_finished, {});
+}
+
+// Store writes --------------------------------------------------------------------------------------------------------
+
+std::optional<CommitBatch> Scheduler::takeCommit(TimePoint now, std::int64_t wallMs)
+{
+    if (m_commitPending || m_deposed) {
+        return std::nullopt;
+    }
+    bool endsOpen = false;
+    for (const auto &[id, executor] : m_executors) {
+        endsOpen = endsOpen || executor.lastEnd != executor.observed;
+    }
+    if (m_dirty.empty() && !endsOpen) {
+        return std::nullopt;
+    }
+    if (m_dirtySince == TimePoint{}) {
+        m_dirtySince = now;
+    }
+    if (now - m_dirtySince < m_settings.commitPause) {
+        return std::nullopt;
+    }
+    m_dirtySince = {};
+    CommitBatch batch;
+    batch.generation = ++m_generation;
+    m_commitEnds.clear();
+    m_commitFinal.clear();
+    for (const auto &[id, executor] : m_executors) {
+        m_commitEnds[id] = executor.lastEnd;
+    }
+    for (const std::string &id : m_dirty) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end()) {
+            continue;
+        }
+        Job &job = *found->second;
+        JobWrite write;
+        write.job = id;
+        write.revision = job.revision;
+        if (isFinal(job.state)) {
+            m_commitFinal.push_back(id);
+            if (job.state != JobState::Cancelled) {  // the caller's entry has written that one
+                JobRecord record;
+                record.state = job.state;
+                record.endedMs = wallMs;
+                write.finalRecord = encodeJobRecord(record);
+            }
+        } else {
+            JobProgress progress;
+            for (const auto &[number, occurrence] : job.occurrences) {
+                for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                    for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                        const Task &task = occurrence.steps[step][index];
+                        if (task.touched) {
+                            progress[{number, static_cast<int>(step), static_cast<int>(index)}]
+                                = {task.run, task.settledRun, task.failures, task.done, task.checkpoint};
+                        }
+                    }
+                }
+            }
+            write.progress = encodeProgress(progress);
+        }
+        batch.writes.push_back(std::move(write));
+    }
+    m_dirty.clear();
+    m_commitPending = true;
+    return batch;
+}
+
+void Scheduler::committed(std::uint64_t generation, TimePoint now)
+{
+    if (generation != m_generation || !m_commitPending) {
+        return;
+    }
+    m_commitPending = false;
+    for (const auto &[id, end] : m_commitEnds) {
+        const auto found = m_executors.find(id);
+        if (found != m_executors.end() && end <= found->second.lastEnd) {
+            found->second.observed = std::max(found->second.observed, end);
+            if (found->second.runs.empty()) {
+                found->second.nextHold = std::min(found->second.nextHold, now);
+            }
+        }
+    }
+    for (const std::string &id : m_commitFinal) {
+        const auto found = m_jobs.find(id);
+        if (found != m_jobs.end()) {
+            found->second->committing = false;
+            forgetIfGone(id);
+        }
+    }
+}
+
+std::map<std::string, int> Scheduler::waitingPerQueue() const
+{
+    std::map<std::string, int> waiting;
+    for (const auto &[id, job] : m_jobs) {
+        waiting[job->spec.queue] += job->state == JobState::Pending && job->spec.occurrences == 0 ? 1 : 0;
+    }
+    return waiting;
+}
+
+std::optional<TimePoint> Scheduler::nextWake(TimePoint now) const
+{
+    std::optional<TimePoint> wake;
+    const auto earlier = [&wake](TimePoint time) { wake = wake ? std::min(*wake, time) : time; };
+    for (const auto &[id, executor] : m_executors) {
+        const bool needed = !executor.adopted || !executor.runs.empty() || executor.observed != executor.toldObserved;
+        if (needed && !executor.holdPending) {
+            earlier(std::max(executor.nextHold, now));
+        }
+    }
+    if (m_dirtySince != TimePoint{}) {
+        earlier(m_dirtySince + m_settings.commitPause);
+    }
+    return wake;
+}
+
+bool Scheduler::inheritanceOpen(TimePoint now) const
+{
+    return !m_inheritedDark.empty() && now < m_inheritedUntil;
+}
+
+}
--- /dev/null
+++ b/src/scheduler.h
@@ -0,0 +1,295 @@
+#pragma once
+
+// The scheduler of one share: the jobs of a service and the executors that run them. Decisions only: events and the
+// present time go in, orders and store writes come out. No sockets, clocks or threads.
+//
+// Index
+// [1] Settings
+// [2] State of tasks and executors
+// [3] Store writes
+// [4] The scheduler
+
+#include "executor.h"
+
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace briarvane
+{
+
+// [1] Settings --------------------------------------------------------------------------------------------------------
+
+struct SchedulerSettings
+{
+    Duration lease{6'000'000};             // of runs; long enough for a takeover, short enough to free lost work soon
+    Duration unconfirmedLimit{4'000'000};  // without proof of ownership no starts and no renewals beyond this
+    Duration holdWait{800'000};            // an executor answers at the latest after this; renews leases in time
+    Duration holdPause{40'000};            // joins the ends of some tasks into one report
+    Duration holdTimeout{1'000'000};       // beyond the wait; a round trip takes milliseconds
+    Duration orderTimeout{800'000};        // of starts and stops
+    Duration silentAfter{1'900'000};       // without a report, no new work: one lost report and its repetition
+    Duration stopRepeat{500'000};          // an unanswered stop is sent again
+    Duration vacateLimit{2'500'000};       // short tasks on an instance that must leave get this long
+    Duration ejection{4'000'000};          // an executor that fails its tasks gets no work for this long
+    Duration commitPause{40'000};          // joins the progress of several jobs into one write
+    double clockSlowdown = 0.02;           // executors' clocks may run this much slow
+    Duration leaseMargin{300'000};         // added to each bound after which a lease is surely over
+};
+
+// [2] State of tasks and executors ------------------------------------------------------------------------------------
+
+enum class RunState {
+    Starting,   // the start is on its way
+    Unsettled,  // the start was not answered; the next report decides
+    Running,
+    Stopping,  // a stop was sent
+};
+
+struct Run
+{
+    int run = 0;
+    TaskName task;
+    Resources held;  // counted against the executor until the end is listed
+    RunState state = RunState::Starting;
+    bool orphan = false;   // nobody asked for it any more
+    bool present = false;  // listed as running
+    int percent = 0;
+    int pace = 100;
+    double load = 0;
+    std::string checkpoint;
+    TimePoint sentAt;
+    TimePoint confirmedAt;  // the start was answered
+    TimePoint stopSentAt;
+    TimePoint stopAnsweredAt;  // default: not answered
+};
+
+struct Task
+{
+    int run = 0;
+    int settledRun = 0;
+    int failures = 0;
+    bool done = false;
+    bool touched = false;  // has progress worth storing
+    std::string executor;  // where its run is; empty: none
+    std::string checkpoint;
+    TimePoint retryAt;
+};
+
+struct Occurrence
+{
+    std::vector<std::vector<Task>> steps;
+    std::vector<int> done;  // per step
+    int stepsDone = 0;
+
+    bool complete() const
+    {
+        return stepsDone == static_cast<int>(steps.size());
+    }
+};
+
+struct Job
+{
+    JobSpec spec;
+    std::uint64_t revision = 0;  // of its record
+    bool inherited = false;      // may have runs that this owner does not know
+    JobState state = JobState::Pending;
+    std::map<int, Occurrence> occurrences;
+    int occurrencesDone = 0;
+    int nextOccurrence = 0;
+    bool dirty = false;
+    bool committing = false;  // its final state is on the way to the store
+    int runs = 0;             // on executors, stopping ones included
+    TimePoint learned;
+    TimePoint objective;  // an end after this is late
+    Duration chain{0};
+};
+
+struct Executor
+{
+    ExecutorRecord record;
+    bool listed = false;   // in the present list
+    bool adopted = false;  // has reported to this owner
+    bool vacating = false;
+    TimePoint vacatingSince;
+    TimePoint lastReport;
+    TimePoint listedSince;
+    TimePoint ejectedUntil;
+    std::uint64_t lastEnd = 0;   // handled
+    std::uint64_t observed = 0;  // durable
+    std::uint64_t toldObserved = 0;
+    bool holdPending = false;
+    TimePoint nextHold;
+    std::int64_t clockMs = 0;  // at clockAt
+    TimePoint clockAt;
+    TimePoint leaseOver;  // all runs there have surely ended after this, unless renewed
+    double failureScore = 0;
+    Resources used;
+    std::map<std::string, Run> runs;  // by task name
+};
+
+// [3] Store writes ----------------------------------------------------------------------------------------------------
+
+struct JobWrite
+{
+    std::string job;
+    std::uint64_t revision = 0;  // of the record that a final state replaces
+    std::string finalRecord;     // empty: the job goes on
+    std::string progress;        // empty: removed
+};
+
+struct CommitBatch
+{
+    std::uint64_t generation = 0;
+    std::vector<JobWrite> writes;
+};
+
+/// A line for the log about one decision.
+struct Decision
+{
+    std::string event;
+    std::string job;
+    std::string detail;
+};
+
+struct SchedulerCounts
+{
+    std::uint64_t starts = 0;
+    std::uint64_t stops = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t late = 0;      // completed after the objective
+    std::uint64_t requeued = 0;  // runs that ended without result
+    std::uint64_t refusedStarts = 0;
+};
+
+/// Distance in run numbers between the runs that this owner knows and its own first run of a task: above those that an
+/// earlier owner started without a trace.
+constexpr int InheritedRunGap = 16;
+
+// [4] The scheduler ---------------------------------------------------------------------------------------------------
+
+class Scheduler
+{
+public:
+    /// `inheritedUntil`: runs of earlier owners on executors that do not answer have surely ended after this.
+    Scheduler(SchedulerSettings settings, std::string service, std::uint64_t fencingToken, TimePoint inheritedUntil);
+
+    // Jobs
+    void addJob(JobSpec spec, std::uint64_t revision, const JobProgress *progress, bool inherited, TimePoint now,
+                std::int64_t wallMs);
+    void endJob(const std::string &id, JobState state, TimePoint now);  // cancelled by a caller
+    bool knows(const std::string &id) const;
+
+    // Executors
+    /// The whole present list; others that earlier owners used are named by `inheritedExecutor`.
+    void setExecutors(const std::vector<ExecutorRecord> &records, TimePoint now);
+    void inheritExecutor(const ExecutorRecord &record, TimePoint now);
+    void setVacating(const std::unordered_set<std::string> &ids, TimePoint now);
+    std::vector<std::string> vacated() const;  // vacating and without runs
+
+    // Results
+    void reported(const std::string &executor, const HoldReport &report, TimePoint sentAt, TimePoint now);
+    void holdFailed(const std::string &executor, OrderResult result, TimePoint now);
+    void answered(const ExecutorOrder &order, OrderResult result, std::int64_t clockMs, TimePoint now);
+    void committed(std::uint64_t generation, TimePoint now);
+    void confirmed(TimePoint provenAt);  // ownership was proven by a call that was sent at this time
+
+    // Decisions
+    void tick(TimePoint now, std::int64_t wallMs);
+    std::vector<ExecutorOrder> takeOrders();
+    std::vector<Decision> takeDecisions();
+    std::optional<CommitBatch> takeCommit(TimePoint now, std::int64_t wallMs);
+    std::optional<TimePoint> nextWake(TimePoint now) const;
+
+    // State
+    bool deposed() const
+    {
+        return m_deposed;
+    }
+    std::uint64_t fencingToken() const
+    {
+        return m_fencingToken;
+    }
+    const std::string &service() const
+    {
+        return m_service;
+    }
+    const SchedulerCounts &counts() const
+    {
+        return m_counts;
+    }
+    const std::map<std::string, Executor> &executors() const
+    {
+        return m_executors;
+    }
+    const Job *job(const std::string &id) const;
+    std::size_t openJobs() const
+    {
+        return m_jobs.size();
+    }
+    std::map<std::string, int> waitingPerQueue() const;
+    /// Queue, time from acceptance to the end, and whether it met its objective; since the last call.
+    struct Finished
+    {
+        std::string queue;
+        Duration total;
+        bool inTime = false;
+    };
+    std::vector<Finished> takeFinished();
+
+private:
+    Task *findTask(const TaskName &name, Job **job = nullptr);
+    void makeOccurrence(Job &job, int number);
+    void openDueOccurrences(Job &job, TimePoint now, std::int64_t wallMs);
+    void requeue(const TaskName &name, TimePoint retryAt);
+    void dropRun(Executor &executor, std::map<std::string, Run>::iterator place);
+    void handleEnd(Executor &executor, const EndReport &end, TimePoint now);
+    void taskDone(Job &job, const TaskName &name, Task &task, TimePoint now);
+    void stopOthers(Job &job, const TaskName &name, TimePoint now);
+    void finishJob(Job &job, JobState state, TimePoint now);
+    void stopRun(Executor &executor, const std::string &name, Run &run, TimePoint now, std::string_view why);
+    void stopAllRuns(Job &job, TimePoint now, std::string_view why);
+    void forgetIfGone(const std::string &id);
+    void loseRuns(Executor &executor, TimePoint now, std::string_view why);
+    void noteOutcome(Executor &executor, bool good, TimePoint now);
+    void adopt(Executor &executor, const RunningReport &row, TimePoint now);
+    std::int64_t leaseUntil(const Executor &executor, TimePoint now) const;
+    void extendLease(Executor &executor, std::int64_t untilMs);
+    bool mayOrder(TimePoint now) const;
+    void holdDue(Executor &executor, TimePoint now);
+    void repeatStops(Executor &executor, TimePoint now);
+    void vacate(Executor &executor, TimePoint now);
+    void pace(Executor &executor, TimePoint now);
+    int awayInStep(const Job &job, const TaskName &name, TimePoint now) const;
+    void place(TimePoint now);
+    bool placeStep(Job &job, int occurrence, int step, TimePoint now);
+    bool stepReady(const Job &job, const Occurrence &occurrence, int step) const;
+    Executor *pickExecutor(const Job &job, int occurrence, int step, TimePoint now);
+    void start(Job &job, const TaskName &name, Executor &executor, TimePoint now);
+    bool inheritanceOpen(TimePoint now) const;
+    void decide(std::string event, std::string job, std::string detail);
+
+    SchedulerSettings m_settings;
+    std::string m_service;
+    std::uint64_t m_fencingToken;
+    TimePoint m_inheritedUntil;
+    TimePoint m_confirmedAt;
+    bool m_deposed = false;
+    bool m_changed = true;  // something that placement depends on
+    std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
+    std::map<std::string, Executor> m_executors;
+    std::unordered_set<std::string> m_inheritedDark;  // used by earlier owners and not yet heard
+    std::unordered_set<std::string> m_dirty;
+    std::uint64_t m_generation = 0;
+    bool m_commitPending = false;
+    TimePoint m_dirtySince;
+    std::map<std::string, std::uint64_t> m_commitEnds;  // executor: last end whose effects the pending commit holds
+    std::vector<std::string> m_commitFinal;
+    std::vector<ExecutorOrder> m_orders;
+    std::vector<Decision> m_decisions;
+    std::vector<Finished> m_finished;
+    SchedulerCounts m_counts;
+};
+
+}
--- /dev/null
+++ b/src/scheduler_placement.cpp
@@ -0,0 +1,279 @@
+// Queue order and placement: which waiting task starts where.
+
+#include "scheduler.h"
+
+#include <algorithm>
+
+namespace briarvane
+{
+
+namespace
+{
+
+constexpr std::size_t BlockedLimit = 24;  // jobs that found no room before a pass ends; keeps a pass short in a backlog
+
+Duration remainingChain(const Job &job)
+{
+    Duration longest{0};
+    for (const auto &[number, occurrence] : job.occurrences) {
+        std::vector<Duration> ends;
+        for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+            Duration begin{0};
+            for (const int earlier : job.spec.steps[step].after) {
+                begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+            }
+            const bool done = occurrence.done[step] == job.spec.steps[step].count;
+            ends.push_back(begin + (done ? Duration{0} : job.spec.steps[step].estimate));
+            longest = std::max(longest, ends.back());
+        }
+    }
+    return longest;
+}
+
+struct Candidate
+{
+    Job *job = nullptr;
+    bool late = false;
+    Duration slack{0};
+};
+
+}
+
+bool Scheduler::stepReady(const Job &job, const Occurrence &occurrence, int step) const
+{
+    const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
+    return std::all_of(spec.after.begin(), spec.after.end(), [&](int earlier) {
+        return occurrence.done[static_cast<std::size_t>(earlier)]
+            == job.spec.steps[static_cast<std::size_t>(earlier)].count;
+    });
+}
+
+/// Urgent queues first; within them jobs that can still meet their objective, least slack first. A late job earns
+/// little, so it waits until the others have found room.
+void Scheduler::place(TimePoint now)
+{
+    m_changed = false;
+    std::vector<Candidate> candidates;
+    for (auto &[id, job] : m_jobs) {
+        if (isFinal(job->state) || (job->inherited && inheritanceOpen(now))) {
+            continue;
+        }
+        bool waiting = false;
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (std::size_t step = 0; !waiting && step < occurrence.steps.size(); ++step) {
+                waiting = occurrence.done[step] < job->spec.steps[step].count
+                    && std::any_of(occurrence.steps[step].begin(), occurrence.steps[step].end(),
+                                   [](const Task &task) { return !task.done && task.executor.empty(); });
+            }
+        }
+        if (!waiting) {
+            continue;
+        }
+        const Duration slack = job->objective - now - remainingChain(*job);
+        const bool isLong = !job->spec.steps.empty() && job->spec.steps.front().longRunning;
+        candidates.push_back({job.get(), !isLong && slack < Duration{0}, isLong ? Duration::min() : slack});
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return std::tuple(left.late, left.job->spec.priority, left.slack, left.job->spec.id)
+            < std::tuple(right.late, right.job->spec.priority, right.slack, right.job->spec.id);
+    });
+    std::size_t blocked = 0;
+    for (const Candidate &candidate : candidates) {
+        bool allPlaced = true;
+        for (auto &[number, occurrence] : candidate.job->occurrences) {
+            for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
+                if (occurrence.done[static_cast<std::size_t>(step)]
+                        < candidate.job->spec.steps[static_cast<std::size_t>(step)].count
+                    && stepReady(*candidate.job, occurrence, step)) {
+                    allPlaced = placeStep(*candidate.job, number, step, now) && allPlaced;
+                }
+            }
+        }
+        if (!allPlaced && ++blocked >= BlockedLimit) {
+            break;
+        }
+    }
+}
+
+/// Starts the waiting tasks of a step that find room. A gang starts only as a whole.
+bool Scheduler::placeStep(Job &job, int number, int step, TimePoint now)
+{
+    auto &tasks = job.occurrences[number].steps[static_cast<std::size_t>(step)];
+    const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
+    std::vector<int> waiting;
+    bool retryLater = false;
+    for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
+        const Task &task = tasks[static_cast<std::size_t>(index)];
+        if (!task.done && task.executor.empty()) {
+            retryLater = retryLater || task.retryAt > now;
+            if (task.retryAt <= now) {
+                waiting.push_back(index);
+            }
+        }
+    }
+    m_changed = m_changed || retryLater;
+    if (!spec.gang) {
+        for (const int index : waiting) {
+            Executor *executor = pickExecutor(job, number, step, now);
+            if (executor == nullptr) {
+                return false;
+            }
+            start(job, {job.spec.id, number, step, index}, *executor, now);
+        }
+        return true;
+    }
+    if (static_cast<int>(waiting.size()) < spec.count) {
+        return true;  // members of the last run are still ending
+    }
+    std::vector<Executor *> chosen;
+    for (const int index : waiting) {
+        Executor *executor = pickExecutor(job, number, step, now);
+        if (executor == nullptr) {
+            break;
+        }
+        executor->used += spec.each;  // reserved while the others are looked for
+        tasks[static_cast<std::size_t>(index)].executor = executor->record.id;
+        chosen.push_back(executor);
+    }
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+        chosen[i]->used -= spec.each;
+        tasks[static_cast<std::size_t>(waiting[i])].executor.clear();
+    }
+    if (chosen.size() < waiting.size()) {
+        return false;
+    }
+    int run = 0;
+    std::string checkpoint;
+    for (const Task &task : tasks) {
+        run = std::max(run, task.run);
+        checkpoint = std::max(checkpoint, task.checkpoint);
+    }
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+        Task &task = tasks[static_cast<std::size_t>(waiting[i])];
+        task.run = run;  // all members carry the same run and checkpoint
+        task.checkpoint = checkpoint;
+        start(job, {job.spec.id, number, step, waiting[i]}, *chosen[i], now);
+    }
+    return true;
+}
+
+/// The best executor with room for one more task of the step; null when there is none.
+Executor *Scheduler::pickExecutor(const Job &job, int number, int step, TimePoint now)
+{
+    const StepSpec &spec = job.spec.steps[static_cast<std::size_t>(step)];
+    const auto &tasks = job.occurrences.at(number).steps[static_cast<std::size_t>(step)];
+    std::map<std::string_view, int> here;   // tasks of this step per executor
+    std::map<std::string_view, int> racks;  // and per rack
+    if (spec.perExecutorLimit > 0 || spec.longRunning || spec.sameRack) {
+        for (const Task &task : tasks) {
+            if (const auto found = m_executors.find(task.executor); found != m_executors.end()) {
+                ++here[found->first];
+                ++racks[found->second.record.rack];
+            }
+        }
+        if (spec.perExecutorLimit > 0) {  // stopping and orphaned runs of the step count as well
+            here.clear();
+            for (const auto &[id, executor] : m_executors) {
+                for (const auto &[name, run] : executor.runs) {
+                    here[id] += run.task.job == job.spec.id && run.task.occurrence == number && run.task.step == step;
+                }
+            }
+            for (const Task &task : tasks) {  // reserved for a gang and not yet started
+                const auto found = m_executors.find(task.executor);
+                here[task.executor] += spec.gang && found != m_executors.end() ? 1 : 0;
+            }
+        }
+    }
+    Resources wanted = spec.each;
+    if (spec.fills) {
+        wanted.milliCores = 0;
+    }
+    Executor *best = nullptr;
+    double bestScore = 0;
+    for (auto &[id, executor] : m_executors) {
+        const bool usable = executor.listed && executor.adopted && !executor.record.draining && !executor.vacating
+            && executor.ejectedUntil <= now
+            && (executor.runs.empty() || now - executor.lastReport < m_settings.silentAfter);
+        Resources after = executor.used;
+        after += wanted;
+        if (!usable || !after.fitsInto(executor.record.capacity)
+            || (spec.perExecutorLimit > 0 && here[id] >= spec.perExecutorLimit)) {
+            continue;
+        }
+        const auto &labels = executor.record.labels;
+        if (!spec.requiredLabel.empty()
+            && std::find(labels.begin(), labels.end(), spec.requiredLabel) == labels.end()) {
+            continue;
+        }
+        double score = static_cast<double>(executor.used.milliCores)
+            / std::max(1.0, static_cast<double>(executor.record.capacity.milliCores));
+        score += executor.failureScore;
+        if (!spec.dataRack.empty() && executor.record.rack != spec.dataRack) {
+            score += 4;  // elsewhere it takes several times as long
+        }
+        if (spec.longRunning) {  // one dark rack costs few of them
+            score += 2 * here[id] + racks[executor.record.rack];
+        } else if (spec.sameRack) {
+            score -= racks[executor.record.rack];
+        }
+        if (spec.fills || spec.latencyTarget.count() > 0) {  // kept apart: what fills disturbs what serves
+            for (const auto &[name, run] : executor.runs) {
+                const auto found = m_jobs.find(run.task.job);
+                if (found == m_jobs.end()) {
+                    continue;
+                }
+                const StepSpec &other = found->second->spec.steps[static_cast<std::size_t>(run.task.step)];
+                score += other.fills != spec.fills && (other.fills || other.latencyTarget.count() > 0) ? 0.5 : 0;
+            }
+        }
+        if (best == nullptr || score < bestScore) {
+            best = &executor;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void Scheduler::start(Job &job, const TaskName &name, Executor &executor, TimePoint now)
+{
+    const StepSpec &step = job.spec.steps[static_cast<std::size_t>(name.step)];
+    Task *task = findTask(name);
+    task->run += job.inherited && !task->touched ? InheritedRunGap : 1;
+    task->touched = true;
+    task->executor = executor.record.id;
+    Run run;
+    run.run = task->run;
+    run.task = name;
+    run.held = step.each;
+    if (step.fills) {
+        run.held.milliCores = 0;
+    }
+    run.sentAt = now;
+    executor.used += run.held;
+    ++job.runs;
+    if (job.state == JobState::Pending) {
+        job.state = JobState::Running;
+        decide("job-started", job.spec.id,
+               "queue=" + job.spec.queue + " wait_ms=" + std::to_string((now - job.learned).count() / 1000));
+    }
+    ExecutorOrder order;
+    order.kind = OrderKind::Start;
+    order.executor = executor.record.id;
+    order.fencingToken = m_fencingToken;
+    order.task = formatTaskName(name);
+    order.run = run.run;
+    order.payload = job.spec.payload;
+    order.checkpoint = step.checkpointing ? task->checkpoint : std::string();
+    order.leaseUntilMs = leaseUntil(executor, now);
+    order.timeout = m_settings.orderTimeout;
+    extendLease(executor, order.leaseUntilMs);
+    if (executor.runs.empty()) {
+        executor.lastReport = now;  // silence counts from the first run
+    }
+    executor.nextHold = std::min(executor.nextHold, now + m_settings.holdPause);
+    executor.runs.insert_or_assign(order.task, std::move(run));
+    ++m_counts.starts;
+    m_orders.push_back(std::move(order));
+}
+
+}
--- /dev/null
+++ b/src/share_owner.h
@@ -0,0 +1,612 @@
+#pragma once
+
+// Runs the scheduler of one share while this entry owns it: loads its jobs, sends its orders, stores its progress.
+//
+// Index
+// [1] Settings
+// [2] What an owner needs from its entry
+// [3] The owner
+
+#include "boot_clock.h"
+#include "job_keys.h"
+#include "log.h"
+#include "scheduler.h"
+#include "store_view.h"
+
+#include <boost/json.hpp>
+
+#include <deque>
+#include <set>
+
+namespace briarvane
+{
+
+// [1] Settings --------------------------------------------------------------------------------------------------------
+
+struct ShareOwnerSettings
+{
+    SchedulerSettings scheduler;
+    Duration tickPeriod{50'000};      // longest time between two looks at bounds and retries
+    Duration confirmPeriod{800'000};  // ownership is proven this often when no write proves it
+    Duration storeTimeout{700'000};   // of reads and writes; a slow store takes up to 250 ms
+    Duration retryPause{120'000};     // after a failed store call
+    Duration countsPeriod{700'000};   // waiting jobs are published this often; callers may see 2 s old counts
+    Duration usedPeriod{1'000'000};   // the recorded executors are pruned at most this often
+    Duration keepFinal{180'000'000};  // final states stay readable this long
+};
+
+// [2] What an owner needs from its entry ------------------------------------------------------------------------------
+
+/// `send` completes with the report of a hold, or null.
+struct ShareOwnerHooks
+{
+    using Ordered = std::function<void(OrderResult, std::int64_t clockMs, const HoldReport *report)>;
+    std::function<void(const ExecutorOrder &, Ordered)> send;
+    std::function<void(const ExecutorRecord &)> know;  // before the first order to an executor
+    std::function<void(const Scheduler::Finished &)> finished;
+    std::function<void(const std::string &share, std::string_view why)> lost;  // the entry destroys the owner later
+};
+
+// [3] The owner -------------------------------------------------------------------------------------------------------
+
+template<Store S>
+class ShareOwner
+{
+public:
+    ShareOwner(S &store, Timers &timers, std::string share, std::uint64_t fencingToken, bool hadOwner,
+               ShareOwnerSettings settings, ShareOwnerHooks hooks, TimePoint acquiredAt, TimePoint provenAt)
+        : m_store(store)
+        , m_timers(timers)
+        , m_share(std::move(share))
+        , m_fencingToken(fencingToken)
+        , m_settings(settings)
+        , m_hooks(std::move(hooks))
+        , m_scheduler(settings.scheduler, m_share, fencingToken, inheritedUntil(hadOwner, settings, acquiredAt))
+        , m_jobs(
+              store, timers, keys::jobs(m_share), {}, [this](const StoreItem &item) { jobChanged(item); },
+              [this] { jobsRefreshed(); })
+        , m_alive(std::make_shared<bool>(true))
+    {
+        m_scheduler.confirmed(provenAt);
+    }
+    ShareOwner(const ShareOwner &) = delete;
+    ShareOwner &operator=(const ShareOwner &) = delete;
+    ~ShareOwner()
+    {
+        *m_alive = false;
+    }
+
+    void start()
+    {
+        loadProgress({});
+    }
+
+    void setExecutors(const std::vector<ExecutorRecord> &records)
+    {
+        m_listed.clear();
+        for (const ExecutorRecord &record : records) {
+            if (record.service == m_share) {
+                m_listed.push_back(record);
+            }
+        }
+        m_haveList = true;
+        recordExecutors();
+    }
+
+    void setVacating(const std::unordered_set<std::string> &executors)
+    {
+        m_scheduler.setVacating(executors, bootNow());
+        wake();
+    }
+
+    const Scheduler &scheduler() const
+    {
+        return m_scheduler;
+    }
+    const std::string &share() const
+    {
+        return m_share;
+    }
+    std::uint64_t fencingToken() const
+    {
+        return m_fencingToken;
+    }
+
+private:
+    static TimePoint inheritedUntil(bool hadOwner, const ShareOwnerSettings &settings, TimePoint acquiredAt)
+    {
+        const SchedulerSettings &scheduler = settings.scheduler;
+        const auto lease = Duration(
+            static_cast<std::int64_t>(static_cast<double>(scheduler.lease.count()) / (1 - scheduler.clockSlowdown)));
+        return hadOwner ? acquiredAt + scheduler.unconfirmedLimit + lease + scheduler.leaseMargin : acquiredAt;
+    }
+
+    /// Wraps a completion so that it does nothing once the owner is gone.
+    template<class F>
+    auto guarded(F function)
+    {
+        return [alive = m_alive, function = std::move(function)](const auto &...arguments) mutable {
+            if (*alive) {
+                function(arguments...);
+            }
+        };
+    }
+
+    void later(Duration pause, std::function<void()> function)
+    {
+        m_timers.at(steadyNow() + pause, [alive = m_alive, function = std::move(function)] {
+            if (*alive) {
+                function();
+            }
+        });
+    }
+
+    void lose(std::string_view why)
+    {
+        if (!std::exchange(m_lost, true)) {
+            m_hooks.lost(m_share, why);
+        }
+    }
+
+    // Loading
+
+    void loadProgress(const std::string &after)
+    {
+        m_store.range(keys::progressOf(m_share), after, false, m_settings.storeTimeout,
+                      guarded([this, after](const StoreReply &reply) {
+                          if (reply.outcome != StoreOutcome::Done) {
+                              later(m_settings.retryPause, [this, after] { loadProgress(after); });
+                              return;
+                          }
+                          const std::size_t prefix = keys::progressOf(m_share).size();
+                          for (const StoreItem &item : reply.items) {
+                              auto progress = parseProgress(item.value);
+                              if (!progress) {
+                                  logEvent(LogLevel::Error, "progress-unreadable", {{"key", item.key}});
+                                  continue;
+                              }
+                              m_loadedProgress[item.key.substr(prefix)] = std::move(progress.value());
+                          }
+                          if (reply.truncated && !reply.items.empty()) {
+                              loadProgress(reply.items.back().key);
+                          } else {
+                              loadUsed();
+                          }
+                      }));
+    }
+
+    void loadUsed()
+    {
+        m_store.read(keys::usedExecutors(m_share), m_settings.storeTimeout, guarded([this](const StoreReply &reply) {
+                         if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                             readUsed(reply.items.front().value);
+                         } else if (reply.outcome != StoreOutcome::NotFound) {
+                             later(m_settings.retryPause, [this] { loadUsed(); });
+                             return;
+                         }
+                         m_jobs.start();
+                     }));
+    }
+
+    void readUsed(const std::string &text)
+    {
+        boost::system::error_code error;
+        const boost::json::value value = boost::json::parse(text, error);
+        if (error || !value.is_array()) {
+            logEvent(LogLevel::Error, "used-executors-unreadable", {{"share", m_share}});
+            return;
+        }
+        for (const boost::json::value &entry : value.get_array()) {
+            const boost::json::array &row = entry.as_array();
+            ExecutorRecord record;
+            record.id = row.at(0).as_string();
+            record.address = row.at(1).as_string();
+            record.port = static_cast<std::uint16_t>(row.at(2).as_int64());
+            record.service = m_share;
+            m_used.insert(record.id);
+            m_hooks.know(record);
+            m_scheduler.inheritExecutor(record, bootNow());
+        }
+    }
+
+    void jobChanged(const StoreItem &item)
+    {
+        const std::string id = item.key.substr(keys::jobs(m_share).size());
+        if (item.key == keys::ownerMark(m_share)) {
+            if (item.revision > m_fencingToken) {
+                lose("another-owner");
+            }
+            return;
+        }
+        if (item.removed) {
+            return;
+        }
+        auto record = parseJobRecord(id, item.value);
+        if (!record) {
+            logEvent(LogLevel::Error, "job-unreadable", {{"job", id}});
+            return;
+        }
+        const TimePoint now = bootNow();
+        if (isFinal(record.value().state)) {
+            if (record.value().state == JobState::Cancelled) {
+                m_scheduler.endJob(id, JobState::Cancelled, now);
+            }
+            const std::int64_t wall = wallNowMs();
+            const std::int64_t age = std::clamp<std::int64_t>(wall - record.value().endedMs, 0, 600'000);
+            m_final.emplace_back(now - std::chrono::milliseconds(age), id);
+            return;
+        }
+        const auto progress = m_loadedProgress.find(id);
+        const bool inherited = item.created < m_fencingToken;
+        m_scheduler.addJob(std::move(record.value().spec), item.revision,
+                           progress == m_loadedProgress.end() ? nullptr : &progress->second, inherited, now,
+                           wallNowMs());
+    }
+
+    void jobsRefreshed()
+    {
+        if (!m_loaded) {
+            m_loaded = true;
+            m_loadedProgress.clear();
+            logEvent(LogLevel::Info, "share-loaded",
+                     {{"share", m_share},
+                      {"token", std::to_string(m_fencingToken)},
+                      {"jobs", std::to_string(m_scheduler.openJobs())},
+                      {"used_executors", std::to_string(m_used.size())}});
+            recordExecutors();
+            confirm();
+            publishCounts();
+            collectGarbage();
+        }
+        wake();
+    }
+
+    // Executors
+
+    /// An executor is recorded before its first order, so that the next owner knows where runs may be.
+    void recordExecutors()
+    {
+        if (!m_loaded || !m_haveList || m_recording) {
+            return;
+        }
+        std::map<std::string, const ExecutorRecord *> wanted;
+        bool added = false;
+        for (const ExecutorRecord &record : m_listed) {
+            wanted[record.id] = &record;
+            added = added || !m_used.contains(record.id);
+        }
+        for (const auto &[id, executor] : m_scheduler.executors()) {
+            wanted.try_emplace(id, &executor.record);
+        }
+        const bool removed = std::any_of(m_used.begin(), m_used.end(),
+                                         [&wanted](const std::string &id) { return !wanted.contains(id); });
+        const TimePoint now = bootNow();
+        if (!added && (!removed || now - m_recordedAt < m_settings.usedPeriod)) {
+            useExecutors();
+            return;
+        }
+        m_recording = true;
+        m_recordedAt = now;
+        boost::json::array rows;
+        auto ids = std::make_shared<std::set<std::string>>();
+        for (const auto &[id, record] : wanted) {
+            rows.push_back({id, record->address, static_cast<std::int64_t>(record->port)});
+            ids->insert(id);
+        }
+        StoreTxn txn;
+        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.writes.push_back({keys::usedExecutors(m_share), boost::json::serialize(rows), 0});
+        const TimePoint sentAt = now;
+        m_store.commit(txn, m_settings.storeTimeout, guarded([this, ids, sentAt](const StoreReply &reply) {
+                           m_recording = false;
+                           if (reply.outcome == StoreOutcome::Done) {
+                               m_scheduler.confirmed(sentAt);
+                               m_used = *ids;
+                               useExecutors();
+                           } else if (reply.outcome == StoreOutcome::Conflict) {
+                               lose("precondition");
+                           } else {
+                               later(m_settings.retryPause, [this] { recordExecutors(); });
+                           }
+                       }));
+    }
+
+    void useExecutors()
+    {
+        std::vector<ExecutorRecord> usable;
+        for (const ExecutorRecord &record : m_listed) {
+            if (m_used.contains(record.id)) {
+                m_hooks.know(record);
+                usable.push_back(record);
+            }
+        }
+        m_scheduler.setExecutors(usable, bootNow());
+        wake();
+    }
+
+    // Running
+
+    /// Joins the events of one turn of the loop into one pass over the scheduler.
+    void wake()
+    {
+        if (!m_loaded || m_lost || std::exchange(m_waking, true)) {
+            return;
+        }
+        later(Duration{0}, [this] {
+            m_waking = false;
+            pass();
+        });
+    }
+
+    void pass()
+    {
+        if (m_lost) {
+            return;
+        }
+        const TimePoint now = bootNow();
+        m_scheduler.tick(now, wallNowMs());
+        for (const ExecutorOrder &order : m_scheduler.takeOrders()) {
+            send(order, now);
+        }
+        for (const Decision &decision : m_scheduler.takeDecisions()) {
+            logEvent(LogLevel::Info, decision.event,
+                     {{"job", decision.job}, {"share", m_share}, {"inputs", decision.detail}});
+        }
+        for (const auto &finished : m_scheduler.takeFinished()) {
+            m_hooks.finished(finished);
+        }
+        if (auto batch = m_scheduler.takeCommit(now, wallNowMs())) {
+            store(std::move(*batch));
+        }
+        if (m_scheduler.deposed()) {
+            lose("fenced");
+            return;
+        }
+        publishCleared();
+        const TimePoint latest = now + m_settings.tickPeriod;
+        const TimePoint next = std::min(latest, m_scheduler.nextWake(now).value_or(latest));
+        const TimePoint steady = steadyNow() + std::max(Duration{1000}, next - now);
+        if (m_wakeKey.second != 0 && steady >= m_wakeAt && m_wakeAt > steadyNow()) {
+            return;
+        }
+        m_timers.cancel(m_wakeKey);
+        m_wakeAt = steady;
+        m_wakeKey = m_timers.at(steady, [alive = m_alive, this] {
+            if (*alive) {
+                m_wakeKey = {};
+                pass();
+            }
+        });
+    }
+
+    void send(const ExecutorOrder &order, TimePoint sentAt)
+    {
+        m_hooks.send(
+            order,
+            [alive = m_alive, this, order, sentAt](OrderResult result, std::int64_t clockMs, const HoldReport *report) {
+                if (!*alive) {
+                    return;
+                }
+                const TimePoint now = bootNow();
+                if (order.kind != OrderKind::Hold) {
+                    m_scheduler.answered(order, result, clockMs, now);
+                } else if (report != nullptr) {
+                    m_scheduler.reported(order.executor, *report, sentAt, now);
+                } else {
+                    m_scheduler.holdFailed(order.executor, result, now);
+                }
+                wake();
+            });
+    }
+
+    // Store
+
+    struct Commit
+    {
+        std::uint64_t generation = 0;
+        std::deque<JobWrite> left;
+    };
+
+    void store(CommitBatch batch)
+    {
+        auto commit = std::make_shared<Commit>();
+        commit->generation = batch.generation;
+        commit->left.assign(std::make_move_iterator(batch.writes.begin()), std::make_move_iterator(batch.writes.end()));
+        storeNext(commit);
+    }
+
+    void storeNext(const std::shared_ptr<Commit> &commit)
+    {
+        if (m_lost) {
+            return;
+        }
+        if (commit->left.empty()) {
+            m_scheduler.committed(commit->generation, bootNow());
+            wake();
+            return;
+        }
+        StoreTxn txn;
+        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        auto taken = std::make_shared<std::vector<JobWrite>>();
+        constexpr std::size_t rowsPerJob = 3;
+        while (!commit->left.empty() && txn.rows() + rowsPerJob <= StoreTxn::TxnRows) {
+            JobWrite write = std::move(commit->left.front());
+            commit->left.pop_front();
+            if (!write.finalRecord.empty()) {
+                txn.expected.emplace_back(keys::job(m_share, write.job), write.revision);
+                txn.writes.push_back({keys::job(m_share, write.job), write.finalRecord, 0});
+            }
+            if (write.progress.empty()) {
+                txn.removed.push_back(keys::progress(m_share, write.job));
+            } else {
+                txn.writes.push_back({keys::progress(m_share, write.job), write.progress, 0});
+            }
+            taken->push_back(std::move(write));
+        }
+        const TimePoint sentAt = bootNow();
+        m_store.commit(txn, m_settings.storeTimeout, guarded([this, commit, taken, sentAt](const StoreReply &reply) {
+                           stored(commit, *taken, reply, sentAt);
+                       }));
+    }
+
+    void stored(const std::shared_ptr<Commit> &commit, std::vector<JobWrite> &taken, const StoreReply &reply,
+                TimePoint sentAt)
+    {
+        const auto putBack = [&] {
+            for (auto write = taken.rbegin(); write != taken.rend(); ++write) {
+                commit->left.push_front(std::move(*write));
+            }
+        };
+        switch (reply.outcome) {
+        case StoreOutcome::Done:
+            m_scheduler.confirmed(sentAt);
+            storeNext(commit);
+            return;
+        case StoreOutcome::Conflict: {
+            std::map<std::string, std::uint64_t> current;
+            for (const StoreItem &item : reply.items) {
+                current[item.key] = item.revision;
+            }
+            if (current[keys::owner(m_share)] != m_fencingToken) {
+                lose("precondition");
+                return;
+            }
+            // A job whose record changed was cancelled by its caller, or an earlier try of this write was done.
+            std::erase_if(taken, [&](const JobWrite &write) {
+                return !write.finalRecord.empty() && current[keys::job(m_share, write.job)] != write.revision;
+            });
+            putBack();
+            storeNext(commit);
+            return;
+        }
+        case StoreOutcome::Malformed:
+            logEvent(LogLevel::Error, "commit-malformed", {{"share", m_share}});
+            [[fallthrough]];
+        default:
+            putBack();
+            later(m_settings.retryPause, [this, commit] { storeNext(commit); });
+        }
+    }
+
+    /// Proves the ownership by a read when no write has done so lately.
+    void confirm()
+    {
+        const TimePoint sentAt = bootNow();
+        m_store.read(keys::owner(m_share), m_settings.storeTimeout, guarded([this, sentAt](const StoreReply &reply) {
+                         if (reply.outcome == StoreOutcome::NotFound
+                             || (reply.outcome == StoreOutcome::Done
+                                 && (reply.items.empty() || reply.items.front().revision != m_fencingToken))) {
+                             lose("ownership-key-gone");
+                             return;
+                         }
+                         if (reply.outcome == StoreOutcome::Done) {
+                             m_scheduler.confirmed(sentAt);
+                         }
+                         later(reply.outcome == StoreOutcome::Done ? m_settings.confirmPeriod : m_settings.retryPause,
+                               [this] { confirm(); });
+                     }));
+    }
+
+    void publishCounts()
+    {
+        boost::json::object counts;
+        for (const auto &[queue, waiting] : m_scheduler.waitingPerQueue()) {
+            counts[queue] = waiting;
+        }
+        std::string text = boost::json::serialize(counts);
+        if (text == m_publishedCounts) {
+            later(m_settings.countsPeriod, [this] { publishCounts(); });
+            return;
+        }
+        StoreTxn txn;
+        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.writes.push_back({keys::waiting(m_share), text, 0});
+        const TimePoint sentAt = bootNow();
+        m_store.commit(txn, m_settings.storeTimeout,
+                       guarded([this, text = std::move(text), sentAt](const StoreReply &reply) {
+                           if (reply.outcome == StoreOutcome::Conflict) {
+                               lose("precondition");
+                               return;
+                           }
+                           if (reply.outcome == StoreOutcome::Done) {
+                               m_publishedCounts = text;
+                               m_scheduler.confirmed(sentAt);
+                           }
+                           later(m_settings.countsPeriod, [this] { publishCounts(); });
+                       }));
+    }
+
+    void publishCleared()
+    {
+        std::vector<std::string> ids = m_scheduler.vacated();
+        if (m_publishingCleared || ids == m_cleared) {
+            return;
+        }
+        m_publishingCleared = true;
+        StoreTxn txn;
+        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.writes.push_back({keys::cleared(m_share), boost::json::serialize(boost::json::value_from(ids)), 0});
+        m_store.commit(txn, m_settings.storeTimeout, guarded([this, ids = std::move(ids)](const StoreReply &reply) {
+                           m_publishingCleared = false;
+                           if (reply.outcome == StoreOutcome::Conflict) {
+                               lose("precondition");
+                           } else if (reply.outcome == StoreOutcome::Done) {
+                               m_cleared = ids;
+                           }
+                       }));
+    }
+
+    /// Removes final states that nobody asks for any more.
+    void collectGarbage()
+    {
+        const TimePoint now = bootNow();
+        StoreTxn txn;
+        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        constexpr std::size_t rowsPerJob = 2;
+        while (!m_final.empty() && now - m_final.front().first > m_settings.keepFinal
+               && txn.rows() + rowsPerJob <= StoreTxn::TxnRows) {
+            txn.removed.push_back(keys::job(m_share, m_final.front().second));
+            txn.removed.push_back(keys::jobId(m_final.front().second));
+            m_final.pop_front();
+        }
+        if (!txn.removed.empty()) {
+            m_store.commit(txn, m_settings.storeTimeout, guarded([this](const StoreReply &reply) {
+                               if (reply.outcome != StoreOutcome::Done) {
+                                   logRepeated(LogLevel::Warn, "garbage-kept", m_share,
+                                               {{"why", std::string(toString(reply.outcome))}});
+                               }
+                           }));
+        }
+        later(m_settings.usedPeriod * 2, [this] {
+            recordExecutors();
+            collectGarbage();
+        });
+    }
+
+    S &m_store;
+    Timers &m_timers;
+    std::string m_share;
+    std::uint64_t m_fencingToken;
+    ShareOwnerSettings m_settings;
+    ShareOwnerHooks m_hooks;
+    Scheduler m_scheduler;
+    StoreView<S> m_jobs;
+    std::shared_ptr<bool> m_alive;
+    std::map<std::string, JobProgress> m_loadedProgress;
+    std::vector<ExecutorRecord> m_listed;
+    std::set<std::string> m_used;                       // recorded in the store
+    std::optional<std::vector<std::string>> m_cleared;  // as published by this owner
+    std::deque<std::pair<TimePoint, std::string>> m_final;
+    std::string m_publishedCounts;
+    TimePoint m_recordedAt;
+    Timers::Key m_wakeKey{};
+    TimePoint m_wakeAt;
+    bool m_loaded = false;
+    bool m_haveList = false;
+    bool m_recording = false;
+    bool m_publishingCleared = false;
+    bool m_waking = false;
+    bool m_lost = false;
+};
+
+}
