Count failed runs by their number and record where long-running tasks start

Exit 139: a share was released through a reference to the map key that the release erases. Ruled out: ends moved on before they were stored (the commit of the first end was still waiting for the store when its owner died). Change: failed runs are kept as numbers; a long-running task is started only after the store knows on which executor; a recorded executor that was born again holds nothing any more; an owner that gives a share back says so, and its successor waits for the lease alone.

--- a/src/job.cpp
+++ b/src/job.cpp
@@ -227,7 +227,8 @@
     json::array rows;
     for (const auto &[place, task] : progress) {
         const auto &[occurrence, step, index] = place;
-        rows.push_back({occurrence, step, index, task.run, task.settledRun, task.failures, task.done, task.checkpoint});
+        rows.push_back({occurrence, step, index, task.run, json::value_from(task.failedRuns), task.done, task.executor,
+                        task.checkpoint});
     }
     return json::serialize(rows);
 }
@@ -247,8 +248,13 @@
         }
         const json::array &row = entry.get_array();
         const auto number = [&row](std::size_t column) { return static_cast<int>(row[column].get_int64()); };
+        std::vector<int> failedRuns;
+        for (const json::value &run : row[4].get_array()) {
+            failedRuns.push_back(static_cast<int>(run.get_int64()));
+        }
         progress[{number(0), number(1), number(2)}]
-            = {number(3), number(4), number(5), row[6].get_bool(), std::string(row[7].get_string())};
+            = {number(3), std::move(failedRuns), row[5].get_bool(), std::string(row[6].get_string()),
+               std::string(row[7].get_string())};
     }
     return progress;
 }
--- a/src/job.h
+++ b/src/job.h
@@ -118,10 +118,10 @@
 /// What must survive the loss of an owner, for one task that has been started.
 struct TaskProgress
 {
-    int run = 0;         // highest run known to have been used
-    int settledRun = 0;  // highest run whose end is counted
-    int failures = 0;
+    int run = 0;                  // highest run known to have been used
+    std::vector<int> failedRuns;  // counted against the attempts; ends may be listed again and in any order
     bool done = false;
+    std::string executor;  // long-running tasks: recorded before the start is sent
     std::string checkpoint;
 
     bool operator==(const TaskProgress &) const = default;
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -65,10 +65,10 @@
     int rankFor(const std::string &share) const;
     void assign();
     void acquire(const std::string &share);
-    void acquireAfterMark(const std::string &share, bool hadOwner);
-    void own(const std::string &share, std::uint64_t fencingToken, bool hadOwner, TimePoint provenAt);
-    void dropOwner(const std::string &share, std::string_view why);
-    void release(const std::string &share);
+    void acquireAfterMark(const std::string &share, keys::Predecessor predecessor);
+    void own(const std::string &share, std::uint64_t fencingToken, keys::Predecessor predecessor, TimePoint provenAt);
+    void dropOwner(std::string share, std::string_view why);
+    void release(std::string share);
     void rebalance();
     int ownedCount() const;
 
@@ -391,14 +391,18 @@
     m_acquiring.insert(share);
     m_store.read(keys::ownerMark(share), StoreTimeout, [this, share](const StoreReply &reply) {
         if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::NotFound) {
-            acquireAfterMark(share, reply.outcome == StoreOutcome::Done);
+            const bool exists = reply.outcome == StoreOutcome::Done && !reply.items.empty();
+            acquireAfterMark(share,
+                             !exists                                               ? keys::Predecessor::None
+                                 : reply.items.front().value == keys::ReleasedMark ? keys::Predecessor::Released
+                                                                                   : keys::Predecessor::Lost);
         } else {
             m_acquiring.erase(share);
         }
     });
 }
 
-void JobEntry::acquireAfterMark(const std::string &share, bool hadOwner)
+void JobEntry::acquireAfterMark(const std::string &share, keys::Predecessor predecessor)
 {
     const OwnerMark mark = m_owners[share];
     const std::string holder = m_settings.name + ' ' + m_startId;
@@ -407,15 +411,15 @@
     txn.writes.push_back({keys::owner(share), holder, m_lease});
     txn.writes.push_back({keys::ownerMark(share), holder, 0});
     const TimePoint sentAt = bootNow();
-    m_store.commit(txn, StoreTimeout, [this, share, hadOwner, holder, sentAt](const StoreReply &reply) {
+    m_store.commit(txn, StoreTimeout, [this, share, predecessor, holder, sentAt](const StoreReply &reply) {
         if (reply.outcome == StoreOutcome::Done) {
-            own(share, reply.revision, hadOwner, sentAt);
+            own(share, reply.revision, predecessor, sentAt);
         } else if (reply.outcome == StoreOutcome::Unknown) {
             m_store.read(keys::owner(share), StoreTimeout,
-                         [this, share, hadOwner, holder, sentAt](const StoreReply &read) {
+                         [this, share, predecessor, holder, sentAt](const StoreReply &read) {
                              if (read.outcome == StoreOutcome::Done && !read.items.empty()
                                  && read.items.front().value == holder) {
-                                 own(share, read.items.front().revision, hadOwner, sentAt);
+                                 own(share, read.items.front().revision, predecessor, sentAt);
                              }
                              m_acquiring.erase(share);
                          });
@@ -425,21 +429,27 @@
     });
 }
 
-void JobEntry::own(const std::string &share, std::uint64_t fencingToken, bool hadOwner, TimePoint provenAt)
+void JobEntry::own(const std::string &share, std::uint64_t fencingToken, keys::Predecessor predecessor,
+                   TimePoint provenAt)
 {
     OwnerMark &mark = m_owners[share];
     if (mark.revision < fencingToken) {
         mark = {m_settings.name + ' ' + m_startId, fencingToken, {}};
     }
     logEvent(LogLevel::Info, "share-acquired",
-             {{"share", share}, {"token", std::to_string(fencingToken)}, {"had_owner", hadOwner ? "yes" : "no"}});
+             {{"share", share},
+              {"token", std::to_string(fencingToken)},
+              {"predecessor",
+               predecessor == keys::Predecessor::None           ? "none"
+                   : predecessor == keys::Predecessor::Released ? "released"
+                                                                : "lost"}});
     watchFleet();
     const TimePoint now = bootNow();
     if (share == keys::FleetShare) {
         FleetOwnerSettings settings;
         settings.turnPause = m_settings.holderTurn + std::chrono::milliseconds(300);
-        m_fleet = std::make_unique<FleetOwner<Client>>(m_store, m_timers, fencingToken, hadOwner, settings,
-                                                       fleetHooks(), now);
+        m_fleet = std::make_unique<FleetOwner<Client>>(
+            m_store, m_timers, fencingToken, predecessor != keys::Predecessor::None, settings, fleetHooks(), now);
         std::set<std::string> spare;
         for (const PooledService &service : m_plan.services) {
             if (service.spare) {
@@ -457,7 +467,7 @@
     ShareOwnerSettings settings;
     settings.scheduler.lease = m_settings.runLease;
     settings.keepFinal = m_settings.keepFinal;
-    auto owner = std::make_unique<ShareOwner<Client>>(m_store, m_timers, share, fencingToken, hadOwner, settings,
+    auto owner = std::make_unique<ShareOwner<Client>>(m_store, m_timers, share, fencingToken, predecessor, settings,
                                                       shareHooks(), now, provenAt);
     owner->setVacating(m_vacating);
     if (m_haveExecutors) {
@@ -467,7 +477,7 @@
     m_shares[share] = std::move(owner);
 }
 
-void JobEntry::dropOwner(const std::string &share, std::string_view why)
+void JobEntry::dropOwner(std::string share, std::string_view why)
 {
     logEvent(LogLevel::Warn, "share-lost", {{"share", share}, {"why", std::string(why)}});
     // Not at once: the owner is still on the stack.
@@ -502,7 +512,7 @@
 }
 
 /// Gives a share back, so that another entry takes it at once.
-void JobEntry::release(const std::string &share)
+void JobEntry::release(std::string share)
 {
     const bool running = share == keys::FleetShare ? m_fleet != nullptr : m_shares.contains(share);
     const std::uint64_t token = !running ? m_owners[share].revision
@@ -517,6 +527,7 @@
     StoreTxn txn;
     txn.expected.emplace_back(keys::owner(share), token);
     txn.removed.push_back(keys::owner(share));
+    txn.writes.push_back({keys::ownerMark(share), keys::ReleasedMark, 0});
     m_store.commit(txn, StoreTimeout, [this, share](const StoreReply &reply) {
         const bool open = reply.outcome != StoreOutcome::Done && reply.outcome != StoreOutcome::Conflict;
         if (open && !m_shares.contains(share) && !(share == keys::FleetShare && m_fleet)) {
--- a/src/job_keys.h
+++ b/src/job_keys.h
@@ -8,10 +8,18 @@
 // [3] What owners tell each other
 
 #include <string>
+#include <string_view>
 
 namespace briarvane::keys
 {
 
+/// How a share came to be free.
+enum class Predecessor {
+    None,      // it never had an owner
+    Released,  // the last owner had stopped giving orders when it gave the share back
+    Lost,      // the last owner may not yet know that it is deposed
+};
+
 // [1] Ownership: keys on leases, so they vanish with their holder -----------------------------------------------------
 
 inline const std::string Membership = "m/";
@@ -48,6 +56,7 @@
 {
     return jobs(share) + "!owner";
 }
+inline const std::string ReleasedMark = "released";  // value of the mark after an owner has given the share back
 inline std::string progressOf(const std::string &share)
 {
     return "p/" + share + "/";
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -71,8 +71,8 @@
             Occurrence &occurrence = job->occurrences[number];
             Task &task = occurrence.steps[static_cast<std::size_t>(step)][static_cast<std::size_t>(index)];
             task.run = saved.run;
-            task.settledRun = saved.settledRun;
-            task.failures = saved.failures;
+            task.failedRuns = saved.failedRuns;
+            task.inherited = inherited ? saved.executor : std::string();
             task.checkpoint = saved.checkpoint;
             task.touched = true;
             job->state = JobState::Running;
@@ -218,32 +218,33 @@
     }
     const StepSpec &step = job->spec.steps[static_cast<std::size_t>(name->step)];
     task->run = std::max(task->run, end.run);
-    const bool isNew = end.run > task->settledRun;
     const bool here = task->executor == executor.record.id && wasPlaced;
-    if (!end.checkpoint.empty() && (isNew || task->checkpoint.empty())) {
+    if (!end.checkpoint.empty() && (end.run == task->run || task->checkpoint.empty())) {
         task->checkpoint = end.checkpoint;
     }
     task->touched = true;
-    task->settledRun = std::max(task->settledRun, end.run);
     m_dirty.insert(job->spec.id);
     if (end.how == RunEnd::Done && !step.longRunning) {
         noteOutcome(executor, true, now);
         taskDone(*job, *name, *task, now);
         return;
     }
-    if (end.how == RunEnd::Failed && isNew && !task->done) {
+    const bool counted = std::find(task->failedRuns.begin(), task->failedRuns.end(), end.run) != task->failedRuns.end();
+    if (end.how == RunEnd::Failed && !counted && !task->done) {
         noteOutcome(executor, false, now);
-        ++task->failures;
         decide("run-failed", job->spec.id,
                "task=" + end.task + " run=" + std::to_string(end.run) + " executor=" + executor.record.id
-                   + " failures=" + std::to_string(task->failures));
-        if (!step.longRunning && task->failures >= job->spec.maxAttempts) {
-            finishJob(*job, JobState::Failed, now);
-            return;
+                   + " failures=" + std::to_string(task->failedRuns.size() + 1));
+        if (!step.longRunning) {
+            task->failedRuns.push_back(end.run);
+            if (static_cast<int>(task->failedRuns.size()) >= job->spec.maxAttempts) {
+                finishJob(*job, JobState::Failed, now);
+                return;
+            }
         }
     }
     if (here || task->executor.empty()) {
-        ++m_counts.requeued;
+        m_counts.requeued += here ? 1 : 0;
         if (!wasStopping && end.how == RunEnd::Lapsed) {
             decide("run-lapsed", job->spec.id, "task=" + end.task + " executor=" + executor.record.id);
         }
@@ -327,6 +328,10 @@
     if (run.state == RunState::Stopping) {
         return;
     }
+    if (run.state == RunState::Reserved) {  // nothing was sent; the commit that records it drops it
+        run.orphan = true;
+        return;
+    }
     run.state = RunState::Stopping;
     run.stopSentAt = now;
     run.stopAnsweredAt = {};
@@ -379,6 +384,11 @@
         } else if (executor.record.born != 0 && record.born > executor.record.born) {
             loseRuns(executor, now, "executor-restarted");
         }
+        if (const auto dark = m_inheritedDark.find(record.id);
+            dark != m_inheritedDark.end() && dark->second != 0 && record.born > dark->second) {
+            m_inheritedDark.erase(dark);  // the incarnation that had the runs is gone
+            m_changed = true;
+        }
         const std::int64_t born = std::max(record.born, executor.record.born);
         if (record.draining != executor.record.draining) {
             m_changed = true;
@@ -402,7 +412,7 @@
         place->second.nextHold = now;
     }
     if (!place->second.adopted) {
-        m_inheritedDark.insert(record.id);
+        m_inheritedDark.emplace(record.id, record.born);
     }
 }
 
@@ -576,6 +586,7 @@
             continue;
         }
         switch (run.state) {
+        case RunState::Reserved:
         case RunState::Starting:
             break;
         case RunState::Unsettled:
@@ -602,7 +613,7 @@
         dropRun(executor, place);
         Job *job = nullptr;
         if (Task *known = findTask(task, &job); known != nullptr && known->executor == id) {
-            known->settledRun = std::max(known->settledRun, runNumber);
+            known->run = std::max(known->run, runNumber);
             known->touched = true;
             m_dirty.insert(task.job);
             ++m_counts.requeued;
@@ -979,8 +990,10 @@
                     for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
                         const Task &task = occurrence.steps[step][index];
                         if (task.touched) {
+                            const bool isLong = job.spec.steps[step].longRunning;
                             progress[{number, static_cast<int>(step), static_cast<int>(index)}]
-                                = {task.run, task.settledRun, task.failures, task.done, task.checkpoint};
+                                = {task.run, task.failedRuns, task.done, isLong ? task.executor : std::string(),
+                                   task.checkpoint};
                         }
                     }
                 }
@@ -990,6 +1003,7 @@
         batch.writes.push_back(std::move(write));
     }
     m_dirty.clear();
+    m_commitReserved = std::exchange(m_reserved, {});
     m_commitPending = true;
     return batch;
 }
@@ -1009,6 +1023,25 @@
             }
         }
     }
+    for (const auto &[id, name] : std::exchange(m_commitReserved, {})) {
+        const auto found = m_executors.find(id);
+        if (found == m_executors.end()) {
+            continue;
+        }
+        const auto run = found->second.runs.find(name);
+        if (run == found->second.runs.end() || run->second.state != RunState::Reserved) {
+            continue;
+        }
+        const auto owner = m_jobs.find(run->second.task.job);
+        const bool wanted = owner != m_jobs.end() && !isFinal(owner->second->state) && !run->second.orphan;
+        if (wanted && mayOrder(now) && !found->second.vacating && !found->second.record.draining) {
+            sendStart(*owner->second, name, run->second, found->second, now);
+        } else {
+            const TaskName task = run->second.task;
+            dropRun(found->second, run);
+            requeue(task, now);
+        }
+    }
     for (const std::string &id : m_commitFinal) {
         const auto found = m_jobs.find(id);
         if (found != m_jobs.end()) {
@@ -1043,9 +1076,14 @@
     return wake;
 }
 
-bool Scheduler::inheritanceOpen(TimePoint now) const
+/// Whether an earlier owner may have started the task on an executor that has not reported to this one.
+bool Scheduler::mayHaveUnknownRun(const Job &job, int step, const Task &task) const
 {
-    return !m_inheritedDark.empty() && now < m_inheritedUntil;
+    if (!job.inherited || m_inheritedDark.empty()) {
+        return false;
+    }
+    // Where long-running tasks are started is recorded first; the others may be anywhere.
+    return !job.spec.steps[static_cast<std::size_t>(step)].longRunning || m_inheritedDark.contains(task.inherited);
 }
 
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -40,6 +40,7 @@
 // [2] State of tasks and executors ------------------------------------------------------------------------------------
 
 enum class RunState {
+    Reserved,   // long-running: the start waits until the store knows the executor
     Starting,   // the start is on its way
     Unsettled,  // the start was not answered; the next report decides
     Running,
@@ -67,11 +68,11 @@
 struct Task
 {
     int run = 0;
-    int settledRun = 0;
-    int failures = 0;
+    std::vector<int> failedRuns;
     bool done = false;
-    bool touched = false;  // has progress worth storing
-    std::string executor;  // where its run is; empty: none
+    bool touched = false;   // has progress worth storing
+    std::string executor;   // where its run is; empty: none
+    std::string inherited;  // long-running: where an earlier owner may have started it
     std::string checkpoint;
     TimePoint retryAt;
 };
@@ -184,7 +185,7 @@
     // Executors
     /// The whole present list; others that earlier owners used are named by `inheritedExecutor`.
     void setExecutors(const std::vector<ExecutorRecord> &records, TimePoint now);
-    void inheritExecutor(const ExecutorRecord &record, TimePoint now);
+    void inheritExecutor(const ExecutorRecord &record, TimePoint now);  // with the `born` that was recorded
     void setVacating(const std::unordered_set<std::string> &ids, TimePoint now);
     std::vector<std::string> vacated() const;  // vacating and without runs
 
@@ -267,7 +268,8 @@
     bool stepReady(const Job &job, const Occurrence &occurrence, int step) const;
     Executor *pickExecutor(const Job &job, int occurrence, int step, TimePoint now);
     void start(Job &job, const TaskName &name, Executor &executor, TimePoint now);
-    bool inheritanceOpen(TimePoint now) const;
+    void sendStart(Job &job, const std::string &name, Run &run, Executor &executor, TimePoint now);
+    bool mayHaveUnknownRun(const Job &job, int step, const Task &task) const;
     void decide(std::string event, std::string job, std::string detail);
 
     SchedulerSettings m_settings;
@@ -279,13 +281,15 @@
     bool m_changed = true;  // something that placement depends on
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<std::string, Executor> m_executors;
-    std::unordered_set<std::string> m_inheritedDark;  // used by earlier owners and not yet heard
+    std::unordered_map<std::string, std::int64_t> m_inheritedDark;  // used by earlier owners and not yet heard, `born`
     std::unordered_set<std::string> m_dirty;
     std::uint64_t m_generation = 0;
     bool m_commitPending = false;
     TimePoint m_dirtySince;
     std::map<std::string, std::uint64_t> m_commitEnds;  // executor: last end whose effects the pending commit holds
     std::vector<std::string> m_commitFinal;
+    std::vector<std::pair<std::string, std::string>> m_reserved;  // executor and task that the next commit records
+    std::vector<std::pair<std::string, std::string>> m_commitReserved;
     std::vector<ExecutorOrder> m_orders;
     std::vector<Decision> m_decisions;
     std::vector<Finished> m_finished;
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -55,7 +55,7 @@
     m_changed = false;
     std::vector<Candidate> candidates;
     for (auto &[id, job] : m_jobs) {
-        if (isFinal(job->state) || (job->inherited && inheritanceOpen(now))) {
+        if (isFinal(job->state)) {
             continue;
         }
         bool waiting = false;
@@ -104,7 +104,7 @@
     bool retryLater = false;
     for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
         const Task &task = tasks[static_cast<std::size_t>(index)];
-        if (!task.done && task.executor.empty()) {
+        if (!task.done && task.executor.empty() && !mayHaveUnknownRun(job, step, task)) {
             retryLater = retryLater || task.retryAt > now;
             if (task.retryAt <= now) {
                 waiting.push_back(index);
@@ -248,7 +248,6 @@
     if (step.fills) {
         run.held.milliCores = 0;
     }
-    run.sentAt = now;
     executor.used += run.held;
     ++job.runs;
     if (job.state == JobState::Pending) {
@@ -256,22 +255,38 @@
         decide("job-started", job.spec.id,
                "queue=" + job.spec.queue + " wait_ms=" + std::to_string((now - job.learned).count() / 1000));
     }
+    const std::string text = formatTaskName(name);
+    Run &added = executor.runs.insert_or_assign(text, std::move(run)).first->second;
+    if (step.longRunning) {
+        added.state = RunState::Reserved;
+        m_reserved.emplace_back(executor.record.id, text);
+        m_dirty.insert(job.spec.id);
+    } else {
+        sendStart(job, text, added, executor, now);
+    }
+}
+
+void Scheduler::sendStart(Job &job, const std::string &name, Run &run, Executor &executor, TimePoint now)
+{
+    const StepSpec &step = job.spec.steps[static_cast<std::size_t>(run.task.step)];
+    const Task *task = findTask(run.task);
+    run.state = RunState::Starting;
+    run.sentAt = now;
     ExecutorOrder order;
     order.kind = OrderKind::Start;
     order.executor = executor.record.id;
     order.fencingToken = m_fencingToken;
-    order.task = formatTaskName(name);
+    order.task = name;
     order.run = run.run;
     order.payload = job.spec.payload;
     order.checkpoint = step.checkpointing ? task->checkpoint : std::string();
     order.leaseUntilMs = leaseUntil(executor, now);
     order.timeout = m_settings.orderTimeout;
     extendLease(executor, order.leaseUntilMs);
-    if (executor.runs.empty()) {
+    if (executor.runs.size() == 1) {
         executor.lastReport = now;  // silence counts from the first run
     }
     executor.nextHold = std::min(executor.nextHold, now + m_settings.holdPause);
-    executor.runs.insert_or_assign(order.task, std::move(run));
     ++m_counts.starts;
     m_orders.push_back(std::move(order));
 }
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -53,7 +53,7 @@
 class ShareOwner
 {
 public:
-    ShareOwner(S &store, Timers &timers, std::string share, std::uint64_t fencingToken, bool hadOwner,
+    ShareOwner(S &store, Timers &timers, std::string share, std::uint64_t fencingToken, keys::Predecessor predecessor,
                ShareOwnerSettings settings, ShareOwnerHooks hooks, TimePoint acquiredAt, TimePoint provenAt)
         : m_store(store)
         , m_timers(timers)
@@ -61,7 +61,7 @@
         , m_fencingToken(fencingToken)
         , m_settings(settings)
         , m_hooks(std::move(hooks))
-        , m_scheduler(settings.scheduler, m_share, fencingToken, inheritedUntil(hadOwner, settings, acquiredAt))
+        , m_scheduler(settings.scheduler, m_share, fencingToken, inheritedUntil(predecessor, settings, acquiredAt))
         , m_jobs(
               store, timers, keys::jobs(m_share), {}, [this](const StoreItem &item) { jobChanged(item); },
               [this] { jobsRefreshed(); })
@@ -113,12 +113,22 @@
     }
 
 private:
-    static TimePoint inheritedUntil(bool hadOwner, const ShareOwnerSettings &settings, TimePoint acquiredAt)
+    /// An owner that lost its share may go on until it notices; one that gave it back has stopped.
+    static TimePoint inheritedUntil(keys::Predecessor predecessor, const ShareOwnerSettings &settings,
+                                    TimePoint acquiredAt)
     {
         const SchedulerSettings &scheduler = settings.scheduler;
         const auto lease = Duration(
             static_cast<std::int64_t>(static_cast<double>(scheduler.lease.count()) / (1 - scheduler.clockSlowdown)));
-        return hadOwner ? acquiredAt + scheduler.unconfirmedLimit + lease + scheduler.leaseMargin : acquiredAt;
+        switch (predecessor) {
+        case keys::Predecessor::None:
+            return acquiredAt;
+        case keys::Predecessor::Released:
+            return acquiredAt + lease + scheduler.leaseMargin;
+        case keys::Predecessor::Lost:
+            break;
+        }
+        return acquiredAt + scheduler.unconfirmedLimit + lease + scheduler.leaseMargin;
     }
 
     /// Wraps a completion so that it does nothing once the owner is gone.
@@ -202,6 +212,7 @@
             record.id = row.at(0).as_string();
             record.address = row.at(1).as_string();
             record.port = static_cast<std::uint16_t>(row.at(2).as_int64());
+            record.born = row.at(3).as_int64();
             record.service = m_share;
             m_used.insert(record.id);
             m_hooks.know(record);
@@ -290,7 +301,7 @@
         boost::json::array rows;
         auto ids = std::make_shared<std::set<std::string>>();
         for (const auto &[id, record] : wanted) {
-            rows.push_back({id, record->address, static_cast<std::int64_t>(record->port)});
+            rows.push_back({id, record->address, static_cast<std::int64_t>(record->port), record->born});
             ids->insert(id);
         }
         StoreTxn txn;
