Count a stopping run against its executor until its end can be listed

Ruled out: reports overtaking each other (one hold at a time per executor). Change: a stopped run is gone only when a report was asked for after the stop time; adoption sets the end of the inherited lease; a task does not start where its earlier run is still ending.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -466,6 +466,7 @@
     }
     ShareOwnerSettings settings;
     settings.scheduler.lease = m_settings.runLease;
+    settings.scheduler.stopTime = m_settings.stopTime;
     settings.keepFinal = m_settings.keepFinal;
     auto owner = std::make_unique<ShareOwner<Client>>(m_store, m_timers, share, fencingToken, predecessor, settings,
                                                       shareHooks(), now, provenAt);
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -547,6 +547,7 @@
         executor.adopted = true;
         m_inheritedDark.erase(id);
         m_changed = true;
+        extendLease(executor, leaseUntil(executor, now));  // an earlier owner's lease ends no later
     }
     for (const EndReport &end : report.ended) {
         if (end.number > executor.lastEnd) {
@@ -600,7 +601,9 @@
             }
             break;
         case RunState::Stopping:
-            if (run.stopAnsweredAt != TimePoint{} && run.stopAnsweredAt < sentAt) {
+            // What is being stopped still holds its resources; only a run that was never there has no end by then.
+            if (run.stopAnsweredAt != TimePoint{}
+                && run.stopAnsweredAt + m_settings.stopTime + m_settings.leaseMargin < sentAt) {
                 gone.push_back(name);
             }
             break;
@@ -760,13 +763,16 @@
     order.executor = executor.record.id;
     order.fencingToken = m_fencingToken;
     order.observed = executor.observed;
-    bool wait = executor.adopted && !executor.runs.empty();
+    // While the outcome of an order is open, reports come often; an end in between is reported at once anyway.
+    Duration wait = executor.adopted && !executor.runs.empty() ? m_settings.holdWait : Duration{0};
     for (const auto &[name, run] : executor.runs) {
-        const bool open = run.state == RunState::Unsettled
-            || (run.state == RunState::Stopping && run.stopAnsweredAt != TimePoint{});
-        wait = wait && !open;
+        if (run.state == RunState::Unsettled) {
+            wait = Duration{0};
+        } else if (run.state == RunState::Stopping && run.stopAnsweredAt != TimePoint{}) {
+            wait = std::min(wait, m_settings.stopTime / 2);
+        }
     }
-    order.wait = wait ? m_settings.holdWait : Duration{0};
+    order.wait = wait;
     order.timeout = order.wait + m_settings.holdTimeout;
     // A silent executor may carry out an unanswered renewal late, so its leases are left to run out.
     const bool heard = now - executor.lastReport < m_settings.silentAfter;
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -118,6 +118,9 @@
             if (executor == nullptr) {
                 return false;
             }
+            if (executor->runs.contains(formatTaskName({job.spec.id, number, step, index}))) {
+                continue;  // an earlier run of the task is still ending there
+            }
             start(job, {job.spec.id, number, step, index}, *executor, now);
         }
         return true;
