Treat an executor with a run of unknown size as full

Change: such runs are counted apart, and nothing starts beside them; one line a second tells what placement of a share can use; adoption is logged.

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -191,6 +191,7 @@
 void Scheduler::dropRun(Executor &executor, std::map<std::string, Run>::iterator place)
 {
     executor.used -= place->second.held;
+    executor.unknownSizes -= place->second.sizeUnknown ? 1 : 0;
     const std::string id = place->second.task.job;
     executor.runs.erase(place);
     m_changed = true;
@@ -509,7 +510,8 @@
         }
         ++job->runs;
     } else {
-        run.held = executor.record.capacity;  // unknown, so nothing else is started beside it
+        run.sizeUnknown = true;
+        ++executor.unknownSizes;
     }
     executor.used += run.held;
     if (wanted) {
@@ -543,7 +545,8 @@
     executor.lastReport = now;
     executor.clockMs = report.clockMs;
     executor.clockAt = now;
-    if (!executor.adopted) {
+    const bool isNew = !executor.adopted;
+    if (isNew) {
         executor.adopted = true;
         m_inheritedDark.erase(id);
         m_changed = true;
@@ -558,6 +561,11 @@
     if (m_dirty.empty() && !m_commitPending) {
         executor.observed = executor.lastEnd;  // nothing that depends on these ends waits for the store
     }
+    if (isNew) {
+        decide("executor-adopted", {},
+               "executor=" + id + " running=" + std::to_string(report.running.size())
+                   + " ended=" + std::to_string(report.ended.size()) + " clock_ms=" + std::to_string(report.clockMs));
+    }
     std::unordered_set<std::string_view> listed;
     for (const RunningReport &row : report.running) {
         listed.insert(row.task);
@@ -1066,6 +1074,42 @@
     return waiting;
 }
 
+std::string Scheduler::summary(TimePoint now) const
+{
+    int listed = 0;
+    int adopted = 0;
+    int ejected = 0;
+    int leaving = 0;
+    int silent = 0;
+    std::size_t runs = 0;
+    Resources used;
+    Resources room;
+    for (const auto &[id, executor] : m_executors) {
+        listed += executor.listed ? 1 : 0;
+        adopted += executor.adopted ? 1 : 0;
+        ejected += executor.ejectedUntil > now ? 1 : 0;
+        leaving += executor.vacating || executor.record.draining ? 1 : 0;
+        silent += !executor.runs.empty() && now - executor.lastReport >= m_settings.silentAfter ? 1 : 0;
+        runs += executor.runs.size();
+        used += executor.used;
+        if (executor.listed) {
+            room += executor.record.capacity;
+        }
+    }
+    int waiting = 0;
+    for (const auto &[id, job] : m_jobs) {
+        waiting += job->state == JobState::Pending ? 1 : 0;
+    }
+    return "jobs=" + std::to_string(m_jobs.size()) + " waiting=" + std::to_string(waiting)
+        + " runs=" + std::to_string(runs) + " executors=" + std::to_string(m_executors.size()) + " listed="
+        + std::to_string(listed) + " adopted=" + std::to_string(adopted) + " ejected=" + std::to_string(ejected)
+        + " leaving=" + std::to_string(leaving) + " silent=" + std::to_string(silent)
+        + " dark=" + std::to_string(m_inheritedDark.size()) + " used_cores=" + std::to_string(used.milliCores / 1000)
+        + "/" + std::to_string(room.milliCores / 1000) + " used_gb=" + std::to_string(used.memoryMb / 1024) + "/"
+        + std::to_string(room.memoryMb / 1024) + " proof_ms=" + std::to_string((now - m_confirmedAt).count() / 1000)
+        + " commit=" + (m_commitPending ? "pending" : "none") + " may_order=" + (mayOrder(now) ? "yes" : "no");
+}
+
 std::optional<TimePoint> Scheduler::nextWake(TimePoint now) const
 {
     std::optional<TimePoint> wake;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -30,6 +30,7 @@
     Duration orderTimeout{800'000};        // of starts and stops
     Duration silentAfter{1'900'000};       // without a report, no new work: one lost report and its repetition
     Duration stopRepeat{500'000};          // an unanswered stop is sent again
+    Duration stopTime{400'000};            // an executor takes this long to stop a run, which is not listed meanwhile
     Duration vacateLimit{2'500'000};       // short tasks on an instance that must leave get this long
     Duration ejection{4'000'000};          // an executor that fails its tasks gets no work for this long
     Duration commitPause{40'000};          // joins the progress of several jobs into one write
@@ -53,8 +54,9 @@
     TaskName task;
     Resources held;  // counted against the executor until the end is listed
     RunState state = RunState::Starting;
-    bool orphan = false;   // nobody asked for it any more
-    bool present = false;  // listed as running
+    bool orphan = false;       // nobody asked for it any more
+    bool sizeUnknown = false;  // its job is not known: nothing is started beside it
+    bool present = false;      // listed as running
     int percent = 0;
     int pace = 100;
     double load = 0;
@@ -126,6 +128,7 @@
     TimePoint leaseOver;  // all runs there have surely ended after this, unless renewed
     double failureScore = 0;
     Resources used;
+    int unknownSizes = 0;             // runs whose resources are not in `used`
     std::map<std::string, Run> runs;  // by task name
 };
 
@@ -230,6 +233,7 @@
         return m_jobs.size();
     }
     std::map<std::string, int> waitingPerQueue() const;
+    std::string summary(TimePoint now) const;  // one line for the log: what placement can use
     /// Queue, time from acceptance to the end, and whether it met its objective; since the last call.
     struct Finished
     {
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -26,13 +26,14 @@
 struct ShareOwnerSettings
 {
     SchedulerSettings scheduler;
-    Duration tickPeriod{50'000};      // longest time between two looks at bounds and retries
-    Duration confirmPeriod{800'000};  // ownership is proven this often when no write proves it
-    Duration storeTimeout{700'000};   // of reads and writes; a slow store takes up to 250 ms
-    Duration retryPause{120'000};     // after a failed store call
-    Duration countsPeriod{700'000};   // waiting jobs are published this often; callers may see 2 s old counts
-    Duration usedPeriod{1'000'000};   // the recorded executors are pruned at most this often
-    Duration keepFinal{180'000'000};  // final states stay readable this long
+    Duration tickPeriod{50'000};        // longest time between two looks at bounds and retries
+    Duration confirmPeriod{800'000};    // ownership is proven this often when no write proves it
+    Duration storeTimeout{700'000};     // of reads and writes; a slow store takes up to 250 ms
+    Duration retryPause{120'000};       // after a failed store call
+    Duration countsPeriod{700'000};     // waiting jobs are published this often; callers may see 2 s old counts
+    Duration summaryPeriod{1'000'000};  // of the line in the log that tells what placement can use
+    Duration usedPeriod{1'000'000};     // the recorded executors are pruned at most this often
+    Duration keepFinal{180'000'000};    // final states stay readable this long
 };
 
 // [2] What an owner needs from its entry ------------------------------------------------------------------------------
@@ -267,6 +268,7 @@
             recordExecutors();
             confirm();
             publishCounts();
+            summarize();
             collectGarbage();
         }
         wake();
@@ -518,6 +520,12 @@
                      }));
     }
 
+    void summarize()
+    {
+        logEvent(LogLevel::Info, "share-state", {{"share", m_share}, {"state", m_scheduler.summary(bootNow())}});
+        later(m_settings.summaryPeriod, [this] { summarize(); });
+    }
+
     void publishCounts()
     {
         boost::json::object counts;
