Drive the scheduler through a model of the fleet

Change: placement is repeated while tasks wait; a restarted executor is adopted anew and unlisted runs are settled by its next report; ends are acknowledged only to an incarnation that has just reported.

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -383,7 +383,7 @@
             executor.nextHold = now;
             m_changed = true;
         } else if (executor.record.born != 0 && record.born > executor.record.born) {
-            loseRuns(executor, now, "executor-restarted");
+            loseRuns(executor, now, "executor-restarted", true);
         }
         if (const auto dark = m_inheritedDark.find(record.id);
             dark != m_inheritedDark.end() && dark->second != 0 && record.born > dark->second) {
@@ -441,16 +441,26 @@
     return ids;
 }
 
-/// Everything that ran there has ended without a report.
-void Scheduler::loseRuns(Executor &executor, TimePoint now, std::string_view why)
+/// What ran there has ended without a report. A restarted executor counts its ends anew.
+void Scheduler::loseRuns(Executor &executor, TimePoint now, std::string_view why, bool restarted)
 {
     if (!executor.runs.empty()) {
         decide("runs-lost", {},
                "executor=" + executor.record.id + " runs=" + std::to_string(executor.runs.size())
                    + " why=" + std::string(why));
     }
-    while (!executor.runs.empty()) {
-        const auto place = executor.runs.begin();
+    std::vector<std::string> lost;
+    for (auto &[name, run] : executor.runs) {
+        if (restarted && !run.present && run.state != RunState::Reserved) {
+            // The start may have reached the new incarnation; its next report tells.
+            run.state = run.state == RunState::Stopping ? RunState::Stopping : RunState::Unsettled;
+            run.stopAnsweredAt = {};
+            continue;
+        }
+        lost.push_back(name);
+    }
+    for (const std::string &text : lost) {
+        const auto place = executor.runs.find(text);
         const TaskName name = place->second.task;
         const bool orphan = place->second.orphan;
         if (!place->second.checkpoint.empty()) {
@@ -469,11 +479,16 @@
             }
         }
     }
-    executor.lastEnd = 0;
-    executor.observed = 0;
-    executor.toldObserved = 0;
+    if (restarted) {
+        executor.lastEnd = 0;
+        executor.observed = 0;
+        executor.sentObserved = 0;
+        executor.toldObserved = 0;
+    }
+    executor.adopted = false;  // its clock and its runs are learned anew
     executor.clockAt = {};
-    executor.leaseOver = {};
+    executor.leaseOver = now + m_settings.lease + m_settings.lease / 10;
+    executor.nextHold = std::min(executor.nextHold, now);
 }
 
 void Scheduler::noteOutcome(Executor &executor, bool good, TimePoint now)
@@ -539,9 +554,10 @@
         if (report.born < executor.record.born) {
             return;  // an answer of the incarnation before
         }
-        loseRuns(executor, now, "executor-restarted");
+        loseRuns(executor, now, "executor-restarted", true);
     }
     executor.record.born = report.born;
+    executor.toldObserved = std::max(executor.toldObserved, executor.sentObserved);
     executor.lastReport = now;
     executor.clockMs = report.clockMs;
     executor.clockAt = now;
@@ -647,6 +663,8 @@
     Executor &executor = found->second;
     executor.holdPending = false;
     executor.nextHold = now + RetryPause;
+    executor.sentObserved = 0;
+    executor.lastReport = std::min(executor.lastReport, now - m_settings.freshReport);  // it may be another one by now
     if (result == OrderResult::Fenced) {
         m_deposed = true;
     } else if (result == OrderResult::Replaced && !executor.listed) {
@@ -737,6 +755,10 @@
     case OrderResult::NotSent:
         executor.ejectedUntil = std::max(executor.ejectedUntil, now + m_settings.ejection / 4);
         break;
+    case OrderResult::Late:
+        executor.adopted = false;  // its clock is not what we think
+        executor.nextHold = now;
+        break;
     case OrderResult::Replaced:
         executor.ejectedUntil = std::max(executor.ejectedUntil, now + m_settings.ejection);
         break;
@@ -770,7 +792,6 @@
     order.kind = OrderKind::Hold;
     order.executor = executor.record.id;
     order.fencingToken = m_fencingToken;
-    order.observed = executor.observed;
     // While the outcome of an order is open, reports come often; an end in between is reported at once anyway.
     Duration wait = executor.adopted && !executor.runs.empty() ? m_settings.holdWait : Duration{0};
     for (const auto &[name, run] : executor.runs) {
@@ -790,7 +811,14 @@
             extendLease(executor, order.leaseUntilMs);
         }
     }
-    executor.toldObserved = executor.observed;
+    // A new incarnation under the same id would forget ends that it has not reported yet.
+    const bool known = now - executor.lastReport < m_settings.freshReport;
+    order.observed = known && executor.observed != executor.toldObserved ? executor.observed : 0;
+    if (!known && executor.observed != executor.toldObserved) {
+        order.wait = Duration{0};
+        order.timeout = m_settings.holdTimeout;
+    }
+    executor.sentObserved = order.observed;
     executor.holdPending = true;
     m_orders.push_back(std::move(order));
 }
@@ -932,7 +960,7 @@
             holdDue(executor, now);
         }
     }
-    if (m_changed && mayOrder(now)) {
+    if ((m_changed || now >= m_placeAgainAt) && mayOrder(now)) {
         place(now);
     }
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -27,11 +27,13 @@
     Duration holdWait{800'000};            // an executor answers at the latest after this; renews leases in time
     Duration holdPause{40'000};            // joins the ends of some tasks into one report
     Duration holdTimeout{1'000'000};       // beyond the wait; a round trip takes milliseconds
+    Duration freshReport{300'000};         // an executor cannot crash, return and end a new run within this
     Duration orderTimeout{800'000};        // of starts and stops
     Duration silentAfter{1'900'000};       // without a report, no new work: one lost report and its repetition
     Duration stopRepeat{500'000};          // an unanswered stop is sent again
     Duration stopTime{400'000};            // an executor takes this long to stop a run, which is not listed meanwhile
     Duration vacateLimit{2'500'000};       // short tasks on an instance that must leave get this long
+    Duration placePeriod{100'000};         // between passes while tasks wait and nothing has happened
     Duration ejection{4'000'000};          // an executor that fails its tasks gets no work for this long
     Duration commitPause{40'000};          // joins the progress of several jobs into one write
     double clockSlowdown = 0.02;           // executors' clocks may run this much slow
@@ -118,9 +120,10 @@
     TimePoint lastReport;
     TimePoint listedSince;
     TimePoint ejectedUntil;
-    std::uint64_t lastEnd = 0;   // handled
-    std::uint64_t observed = 0;  // durable
-    std::uint64_t toldObserved = 0;
+    std::uint64_t lastEnd = 0;       // handled
+    std::uint64_t observed = 0;      // durable
+    std::uint64_t sentObserved = 0;  // in the hold that is under way
+    std::uint64_t toldObserved = 0;  // answered
     bool holdPending = false;
     TimePoint nextHold;
     std::int64_t clockMs = 0;  // at clockAt
@@ -256,7 +259,7 @@
     void stopRun(Executor &executor, const std::string &name, Run &run, TimePoint now, std::string_view why);
     void stopAllRuns(Job &job, TimePoint now, std::string_view why);
     void forgetIfGone(const std::string &id);
-    void loseRuns(Executor &executor, TimePoint now, std::string_view why);
+    void loseRuns(Executor &executor, TimePoint now, std::string_view why, bool restarted = false);
     void noteOutcome(Executor &executor, bool good, TimePoint now);
     void adopt(Executor &executor, const RunningReport &row, TimePoint now);
     std::int64_t leaseUntil(const Executor &executor, TimePoint now) const;
@@ -282,7 +285,8 @@
     TimePoint m_inheritedUntil;
     TimePoint m_confirmedAt;
     bool m_deposed = false;
-    bool m_changed = true;  // something that placement depends on
+    bool m_changed = true;     // something that placement depends on
+    TimePoint m_placeAgainAt;  // executors become usable again by time alone, for example after an ejection
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<std::string, Executor> m_executors;
     std::unordered_map<std::string, std::int64_t> m_inheritedDark;  // used by earlier owners and not yet heard, `born`
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -53,6 +53,7 @@
 void Scheduler::place(TimePoint now)
 {
     m_changed = false;
+    m_placeAgainAt = TimePoint::max();
     std::vector<Candidate> candidates;
     for (auto &[id, job] : m_jobs) {
         if (isFinal(job->state)) {
@@ -89,8 +90,11 @@
                 }
             }
         }
-        if (!allPlaced && ++blocked >= BlockedLimit) {
-            break;
+        if (!allPlaced) {
+            m_placeAgainAt = now + m_settings.placePeriod;
+            if (++blocked >= BlockedLimit) {
+                break;
+            }
         }
     }
 }
@@ -105,13 +109,15 @@
     for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
         const Task &task = tasks[static_cast<std::size_t>(index)];
         if (!task.done && task.executor.empty() && !mayHaveUnknownRun(job, step, task)) {
-            retryLater = retryLater || task.retryAt > now;
+            retryLater = retryLater || task.retryAt > now;  // found room before, so it waits for time alone
             if (task.retryAt <= now) {
                 waiting.push_back(index);
             }
         }
     }
-    m_changed = m_changed || retryLater;
+    if (retryLater) {
+        m_placeAgainAt = now + m_settings.placePeriod;
+    }
     if (!spec.gang) {
         for (const int index : waiting) {
             Executor *executor = pickExecutor(job, number, step, now);
@@ -119,6 +125,7 @@
                 return false;
             }
             if (executor->runs.contains(formatTaskName({job.spec.id, number, step, index}))) {
+                m_placeAgainAt = now + m_settings.placePeriod;
                 continue;  // an earlier run of the task is still ending there
             }
             start(job, {job.spec.id, number, step, index}, *executor, now);
--- /dev/null
+++ b/tests/fleet_model.h
@@ -0,0 +1,774 @@
+#pragma once
+
+// A small deterministic model of the fleet that drives the real scheduler: virtual time, a store with preconditions,
+// executors with fences and leases, owners that die, freeze and are deposed. It checks the promises after each event.
+//
+// Index
+// [1] Executors
+// [2] Store
+// [3] The world
+
+#include "scheduler.h"
+
+#include <deque>
+#include <queue>
+#include <random>
+#include <set>
+#include <sstream>
+
+namespace briarvane::model
+{
+
+using namespace std::chrono_literals;
+
+/// Mechanisms that can be taken away, to see that the checks notice.
+struct Removed
+{
+    bool fence = false;         // executors take orders with any token
+    bool precondition = false;  // the store takes writes of deposed owners
+    bool runNumber = false;     // executors take a run that they have stopped
+    bool incarnation = false;   // reports of a reborn executor look like those of its predecessor
+    bool storeFirst = false;    // ends are forgotten by executors as soon as they are reported
+    bool leaseBound = false;    // executors keep runs whose lease has lapsed
+};
+
+// [1] Executors -------------------------------------------------------------------------------------------------------
+
+struct ModelRun
+{
+    int run = 0;
+    Resources held;
+    TimePoint endsAt;
+    bool fails = false;
+    bool stopping = false;
+    TimePoint stoppedAt;
+};
+
+struct ModelExecutor
+{
+    ExecutorRecord record;
+    bool up = true;
+    bool dark = false;  // runs on, nobody reaches it
+    TimePoint bornAt;
+    double rate = 1;  // of its clock
+    std::uint64_t fence = 0;
+    std::uint64_t nextEnd = 1;
+    std::int64_t leaseMs = 0;
+    std::map<std::string, ModelRun> runs;
+    std::deque<EndReport> ended;
+    std::map<std::string, int> lowest;  // runs up to this one are not taken any more
+
+    std::int64_t clockMs(TimePoint now) const
+    {
+        return 1000 + static_cast<std::int64_t>(rate * static_cast<double>((now - bornAt).count()) / 1000);
+    }
+};
+
+// [2] Store -----------------------------------------------------------------------------------------------------------
+
+struct ModelStore
+{
+    struct Record
+    {
+        JobRecord job;
+        std::uint64_t revision = 0;
+    };
+    std::map<std::string, Record> jobs;
+    std::map<std::string, JobProgress> progress;
+    std::map<std::string, ExecutorRecord> used;
+    std::uint64_t revision = 1;
+    std::uint64_t owner = 0;  // token; 0: none
+    bool down = false;
+};
+
+// [3] The world -------------------------------------------------------------------------------------------------------
+
+struct WorldSettings
+{
+    unsigned seed = 1;
+    int executors = 6;
+    double lostOrders = 0;   // share of orders without an answer, carried out late
+    double lostCommits = 0;  // share of commits that are done and not answered
+    double failingRuns = 0.03;
+    Removed removed;
+};
+
+class World
+{
+public:
+    explicit World(WorldSettings settings)
+        : m_settings(settings)
+        , m_random(settings.seed)
+    {
+        for (int i = 0; i < settings.executors; ++i) {
+            ModelExecutor executor;
+            executor.record.id = "i-" + std::to_string(i);
+            executor.record.service = "orders";
+            executor.record.rack = "r" + std::to_string(i / 2);
+            executor.record.labels = {"a", executor.record.rack};
+            executor.record.capacity = {4000, 16'000, 0};
+            executor.bornAt = m_now;
+            executor.record.born = unixMs(m_now) + i;
+            executor.rate = 1 - 0.02 * chance();
+            m_executors[executor.record.id] = executor;
+        }
+    }
+
+    // What a test does
+
+    void submit(JobSpec spec)
+    {
+        spec.service = "orders";
+        spec.queue = "queue";
+        spec.acceptedMs = unixMs(m_now);
+        m_store.jobs[spec.id] = {{JobState::Pending, spec, 0}, ++m_store.revision};
+        m_specs[spec.id] = spec;
+        if (m_owner) {
+            m_owner->scheduler.addJob(spec, m_store.revision, nullptr, false, m_now, unixMs(m_now));
+        }
+    }
+
+    void cancel(const std::string &id)
+    {
+        auto &record = m_store.jobs[id];
+        if (isFinal(record.job.state)) {
+            return;
+        }
+        record.job.state = JobState::Cancelled;
+        record.revision = ++m_store.revision;
+        m_cancelledAt[id] = m_now;
+        if (m_owner) {
+            m_owner->scheduler.endJob(id, JobState::Cancelled, m_now);
+        }
+    }
+
+    /// The present owner loses the share without noticing; it goes on until a call tells it.
+    void depose(bool knows = false)
+    {
+        if (!m_owner) {
+            return;
+        }
+        m_store.owner = 0;
+        if (knows) {
+            m_owner.reset();
+        } else {
+            m_former = std::move(m_owner);
+        }
+    }
+
+    void takeOver(bool first = false)
+    {
+        const std::uint64_t token = ++m_store.revision;
+        m_store.owner = token;
+        note("new owner " + std::to_string(token));
+        SchedulerSettings settings;
+        const Duration lease = Duration(static_cast<std::int64_t>(settings.lease.count() / 0.98));
+        const TimePoint until = first ? m_now : m_now + settings.unconfirmedLimit + lease + settings.leaseMargin;
+        m_owner = std::make_unique<Owner>(Owner{Scheduler(settings, "orders", token, until), token, {}, m_now});
+        m_owner->scheduler.confirmed(m_now);
+        for (const auto &[id, record] : m_store.used) {
+            m_owner->scheduler.inheritExecutor(record, m_now);
+        }
+        for (const auto &[id, record] : m_store.jobs) {
+            if (!isFinal(record.job.state)) {
+                const auto progress = m_store.progress.find(id);
+                m_owner->scheduler.addJob(record.job.spec, record.revision,
+                                          progress == m_store.progress.end() ? nullptr : &progress->second, true, m_now,
+                                          unixMs(m_now));
+            }
+        }
+    }
+
+    ModelExecutor &executor(int index)
+    {
+        return m_executors.at("i-" + std::to_string(index));
+    }
+    void crash(int index)
+    {
+        ModelExecutor &one = executor(index);
+        note("crash of " + one.record.id);
+        one.up = false;
+        one.runs.clear();
+        one.ended.clear();
+    }
+    /// Under the same id, knowing nothing.
+    void rebirth(int index)
+    {
+        ModelExecutor &one = executor(index);
+        note("rebirth of " + one.record.id);
+        one.up = true;
+        one.bornAt = m_now;
+        one.record.born = unixMs(m_now);
+        one.runs.clear();
+        one.ended.clear();
+        one.lowest.clear();
+        one.fence = 0;
+        one.nextEnd = 1;
+        one.leaseMs = 0;
+    }
+    void setStoreDown(bool down)
+    {
+        m_store.down = down;
+    }
+    void setLostOrders(double share)
+    {
+        m_settings.lostOrders = share;
+    }
+    void setLostCommits(double share)
+    {
+        m_settings.lostCommits = share;
+    }
+    /// The former owner comes back from a freeze and acts on what it believes.
+    void wakeFormer()
+    {
+        if (m_former) {
+            step(*m_former);
+        }
+    }
+
+    void run(Duration time)
+    {
+        const TimePoint end = m_now + time;
+        while (m_now < end && m_violations.empty()) {
+            const TimePoint tick = m_now + 10ms;
+            while (!m_events.empty() && m_events.top().at <= tick) {
+                const Event event = m_events.top();
+                m_events.pop();
+                m_now = std::max(m_now, event.at);
+                advanceExecutors();
+                event.action();
+            }
+            m_now = tick;
+            advanceExecutors();
+            if (m_owner) {
+                list(*m_owner);
+                step(*m_owner);
+            }
+            if (m_former) {
+                step(*m_former);
+            }
+        }
+    }
+
+    // What a test asks
+
+    TimePoint now() const
+    {
+        return m_now;
+    }
+    JobState state(const std::string &id) const
+    {
+        return m_store.jobs.at(id).job.state;
+    }
+    bool allEnded() const
+    {
+        for (const auto &[id, record] : m_store.jobs) {
+            if (!isFinal(record.job.state)) {
+                return false;
+            }
+        }
+        return true;
+    }
+    std::string openJobs() const
+    {
+        std::string open;
+        for (const auto &[id, record] : m_store.jobs) {
+            open += isFinal(record.job.state) ? "" : id + ' ';
+        }
+        return open;
+    }
+    const std::vector<std::string> &violations() const
+    {
+        return m_violations;
+    }
+    /// What happened to the tasks whose names begin so, and to owners and executors.
+    std::string trace(const std::string &task) const
+    {
+        std::string all;
+        for (const std::string &line : m_trace) {
+            if (line.find('.') == std::string::npos || line.find(task) != std::string::npos) {
+                all += line + '\n';
+            }
+        }
+        return all;
+    }
+    int starts() const
+    {
+        return m_starts;
+    }
+    int runsAt(int index)
+    {
+        return static_cast<int>(executor(index).runs.size());
+    }
+    Scheduler *scheduler()
+    {
+        return m_owner ? &m_owner->scheduler : nullptr;
+    }
+    /// What placement sees, and the tasks of open jobs that are not done.
+    std::string summary() const
+    {
+        if (!m_owner) {
+            return "no owner";
+        }
+        std::string all = m_owner->scheduler.summary(m_now) + '\n';
+        for (const auto &[id, executor] : m_owner->scheduler.executors()) {
+            all += id + " used " + std::to_string(executor.used.milliCores) + '/'
+                + std::to_string(executor.used.memoryMb) + " of " + std::to_string(executor.record.capacity.milliCores)
+                + " unknown " + std::to_string(executor.unknownSizes) + " ejected for "
+                + std::to_string((executor.ejectedUntil - m_now).count() / 1000) + " ms, reported "
+                + std::to_string((m_now - executor.lastReport).count() / 1000) + " ms ago\n";
+            for (const auto &[name, run] : executor.runs) {
+                all += "  " + name + " run " + std::to_string(run.run) + " state "
+                    + std::to_string(static_cast<int>(run.state)) + " present " + std::to_string(run.present) + '\n';
+            }
+        }
+        for (const auto &[id, record] : m_store.jobs) {
+            const Job *job = isFinal(record.job.state) ? nullptr : m_owner->scheduler.job(id);
+            if (job == nullptr) {
+                continue;
+            }
+            all += id + " state " + std::string(toString(job->state)) + " runs " + std::to_string(job->runs) + '\n';
+            for (const auto &[number, occurrence] : job->occurrences) {
+                for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                    for (std::size_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                        const Task &task = occurrence.steps[step][index];
+                        const std::string name
+                            = formatTaskName({id, number, static_cast<int>(step), static_cast<int>(index)});
+                        all += task.done ? "" : name + " at '" + task.executor + "'\n" + trace(name);
+                    }
+                }
+            }
+        }
+        return all;
+    }
+    void vacate(std::unordered_set<std::string> ids)
+    {
+        m_vacating = std::move(ids);
+    }
+
+private:
+    struct Owner
+    {
+        Scheduler scheduler;
+        std::uint64_t token = 0;
+        std::set<std::string> used;
+        TimePoint confirmedAt;
+        TimePoint listedAt;
+    };
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t number = 0;
+        std::function<void()> action;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(at, number) > std::tie(other.at, other.number);
+        }
+    };
+
+    static std::int64_t unixMs(TimePoint time)
+    {
+        return 1'700'000'000'000 + time.time_since_epoch().count() / 1000;
+    }
+    double chance()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random);
+    }
+    Duration between(Duration least, Duration most)
+    {
+        return least + Duration(static_cast<std::int64_t>(chance() * static_cast<double>((most - least).count())));
+    }
+    void after(Duration pause, std::function<void()> action)
+    {
+        m_events.push({m_now + pause, ++m_eventNumber, std::move(action)});
+    }
+    void violated(const std::string &what)
+    {
+        note("VIOLATED " + what);
+        m_violations.push_back(m_trace.back());
+    }
+    void note(const std::string &what)
+    {
+        std::ostringstream text;
+        text << "at " << m_now.time_since_epoch().count() / 1000 << " ms: " << what;
+        m_trace.push_back(text.str());
+    }
+
+    // Executors
+
+    void advanceExecutors()
+    {
+        for (auto &[id, one] : m_executors) {
+            if (!one.up) {
+                continue;
+            }
+            if (!m_settings.removed.leaseBound && !one.runs.empty() && one.clockMs(m_now) > one.leaseMs) {
+                for (const auto &[task, run] : one.runs) {
+                    one.ended.push_back({one.nextEnd++, task, run.run, RunEnd::Lapsed, {}});
+                }
+                one.runs.clear();
+            }
+            for (auto run = one.runs.begin(); run != one.runs.end();) {
+                const bool stopped = run->second.stopping && m_now >= run->second.stoppedAt;
+                if (!stopped && (run->second.stopping || m_now < run->second.endsAt)) {
+                    ++run;
+                    continue;
+                }
+                const RunEnd how = stopped ? RunEnd::Stopped : run->second.fails ? RunEnd::Failed : RunEnd::Done;
+                one.ended.push_back({one.nextEnd++, run->first, run->second.run, how, {}});
+                note("ended " + run->first + " run " + std::to_string(run->second.run) + " on " + id + " "
+                     + std::string(toString(how)));
+                one.lowest[run->first] = std::max(one.lowest[run->first], run->second.run);
+                if (how == RunEnd::Done) {
+                    m_doneAt[run->first].insert({id, one.nextEnd - 1});
+                }
+                run = one.runs.erase(run);
+            }
+        }
+    }
+
+    OrderResult carryOut(const ExecutorOrder &order)
+    {
+        ModelExecutor &one = m_executors.at(order.executor);
+        if (order.fencingToken < one.fence && !m_settings.removed.fence) {
+            return OrderResult::Fenced;
+        }
+        one.fence = std::max(one.fence, order.fencingToken);
+        if (order.kind == OrderKind::Start) {
+            return startRun(one, order);
+        }
+        if (order.kind == OrderKind::Stop) {
+            one.lowest[order.task] = std::max(one.lowest[order.task], order.run);
+            const auto run = one.runs.find(order.task);
+            if (run != one.runs.end() && run->second.run <= order.run && !run->second.stopping) {
+                run->second.stopping = true;
+                run->second.stoppedAt = m_now + 200ms;
+            }
+        }
+        return OrderResult::Done;
+    }
+
+    OrderResult startRun(ModelExecutor &one, const ExecutorOrder &order)
+    {
+        if (order.leaseUntilMs < one.clockMs(m_now)) {
+            return OrderResult::Late;
+        }
+        one.leaseMs = std::max(one.leaseMs, std::min(order.leaseUntilMs, one.clockMs(m_now) + 6000));
+        const auto known = one.runs.find(order.task);
+        if (known != one.runs.end() && known->second.run == order.run) {
+            return OrderResult::Done;
+        }
+        if (!m_settings.removed.runNumber && order.run <= one.lowest[order.task]) {
+            return OrderResult::Superseded;
+        }
+        checkStart(one, order);
+        const auto name = parseTaskName(order.task);
+        const StepSpec &step = m_specs.at(name->job).steps[static_cast<std::size_t>(name->step)];
+        ModelRun run;
+        run.run = order.run;
+        run.held = step.each;
+        run.endsAt = step.longRunning ? TimePoint::max() : m_now + step.estimate + between(0ms, 200ms);
+        run.fails = chance() < m_settings.failingRuns;
+        one.runs[order.task] = run;
+        note("started " + order.task + " run " + std::to_string(order.run) + " on " + one.record.id + " token "
+             + std::to_string(order.fencingToken));
+        ++m_starts;
+        return OrderResult::Done;
+    }
+
+    void checkStart(const ModelExecutor &one, const ExecutorOrder &order)
+    {
+        const auto name = parseTaskName(order.task);
+        const JobSpec &spec = m_specs.at(name->job);
+        const StepSpec &step = spec.steps[static_cast<std::size_t>(name->step)];
+        Resources used;
+        int same = 0;
+        for (const auto &[task, run] : one.runs) {
+            const auto other = parseTaskName(task);
+            used += run.held;
+            same += other->job == name->job && other->step == name->step ? 1 : 0;
+        }
+        used += step.each;
+        if (!used.fitsInto(one.record.capacity)) {
+            violated("over capacity: " + order.task + " on " + one.record.id);
+        }
+        if (step.perExecutorLimit > 0 && same >= step.perExecutorLimit) {
+            violated("beyond the limit per executor: " + order.task);
+        }
+        for (const auto &[id, other] : m_executors) {
+            if (other.up && other.runs.contains(order.task)) {
+                violated("two runs at once: " + order.task + " on " + id + " and " + one.record.id);
+            }
+        }
+        if (m_doneNoted.contains(order.task)) {
+            violated("a start after the end was noted: " + order.task);
+        }
+        for (const int earlier : step.after) {
+            for (int index = 0; index < spec.steps[static_cast<std::size_t>(earlier)].count; ++index) {
+                if (!m_doneAt.contains(formatTaskName({spec.id, name->occurrence, earlier, index}))) {
+                    violated("before an earlier step: " + order.task);
+                }
+            }
+        }
+        if (const auto cancelled = m_cancelledAt.find(spec.id);
+            cancelled != m_cancelledAt.end() && m_now - cancelled->second > 3s && !m_late) {
+            violated("after the cancellation: " + order.task);
+        }
+    }
+
+    HoldReport reportOf(ModelExecutor &one, const ExecutorOrder &order)
+    {
+        while (!one.ended.empty() && one.ended.front().number <= order.observed) {
+            const EndReport &end = one.ended.front();
+            if (end.how == RunEnd::Done) {
+                m_doneNoted.insert(end.task);
+                note("noted " + end.task + " on " + one.record.id + " token " + std::to_string(order.fencingToken));
+            }
+            one.ended.pop_front();
+        }
+        if (order.leaseUntilMs > 0) {
+            one.leaseMs = std::max(one.leaseMs, std::min(order.leaseUntilMs, one.clockMs(m_now) + 6000));
+        }
+        HoldReport report;
+        report.clockMs = one.clockMs(m_now);
+        report.born = m_settings.removed.incarnation ? 1 : one.record.born;
+        for (const auto &[task, run] : one.runs) {
+            if (!run.stopping) {
+                report.running.push_back({task, run.run, {}, 100, 0});
+            }
+        }
+        report.ended.assign(one.ended.begin(), one.ended.end());
+        if (m_settings.removed.storeFirst) {
+            for (const EndReport &end : one.ended) {
+                if (end.how == RunEnd::Done) {
+                    m_doneNoted.insert(end.task);
+                }
+            }
+            one.ended.clear();
+        }
+        return report;
+    }
+
+    // Owners
+
+    bool reaches(const ModelExecutor &one) const
+    {
+        return one.up && !one.dark;
+    }
+
+    void list(Owner &owner)
+    {
+        if (m_now - owner.listedAt < 700ms || m_store.down) {
+            return;
+        }
+        owner.listedAt = m_now;
+        std::vector<ExecutorRecord> records;
+        for (const auto &[id, one] : m_executors) {
+            if (one.up) {
+                records.push_back(one.record);
+            }
+        }
+        if (owner.token == m_store.owner || m_settings.removed.precondition) {
+            m_store.used.clear();
+            for (const ExecutorRecord &record : records) {
+                m_store.used[record.id] = record;
+            }
+            for (const auto &[id, known] : owner.scheduler.executors()) {
+                m_store.used.try_emplace(id, known.record);
+            }
+        }
+        owner.scheduler.setExecutors(records, m_now);
+        owner.scheduler.setVacating(m_vacating, m_now);
+    }
+
+    void step(Owner &owner)
+    {
+        Scheduler &scheduler = owner.scheduler;
+        if (!m_store.down && m_now - owner.confirmedAt > 800ms) {
+            owner.confirmedAt = m_now;
+            if (owner.token == m_store.owner) {
+                scheduler.confirmed(m_now);
+            }
+        }
+        scheduler.tick(m_now, unixMs(m_now));
+        for (const ExecutorOrder &order : scheduler.takeOrders()) {
+            send(owner, order);
+        }
+        scheduler.takeDecisions();
+        if (auto batch = scheduler.takeCommit(m_now, unixMs(m_now))) {
+            commit(owner.token, std::move(*batch));
+        }
+    }
+
+    Scheduler *current(std::uint64_t token)
+    {
+        if (m_owner && m_owner->token == token) {
+            return &m_owner->scheduler;
+        }
+        return m_former && m_former->token == token ? &m_former->scheduler : nullptr;
+    }
+
+    void send(const Owner &owner, const ExecutorOrder &order)
+    {
+        const std::uint64_t token = owner.token;
+        const TimePoint sentAt = m_now;
+        const Duration out = between(1ms, 5ms);
+        if (chance() < m_settings.lostOrders) {
+            // The order lies at the incarnation that it reached and is lost with it.
+            after(between(2s, 12s), [this, order, born = m_executors.at(order.executor).record.born] {
+                m_late = true;
+                const ModelExecutor &reached = m_executors.at(order.executor);
+                if (reached.up && reached.record.born == born) {
+                    if (order.kind == OrderKind::Hold) {
+                        if (order.fencingToken >= m_executors.at(order.executor).fence) {
+                            reportOf(m_executors.at(order.executor), order);
+                        }
+                    } else {
+                        carryOut(order);
+                    }
+                }
+                m_late = false;
+            });
+            after(order.timeout, [this, token, order] { answer(token, order, OrderResult::Unanswered, nullptr, {}); });
+            return;
+        }
+        after(out, [this, token, order, sentAt] {
+            ModelExecutor &one = m_executors.at(order.executor);
+            if (!reaches(one)) {
+                after(order.timeout,
+                      [this, token, order] { answer(token, order, OrderResult::Unanswered, nullptr, {}); });
+                return;
+            }
+            if (order.kind != OrderKind::Hold) {
+                const OrderResult result = carryOut(order);
+                after(1ms, [this, token, order, result] { answer(token, order, result, nullptr, {}); });
+                return;
+            }
+            holdUntilEnd(token, order, sentAt, m_now + order.wait, one.record.born);
+        });
+    }
+
+    /// A hold that waits ends with the incarnation that it reached.
+    void holdUntilEnd(std::uint64_t token, const ExecutorOrder &order, TimePoint sentAt, TimePoint until,
+                      std::int64_t born)
+    {
+        ModelExecutor &one = m_executors.at(order.executor);
+        if (!reaches(one) || one.record.born != born) {
+            after(order.timeout, [this, token, order] { answer(token, order, OrderResult::Unanswered, nullptr, {}); });
+            return;
+        }
+        if (order.fencingToken < one.fence && !m_settings.removed.fence) {
+            after(1ms, [this, token, order] { answer(token, order, OrderResult::Fenced, nullptr, {}); });
+            return;
+        }
+        one.fence = std::max(one.fence, order.fencingToken);
+        const bool news = !one.ended.empty() && one.ended.back().number > order.observed;
+        if (!news && m_now < until) {
+            after(10ms, [this, token, order, sentAt, until, born] { holdUntilEnd(token, order, sentAt, until, born); });
+            return;
+        }
+        auto report = std::make_shared<HoldReport>(reportOf(one, order));
+        after(2ms, [this, token, order, report, sentAt] { answer(token, order, OrderResult::Done, report, sentAt); });
+    }
+
+    void answer(std::uint64_t token, const ExecutorOrder &order, OrderResult result,
+                const std::shared_ptr<HoldReport> &report, TimePoint sentAt)
+    {
+        Scheduler *scheduler = current(token);
+        if (scheduler == nullptr) {
+            return;
+        }
+        if (order.kind != OrderKind::Hold) {
+            scheduler->answered(order, result, 0, m_now);
+        } else if (report != nullptr) {
+            scheduler->reported(order.executor, *report, sentAt, m_now);
+        } else {
+            scheduler->holdFailed(order.executor, result, m_now);
+        }
+    }
+
+    void commit(std::uint64_t token, CommitBatch batch)
+    {
+        after(between(3ms, 8ms), [this, token, batch = std::move(batch)] {
+            Scheduler *scheduler = current(token);
+            if (m_store.down) {
+                if (scheduler != nullptr) {
+                    after(120ms, [this, token, batch] { commit(token, batch); });
+                }
+                return;
+            }
+            if (token != m_store.owner && !m_settings.removed.precondition) {
+                return;  // the owner learns that it is deposed by its precondition and stops
+            }
+            apply(batch);
+            const bool lost = chance() < m_settings.lostCommits;
+            if (scheduler == nullptr) {
+                return;
+            }
+            if (lost) {
+                after(700ms, [this, token, batch] { commit(token, batch); });
+            } else {
+                scheduler->committed(batch.generation, m_now);
+            }
+        });
+    }
+
+    void apply(const CommitBatch &batch)
+    {
+        for (const JobWrite &write : batch.writes) {
+            ModelStore::Record &record = m_store.jobs[write.job];
+            if (!write.finalRecord.empty()) {
+                if (record.revision != write.revision) {
+                    continue;
+                }
+                record.job.state = parseJobRecord(write.job, write.finalRecord).value().state;
+                record.revision = ++m_store.revision;
+                checkEnd(write.job, record.job.state);
+            }
+            if (write.progress.empty()) {
+                m_store.progress.erase(write.job);
+            } else {
+                note("progress of " + write.job + ". " + write.progress);
+                m_store.progress[write.job] = parseProgress(write.progress).value();
+            }
+        }
+    }
+
+    void checkEnd(const std::string &id, JobState state)
+    {
+        if (state != JobState::Completed) {
+            return;
+        }
+        const JobSpec &spec = m_specs.at(id);
+        for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+            for (int index = 0; index < spec.steps[step].count; ++index) {
+                const std::string task = formatTaskName({id, 0, static_cast<int>(step), index});
+                if (!m_doneAt.contains(task)) {
+                    violated("completed without the end of " + task);
+                }
+                m_doneNoted.insert(task);
+            }
+        }
+    }
+
+    WorldSettings m_settings;
+    std::mt19937 m_random;
+    TimePoint m_now{Duration{10'000'000}};
+    std::map<std::string, ModelExecutor> m_executors;
+    ModelStore m_store;
+    std::unique_ptr<Owner> m_owner;
+    std::unique_ptr<Owner> m_former;  // deposed and not yet aware of it
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_eventNumber = 0;
+    std::map<std::string, JobSpec> m_specs;
+    std::map<std::string, TimePoint> m_cancelledAt;
+    std::map<std::string, std::set<std::pair<std::string, std::uint64_t>>> m_doneAt;  // by task
+    std::set<std::string> m_doneNoted;
+    std::unordered_set<std::string> m_vacating;
+    std::vector<std::string> m_violations;
+    std::vector<std::string> m_trace;
+    int m_starts = 0;
+    bool m_late = false;  // an order that was lost is being carried out
+};
+
+}
