Let a restarted executor free only the tasks that were recorded there

Change: a restart since the record frees long-running tasks (each start is recorded first, which a deposed owner cannot do); short ones wait for the bound.

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -386,10 +386,8 @@
         } else if (executor.record.born != 0 && record.born > executor.record.born) {
             loseRuns(executor, now, "executor-restarted", true);
         }
-        if (const auto dark = m_inheritedDark.find(record.id);
-            dark != m_inheritedDark.end() && dark->second != 0 && record.born > dark->second) {
-            m_inheritedDark.erase(dark);  // the incarnation that had the runs is gone
-            m_changed = true;
+        if (const auto dark = m_inheritedDark.find(record.id); dark != m_inheritedDark.end()) {
+            dark->second.restarted = dark->second.born != 0 && record.born > dark->second.born;
         }
         const std::int64_t born = std::max(record.born, executor.record.born);
         if (record.draining != executor.record.draining) {
@@ -414,7 +412,7 @@
         place->second.nextHold = now;
     }
     if (!place->second.adopted) {
-        m_inheritedDark.emplace(record.id, record.born);
+        m_inheritedDark.emplace(record.id, InheritedExecutor{record.born, false});
     }
 }
 
@@ -1163,8 +1161,11 @@
     if (!job.inherited || m_inheritedDark.empty()) {
         return false;
     }
-    // Where long-running tasks are started is recorded first; the others may be anywhere.
-    return !job.spec.steps[static_cast<std::size_t>(step)].longRunning || m_inheritedDark.contains(task.inherited);
+    if (!job.spec.steps[static_cast<std::size_t>(step)].longRunning) {
+        return true;  // a deposed owner may start it anywhere until it notices, also at a new incarnation
+    }
+    const auto dark = m_inheritedDark.find(task.inherited);  // recorded before each start, which a deposed owner can't
+    return dark != m_inheritedDark.end() && !dark->second.restarted;
 }
 
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -136,6 +136,13 @@
     std::map<std::string, Run> runs;  // by task name
 };
 
+/// An executor that an earlier owner has used.
+struct InheritedExecutor
+{
+    std::int64_t born = 0;  // of the incarnation that was recorded
+    bool restarted = false;
+};
+
 // [3] Store writes ----------------------------------------------------------------------------------------------------
 
 struct JobWrite
@@ -291,7 +298,7 @@
     TimePoint m_placeAgainAt;  // executors become usable again by time alone, for example after an ejection
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<std::string, Executor> m_executors;
-    std::unordered_map<std::string, std::int64_t> m_inheritedDark;  // used by earlier owners and not yet heard, `born`
+    std::unordered_map<std::string, InheritedExecutor> m_inheritedDark;  // not yet heard by this owner
     std::unordered_set<std::string> m_dirty;
     std::uint64_t m_generation = 0;
     bool m_commitPending = false;
