Start work only on executors adopted before the last proof of ownership

Ruled out: a shorter unconfirmed limit (does not close the gap, and stops work sooner in every store outage). Change: an executor takes work once ownership is proven by a call sent after its adoption (one read an adoption round); silence and reports are kept apart.

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -563,6 +563,7 @@
     const bool isNew = !executor.adopted;
     if (isNew) {
         executor.adopted = true;
+        executor.adoptedAt = now;
         executor.usableFrom = now + (m_hasPredecessor ? m_settings.stopTime : Duration{0});
         m_inheritedDark.erase(id);
         m_changed = true;
@@ -675,7 +676,17 @@
 
 void Scheduler::confirmed(TimePoint provenAt)
 {
-    m_confirmedAt = std::max(m_confirmedAt, provenAt);
+    if (m_confirmedAt < provenAt) {
+        m_changed = m_changed || wantsProof();
+        m_confirmedAt = provenAt;
+    }
+}
+
+bool Scheduler::wantsProof() const
+{
+    return std::any_of(m_executors.begin(), m_executors.end(), [this](const auto &entry) {
+        return entry.second.listed && entry.second.adopted && entry.second.adoptedAt >= m_confirmedAt;
+    });
 }
 
 bool Scheduler::mayOrder(TimePoint now) const
@@ -804,7 +815,7 @@
     order.wait = wait;
     order.timeout = order.wait + m_settings.holdTimeout;
     // A silent executor may carry out an unanswered renewal late, so its leases are left to run out.
-    const bool heard = now - executor.lastReport < m_settings.silentAfter;
+    const bool heard = now - executor.quietSince() < m_settings.silentAfter;
     if (mayOrder(now) && heard && !executor.runs.empty()) {
         order.leaseUntilMs = leaseUntil(executor, now);
         if (order.leaseUntilMs > 0) {
@@ -852,7 +863,7 @@
         }
         const auto executor = m_executors.find(tasks[static_cast<std::size_t>(index)].executor);
         bool atWork = false;
-        if (executor != m_executors.end() && now - executor->second.lastReport < m_settings.silentAfter) {
+        if (executor != m_executors.end() && now - executor->second.quietSince() < m_settings.silentAfter) {
             const auto run = executor->second.runs.find(formatTaskName({name.job, name.occurrence, name.step, index}));
             atWork = run != executor->second.runs.end() && run->second.state == RunState::Running
                 && run->second.percent == AtWork;
@@ -949,7 +960,7 @@
         m_changed = true;
     }
     for (auto &[id, executor] : m_executors) {
-        const bool silent = now - executor.lastReport > m_settings.silentAfter;
+        const bool silent = now - executor.quietSince() > m_settings.silentAfter;
         if (silent && !executor.runs.empty() && executor.leaseOver != TimePoint{} && now > executor.leaseOver) {
             loseRuns(executor, now, "lease-over");
         }
@@ -1118,7 +1129,7 @@
         adopted += executor.adopted ? 1 : 0;
         ejected += executor.ejectedUntil > now ? 1 : 0;
         leaving += executor.vacating || executor.record.draining ? 1 : 0;
-        silent += !executor.runs.empty() && now - executor.lastReport >= m_settings.silentAfter ? 1 : 0;
+        silent += !executor.runs.empty() && now - executor.quietSince() >= m_settings.silentAfter ? 1 : 0;
         runs += executor.runs.size();
         used += executor.used;
         if (executor.listed) {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -11,6 +11,7 @@
 
 #include "executor.h"
 
+#include <algorithm>
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
@@ -118,9 +119,15 @@
     bool vacating = false;
     TimePoint vacatingSince;
     TimePoint lastReport;
+    TimePoint busySince;  // an idle executor is not asked, so its silence counts from its first run
+    TimePoint adoptedAt;
     TimePoint listedSince;
     TimePoint ejectedUntil;
-    TimePoint usableFrom;            // what an earlier owner stopped holds its resources until then, and is not listed
+    TimePoint usableFrom;  // what an earlier owner stopped holds its resources until then, and is not listed
+    TimePoint quietSince() const
+    {
+        return std::max(lastReport, busySince);
+    }
     std::uint64_t lastEnd = 0;       // handled
     std::uint64_t observed = 0;      // durable
     std::uint64_t sentObserved = 0;  // in the hold that is under way
@@ -216,6 +223,8 @@
     std::vector<Decision> takeDecisions();
     std::optional<CommitBatch> takeCommit(TimePoint now, std::int64_t wallMs);
     std::optional<TimePoint> nextWake(TimePoint now) const;
+    /// An adopted executor takes work once the ownership is proven by a call that was sent after its adoption.
+    bool wantsProof() const;
 
     // State
     bool deposed() const
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -202,8 +202,9 @@
     double bestScore = 0;
     for (auto &[id, executor] : m_executors) {
         const bool usable = executor.listed && executor.adopted && !executor.record.draining && !executor.vacating
-            && executor.ejectedUntil <= now && executor.usableFrom <= now && executor.unknownSizes == 0
-            && (executor.runs.empty() || now - executor.lastReport < m_settings.silentAfter);
+            && executor.ejectedUntil <= now && executor.usableFrom <= now && executor.adoptedAt < m_confirmedAt
+            && executor.unknownSizes == 0
+            && (executor.runs.empty() || now - executor.quietSince() < m_settings.silentAfter);
         Resources after = executor.used;
         after += wanted;
         if (!usable || !after.fitsInto(executor.record.capacity)
@@ -294,7 +295,7 @@
     order.timeout = m_settings.orderTimeout;
     extendLease(executor, order.leaseUntilMs);
     if (executor.runs.size() == 1) {
-        executor.lastReport = now;  // silence counts from the first run
+        executor.busySince = now;
     }
     executor.nextHold = std::min(executor.nextHold, now + m_settings.holdPause);
     ++m_counts.starts;
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -376,6 +376,9 @@
             return;
         }
         publishCleared();
+        if (m_scheduler.wantsProof() && !m_confirming) {
+            confirm();
+        }
         const TimePoint latest = now + m_settings.tickPeriod;
         const TimePoint next = std::min(latest, m_scheduler.nextWake(now).value_or(latest));
         const TimePoint steady = steadyNow() + std::max(Duration{1000}, next - now);
@@ -501,22 +504,31 @@
         }
     }
 
-    /// Proves the ownership by a read when no write has done so lately.
+    /// Proves the ownership by a read when no write has done so lately, or at once when executors wait for it.
     void confirm()
     {
+        m_timers.cancel(m_confirmKey);
+        m_confirming = true;
         const TimePoint sentAt = bootNow();
         m_store.read(keys::owner(m_share), m_settings.storeTimeout, guarded([this, sentAt](const StoreReply &reply) {
+                         m_confirming = false;
+                         const bool done = reply.outcome == StoreOutcome::Done;
                          if (reply.outcome == StoreOutcome::NotFound
-                             || (reply.outcome == StoreOutcome::Done
-                                 && (reply.items.empty() || reply.items.front().revision != m_fencingToken))) {
+                             || (done && (reply.items.empty() || reply.items.front().revision != m_fencingToken))) {
                              lose("ownership-key-gone");
                              return;
                          }
-                         if (reply.outcome == StoreOutcome::Done) {
+                         if (done) {
                              m_scheduler.confirmed(sentAt);
+                             wake();
                          }
-                         later(reply.outcome == StoreOutcome::Done ? m_settings.confirmPeriod : m_settings.retryPause,
-                               [this] { confirm(); });
+                         const Duration pause = done ? m_settings.confirmPeriod : m_settings.retryPause;
+                         m_confirmKey = m_timers.at(steadyNow() + pause, [alive = m_alive, this] {
+                             if (*alive) {
+                                 m_confirmKey = {};
+                                 confirm();
+                             }
+                         });
                      }));
     }
 
@@ -619,6 +631,8 @@
     std::string m_publishedCounts;
     TimePoint m_recordedAt;
     Timers::Key m_wakeKey{};
+    Timers::Key m_confirmKey{};
+    bool m_confirming = false;
     TimePoint m_wakeAt;
     bool m_loaded = false;
     bool m_haveList = false;
