--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -5,6 +5,7 @@
 #include "boot_clock.h"
 #include "job_keys.h"
 #include "log.h"
+#include "pool_planner.h"
 #include "store_view.h"
 #include "wave_planner.h"
 
@@ -16,8 +17,9 @@
 struct FleetOwnerSettings
 {
     WavePlannerSettings waves;
+    PoolPlannerSettings pools;
     Duration lookPeriod{1'000'000};  // of the machines' list while a wave runs; the list's rate is shared by all
-    Duration idlePeriod{3'000'000};  // and while none does
+    Duration idlePeriod{2'000'000};  // and while none does
     Duration turnPause{3'300'000};   // after a takeover: orders of two holders must not come close together
     Duration storeTimeout{700'000};
     Duration retryPause{150'000};
@@ -32,6 +34,7 @@
     std::function<void(Listed)> list;
     std::function<void(const MaintenanceOrder &, std::uint64_t fencingToken, std::function<void(MaintenanceResult)>)>
         maintain;
+    std::function<void(const MoveOrder &, std::uint64_t fencingToken, std::function<void(MaintenanceResult)>)> move;
     std::function<StoreWrite(std::int64_t wave, bool completed)> status;  // the wave's status for the operator
     std::function<void(std::string_view why)> lost;
 };
@@ -48,6 +51,7 @@
         , m_settings(settings)
         , m_hooks(std::move(hooks))
         , m_planner(settings.waves)
+        , m_pools(settings.pools)
         , m_ordersFrom(hadOwner ? acquiredAt + settings.turnPause : acquiredAt)
         , m_alive(std::make_shared<bool>(true))
     {
@@ -89,9 +93,15 @@
     {
         m_sparePools = std::move(pools);
     }
-    void setCleared(std::set<std::string> executors)
+    void setCleared(const std::set<std::string> &executors)
     {
-        m_planner.setCleared(std::move(executors));
+        m_planner.setCleared(executors);
+        m_pools.setCleared(executors);
+        act();
+    }
+    void setLoad(const std::string &pool, PoolLoad load)
+    {
+        m_pools.setLoad(pool, std::move(load));
         act();
     }
     std::uint64_t fencingToken() const
@@ -163,19 +173,17 @@
 
     void look()
     {
-        if (m_planner.idle()) {
-            later(m_settings.idlePeriod, [this] { look(); });
-            return;
-        }
         m_hooks.list(guarded([this](const Result<std::vector<PooledInstance>> &listed) {
             if (listed) {
                 m_planner.setInstances(listed.value(), m_sparePools, bootNow());
+                m_pools.setInstances(listed.value(), m_sparePools, bootNow());
                 m_listed = true;
                 act();
             } else {
                 logRepeated(LogLevel::Warn, "machines-not-listed", "list", {{"why", listed.error().message}});
             }
-            later(m_settings.lookPeriod, [this] { look(); });
+            const bool busy = !m_planner.idle() || m_pools.active();
+            later(busy ? m_settings.lookPeriod : m_settings.idlePeriod, [this] { look(); });
         }));
     }
 
@@ -187,12 +195,17 @@
         }
         constexpr Duration proofAge{2'500'000};  // an owner that cannot prove its duty for this long pauses
         if (now >= m_ordersFrom && now - m_confirmedAt < proofAge) {
+            m_planner.setReserved(m_pools.busy());
             for (const MaintenanceOrder &order : m_planner.tick(now)) {
                 maintain(order);
             }
+            m_pools.setReserved(m_planner.busy());
+            for (const MoveOrder &order : m_pools.tick(now)) {
+                move(order);
+            }
         }
         publish();
-        if (!m_planner.idle() && !std::exchange(m_actDue, true)) {
+        if (!std::exchange(m_actDue, true)) {
             constexpr Duration period{250'000};
             later(period, [this] {
                 m_actDue = false;
@@ -226,6 +239,22 @@
                          }));
     }
 
+    void move(const MoveOrder &order)
+    {
+        logEvent(LogLevel::Info, "move-ordered", {{"instance", order.instance}, {"pool", order.pool}});
+        m_hooks.move(order, m_fencingToken, guarded([this, order](MaintenanceResult result) {
+                         const TimePoint now = bootNow();
+                         if (result == MaintenanceResult::Fenced) {
+                             lose("fenced");
+                         } else if (result == MaintenanceResult::Begun) {
+                             m_pools.moved(order.instance, now);
+                         } else if (result != MaintenanceResult::Unknown) {
+                             m_pools.refused(order.instance, now);
+                         }
+                         act();
+                     }));
+    }
+
     /// One write at a time: which executors must become empty, what has begun, and the status of the waves.
     void publish()
     {
@@ -233,7 +262,9 @@
             return;
         }
         boost::json::array vacate;
-        for (const std::string &executor : m_planner.vacating()) {
+        std::set<std::string> leaving = m_planner.vacating();
+        leaving.merge(m_pools.vacating());
+        for (const std::string &executor : leaving) {
             vacate.push_back(boost::json::string(executor));
         }
         boost::json::object done;
@@ -294,6 +325,7 @@
     FleetOwnerSettings m_settings;
     FleetOwnerHooks m_hooks;
     WavePlanner m_planner;
+    PoolPlanner m_pools;
     TimePoint m_ordersFrom;
     TimePoint m_confirmedAt;
     std::shared_ptr<bool> m_alive;
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -76,6 +76,7 @@
     void watchFleet();
     void fleetItem(const StoreItem &item);
     void updateVacating();
+    static MaintenanceResult meaningOf(const std::string &instance, platform::InstanceOrderResult result);
     FleetOwnerHooks fleetHooks();
     ShareOwnerHooks shareHooks();
 
@@ -134,6 +135,7 @@
     std::set<std::string> m_known;  // executors with an endpoint
     std::unordered_set<std::string> m_vacating;
     std::map<std::string, std::set<std::string>> m_cleared;  // by share
+    std::map<std::string, PoolLoad> m_loads;                 // news by share
 };
 
 HttpServerSettings serverSettings(const Endpoint &endpoint, std::size_t connections)
@@ -590,6 +592,15 @@
     if (item.key == keys::FleetDone) {
         return;
     }
+    if (item.key.starts_with(keys::FleetLoads)) {
+        const auto load = parsePoolLoad(item.value, bootNow());
+        if (load) {
+            m_loads[item.key.substr(keys::FleetLoads.size())] = load.value();
+        } else if (!item.removed) {
+            logEvent(LogLevel::Error, "load-unreadable", {{"key", item.key}});
+        }
+        return;
+    }
     const boost::json::value value
         = item.removed ? boost::json::value(boost::json::array()) : boost::json::parse(item.value, error);
     if (error || !value.is_array()) {
@@ -616,8 +627,35 @@
         for (const auto &[share, ids] : m_cleared) {
             cleared.insert(ids.begin(), ids.end());
         }
-        m_fleet->setCleared(std::move(cleared));
+        m_fleet->setCleared(cleared);
+        for (const auto &[pool, load] : std::exchange(m_loads, {})) {
+            m_fleet->setLoad(pool, load);
+        }
+    }
+}
+
+MaintenanceResult JobEntry::meaningOf(const std::string &instance, platform::InstanceOrderResult result)
+{
+    using Order = platform::InstanceOrderResult;
+    if (result != Order::Done) {
+        logEvent(LogLevel::Warn, "instance-order-refused",
+                 {{"instance", instance}, {"result", std::string(toString(result))}});
+    }
+    switch (result) {
+    case Order::Done:
+        return MaintenanceResult::Begun;
+    case Order::Fenced:
+        return MaintenanceResult::Fenced;
+    case Order::WrongWave:
+    case Order::Invalid:
+        return MaintenanceResult::Impossible;
+    case Order::Busy:
+    case Order::Refused:
+        return MaintenanceResult::Refused;
+    case Order::Unknown:
+        break;
     }
+    return MaintenanceResult::Unknown;
 }
 
 FleetOwnerHooks JobEntry::fleetHooks()
@@ -626,34 +664,18 @@
     hooks.list = [this](FleetOwnerHooks::Listed done) { m_machines.list(std::move(done)); };
     hooks.maintain = [this](const MaintenanceOrder &order, std::uint64_t fencingToken,
                             std::function<void(MaintenanceResult)> done) {
-        m_machines.maintain(
-            order.instance, order.wave, fencingToken,
-            [order, done = std::move(done)](platform::InstanceOrderResult result) {
-                using Order = platform::InstanceOrderResult;
-                const auto meaning = [result] {
-                    switch (result) {
-                    case Order::Done:
-                        return MaintenanceResult::Begun;
-                    case Order::Fenced:
-                        return MaintenanceResult::Fenced;
-                    case Order::WrongWave:
-                    case Order::Invalid:
-                        return MaintenanceResult::Impossible;
-                    case Order::Busy:
-                    case Order::Refused:
-                        return MaintenanceResult::Refused;
-                    case Order::Unknown:
-                        break;
-                    }
-                    return MaintenanceResult::Unknown;
-                }();
-                if (meaning != MaintenanceResult::Begun) {
-                    logEvent(LogLevel::Warn, "maintenance-not-begun",
-                             {{"instance", order.instance}, {"result", std::to_string(static_cast<int>(result))}});
-                }
-                done(meaning);
-            });
+        m_machines.maintain(order.instance, order.wave, fencingToken,
+                            [order, done = std::move(done)](platform::InstanceOrderResult result) {
+                                done(meaningOf(order.instance, result));
+                            });
     };
+    hooks.move
+        = [this](const MoveOrder &order, std::uint64_t fencingToken, std::function<void(MaintenanceResult)> done) {
+              m_machines.move(order.instance, order.pool, fencingToken,
+                              [order, done = std::move(done)](platform::InstanceOrderResult result) {
+                                  done(meaningOf(order.instance, result));
+                              });
+          };
     hooks.status = [](std::int64_t wave, bool completed) {
         return StoreWrite{std::string(platform::WaveStatusPrefix) + std::to_string(wave),
                           platform::encodeWaveStatus(completed), 0};
--- a/src/job_keys.h
+++ b/src/job_keys.h
@@ -85,6 +85,11 @@
 {
     return FleetCleared + share;
 }
+inline const std::string FleetLoads = "f/load/";
+inline std::string load(const std::string &share)
+{
+    return FleetLoads + share;
+}
 inline const std::string FleetDone = "f/done";  // instances whose maintenance has begun, per wave
 
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -1114,6 +1114,41 @@
     return waiting;
 }
 
+/// Cores that tasks hold, wait for, or will ask for when the step before theirs is done.
+PoolLoad Scheduler::load(TimePoint now) const
+{
+    PoolLoad load;
+    load.learned = now;
+    for (const auto &[id, job] : m_jobs) {
+        if (isFinal(job->state)) {
+            continue;
+        }
+        for (const auto &[number, occurrence] : job->occurrences) {
+            int widest = 0;  // steps of a job mostly follow each other, so the widest open one counts
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const StepSpec &spec = job->spec.steps[step];
+                const int open = spec.count - occurrence.done[step];
+                const int cores = spec.fills ? 0 : open * spec.each.milliCores;
+                if (spec.longRunning) {
+                    load.longMilliCores += cores;
+                    load.wantedMilliCores += cores;
+                    const int limit = std::max(1, spec.perExecutorLimit);
+                    load.widestStep = std::max(load.widestStep, (spec.count + limit - 1) / limit);
+                } else {
+                    widest = std::max(widest, cores);
+                }
+            }
+            load.wantedMilliCores += widest;
+        }
+    }
+    for (const auto &[id, executor] : m_executors) {
+        if (executor.listed && executor.adopted && executor.runs.empty()) {
+            load.idle.insert(id);
+        }
+    }
+    return load;
+}
+
 std::string Scheduler::summary(TimePoint now) const
 {
     int listed = 0;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -10,6 +10,7 @@
 // [4] The scheduler
 
 #include "executor.h"
+#include "pool_planner.h"
 
 #include <algorithm>
 #include <memory>
@@ -253,6 +254,7 @@
         return m_jobs.size();
     }
     std::map<std::string, int> waitingPerQueue() const;
+    PoolLoad load(TimePoint now) const;
     std::string summary(TimePoint now) const;  // one line for the log: what placement can use
     /// Queue, time from acceptance to the end, and whether it met its objective; since the last call.
     struct Finished
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -31,6 +31,8 @@
     Duration storeTimeout{700'000};     // of reads and writes; a slow store takes up to 250 ms
     Duration retryPause{120'000};       // after a failed store call
     Duration countsPeriod{700'000};     // waiting jobs are published this often; callers may see 2 s old counts
+    Duration loadPeriod{250'000};       // of the load that capacity follows; a burst lasts some seconds
+    Duration loadRefresh{1'500'000};    // an unchanged load is told again
     Duration summaryPeriod{1'000'000};  // of the line in the log that tells what placement can use
     Duration usedPeriod{1'000'000};     // the recorded executors are pruned at most this often
     Duration keepFinal{180'000'000};    // final states stay readable this long
@@ -268,6 +270,7 @@
             recordExecutors();
             confirm();
             publishCounts();
+            publishLoad();
             summarize();
             collectGarbage();
         }
@@ -532,6 +535,37 @@
                      }));
     }
 
+    /// Tells the fleet's owner what the pool needs.
+    void publishLoad()
+    {
+        const TimePoint now = bootNow();
+        PoolLoad load = m_scheduler.load(now);
+        constexpr int grain = 4000;  // milli-cores: smaller changes move no instance
+        load.wantedMilliCores = (load.wantedMilliCores + grain - 1) / grain * grain;
+        load.longMilliCores = (load.longMilliCores + grain - 1) / grain * grain;
+        std::string text = encodePoolLoad(load);
+        if (text == m_publishedLoad && now - m_loadAt < m_settings.loadRefresh) {
+            later(m_settings.loadPeriod, [this] { publishLoad(); });
+            return;
+        }
+        StoreTxn txn;
+        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.writes.push_back({keys::load(m_share), text, 0});
+        m_store.commit(txn, m_settings.storeTimeout,
+                       guarded([this, text = std::move(text), now](const StoreReply &reply) {
+                           if (reply.outcome == StoreOutcome::Conflict) {
+                               lose("precondition");
+                               return;
+                           }
+                           if (reply.outcome == StoreOutcome::Done) {
+                               m_publishedLoad = text;
+                               m_loadAt = now;
+                               m_scheduler.confirmed(now);
+                           }
+                           later(m_settings.loadPeriod, [this] { publishLoad(); });
+                       }));
+    }
+
     void summarize()
     {
         logEvent(LogLevel::Info, "share-state", {{"share", m_share}, {"state", m_scheduler.summary(bootNow())}});
@@ -629,6 +663,8 @@
     std::optional<std::vector<std::string>> m_cleared;  // as published by this owner
     std::deque<std::pair<TimePoint, std::string>> m_final;
     std::string m_publishedCounts;
+    std::string m_publishedLoad;
+    TimePoint m_loadAt;
     TimePoint m_recordedAt;
     Timers::Key m_wakeKey{};
     Timers::Key m_confirmKey{};
--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -55,6 +55,24 @@
     m_cleared = std::move(executors);
 }
 
+void WavePlanner::setReserved(std::set<std::string> instances)
+{
+    m_reserved = std::move(instances);
+}
+
+std::set<std::string> WavePlanner::busy() const
+{
+    std::set<std::string> instances;
+    for (const auto &[number, state] : m_waves) {
+        for (const auto &[id, member] : state.instances) {
+            if (member.step != WaveStep::Waiting && member.step != WaveStep::Back) {
+                instances.insert(id);
+            }
+        }
+    }
+    return instances;
+}
+
 void WavePlanner::begun(std::int64_t wave, const std::string &id, TimePoint now)
 {
     WaveInstance &member = m_waves[wave].instances[id];
@@ -110,7 +128,7 @@
             if (present == nullptr) {
                 continue;
             }
-            if (member.step == WaveStep::Waiting && present->state == InstanceState::Up) {
+            if (member.step == WaveStep::Waiting && present->state == InstanceState::Up && !m_reserved.contains(id)) {
                 const bool spare = m_sparePools.contains(present->pool);
                 const int bound = std::max(1, m_poolSizes[present->pool] / m_settings.poolShare);
                 if (emptying + down < state.wave.atOnce + m_settings.emptyAhead
--- a/src/wave_planner.h
+++ b/src/wave_planner.h
@@ -63,7 +63,9 @@
 
     void addWave(const MaintenanceWave &wave, const std::set<std::string> &begun, TimePoint now);
     void setInstances(std::vector<PooledInstance> instances, const std::set<std::string> &sparePools, TimePoint now);
-    void setCleared(std::set<std::string> executors);  // empty, by their owners' word
+    void setCleared(std::set<std::string> executors);   // empty, by their owners' word
+    void setReserved(std::set<std::string> instances);  // that are being moved
+    std::set<std::string> busy() const;                 // instances that are being emptied or are away
     void begun(std::int64_t wave, const std::string &instance, TimePoint now);
     void refused(std::int64_t wave, const std::string &instance, bool forGood, TimePoint now);
 
@@ -89,6 +91,7 @@
     std::map<std::string, int> m_poolSizes;
     std::set<std::string> m_sparePools;
     std::set<std::string> m_cleared;
+    std::set<std::string> m_reserved;
 };
 
 }
