--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -25,10 +25,12 @@
 constexpr Duration ListPeriod{700'000};        // of executors; a leaving one gets no new work after 2 s
 constexpr Duration RebalancePause{4'000'000};  // between two shares that are handed over
 constexpr Duration StoreTimeout{700'000};
-constexpr Duration PlanWatch{1'500'000};  // a silent connection is noticed before a change must be in force
-constexpr int ExecutorConnections = 3;    // one waits for ends, two carry starts and stops
-constexpr Duration StopLead{2'600'000};   // the balancer needs two looks, a second apart, to turn away
-constexpr Duration StopSlack{700'000};    // the process is gone this long before it would be killed
+constexpr Duration NewsPause{120'000};      // joins the news of several shares into one call
+constexpr Duration StatePeriod{5'000'000};  // of the line with the counters of the store
+constexpr Duration PlanWatch{1'500'000};    // a silent connection is noticed before a change must be in force
+constexpr int ExecutorConnections = 3;      // one waits for ends, two carry starts and stops
+constexpr Duration StopLead{2'600'000};     // the balancer needs two looks, a second apart, to turn away
+constexpr Duration StopSlack{700'000};      // the process is gone this long before it would be killed
 
 struct OwnerMark
 {
@@ -90,6 +92,7 @@
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const FrontReply &result);
     void handleReadiness(const std::shared_ptr<HttpExchange> &exchange);
     std::string exposition();
+    void summarize();
 
     // Stop
     void waitSignal();
@@ -110,7 +113,8 @@
     JobFront<Client> m_front;
     StoreView<Client> m_operator;
     StoreView<Client> m_membership;
-    std::optional<StoreView<Client>> m_fleetView;
+    std::optional<StoreView<Client>> m_vacateView;  // while this entry owns a share
+    std::optional<StoreView<Client>> m_newsView;    // while it owns the fleet
     HttpServer m_callers;
     HttpServer m_readiness;
     std::optional<HttpServer> m_metricsServer;
@@ -193,6 +197,7 @@
     grant();
     assign();
     listExecutors({});
+    summarize();
     logEvent(LogLevel::Info, "entry-started",
              {{"entry", m_settings.name}, {"start_id", m_startId}, {"listen", formatEndpoint(m_settings.listen)}});
     m_io.run();
@@ -463,6 +468,7 @@
             m_fleet->addWave(wave);
         }
         m_fleet->start();
+        watchFleet();
         updateVacating();
         return;
     }
@@ -487,6 +493,7 @@
     later(Duration{0}, [this, share] {
         if (share == keys::FleetShare) {
             m_fleet.reset();
+            m_newsView.reset();
         } else {
             m_shares.erase(share);
         }
@@ -523,6 +530,7 @@
                                          : m_shares.at(share)->fencingToken();
     if (share == keys::FleetShare) {
         m_fleet.reset();
+        m_newsView.reset();
     } else {
         m_shares.erase(share);
     }
@@ -577,11 +585,17 @@
 
 void JobEntry::watchFleet()
 {
-    if (!m_fleetView) {
-        m_fleetView.emplace(
-            m_store, m_timers, keys::Fleet, StoreViewSettings{}, [this](const StoreItem &item) { fleetItem(item); },
-            [this] { updateVacating(); });
-        m_fleetView->start();
+    const auto watch = [this](std::optional<StoreView<Client>> &view, const std::string &prefix, Duration pause) {
+        if (!view) {
+            view.emplace(
+                m_store, m_timers, prefix, StoreViewSettings{.watchPause = pause},
+                [this](const StoreItem &item) { fleetItem(item); }, [this] { updateVacating(); });
+            view->start();
+        }
+    };
+    watch(m_vacateView, keys::FleetVacate, Duration{0});
+    if (m_fleet) {
+        watch(m_newsView, keys::FleetNews, NewsPause);
     }
 }
 
@@ -881,6 +895,8 @@
 {
     const platform::StoreCounts &calls = m_store.counts();
     m_metrics.set("briarvane_store_calls_total", {{"kind", "read"}}, static_cast<double>(calls.reads));
+    m_metrics.set("briarvane_store_calls_total", {{"kind", "range"}}, static_cast<double>(calls.ranges));
+    m_metrics.set("briarvane_store_calls_total", {{"kind", "watch"}}, static_cast<double>(calls.watches));
     m_metrics.set("briarvane_store_calls_total", {{"kind", "write"}}, static_cast<double>(calls.writes));
     m_metrics.set("briarvane_store_calls_total", {{"kind", "renewal"}}, static_cast<double>(calls.renewals));
     m_metrics.set("briarvane_store_refused_total", {}, static_cast<double>(calls.refused));
@@ -899,6 +915,23 @@
     return formatExposition(m_metrics.list());
 }
 
+/// One line every few seconds: what this entry asked of the store.
+void JobEntry::summarize()
+{
+    const platform::StoreCounts &calls = m_store.counts();
+    logEvent(LogLevel::Info, "entry-state",
+             {{"reads", std::to_string(calls.reads)},
+              {"ranges", std::to_string(calls.ranges)},
+              {"watches", std::to_string(calls.watches)},
+              {"writes", std::to_string(calls.writes)},
+              {"renewals", std::to_string(calls.renewals)},
+              {"refused", std::to_string(calls.refused)},
+              {"unanswered", std::to_string(calls.unanswered)},
+              {"shares", std::to_string(ownedCount())},
+              {"connections", std::to_string(m_callers.load().connections)}});
+    later(StatePeriod, [this] { summarize(); });
+}
+
 // Stop ----------------------------------------------------------------------------------------------------------------
 
 void JobEntry::waitSignal()
--- a/src/job_keys.h
+++ b/src/job_keys.h
@@ -78,14 +78,14 @@
 {
     return WaitingCounts + share;
 }
-inline const std::string Fleet = "f/";
-inline const std::string FleetVacate = "f/vacate";  // executors that must become empty
-inline const std::string FleetCleared = "f/clear/";
+inline const std::string FleetVacate = "f/vacate";  // executors that must become empty; watched by owners of shares
+inline const std::string FleetNews = "g/";          // from owners of shares; watched by the fleet's owner alone
+inline const std::string FleetCleared = "g/clear/";
 inline std::string cleared(const std::string &share)
 {
     return FleetCleared + share;
 }
-inline const std::string FleetLoads = "f/load/";
+inline const std::string FleetLoads = "g/load/";
 inline std::string load(const std::string &share)
 {
     return FleetLoads + share;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -1142,7 +1142,8 @@
         }
     }
     for (const auto &[id, executor] : m_executors) {
-        if (executor.listed && executor.adopted && executor.runs.empty()) {
+        constexpr Duration settled{500'000};  // shorter gaps between two tasks are no news
+        if (executor.listed && executor.adopted && executor.runs.empty() && now - executor.lastReport > settled) {
             load.idle.insert(id);
         }
     }
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -540,7 +540,7 @@
     {
         const TimePoint now = bootNow();
         PoolLoad load = m_scheduler.load(now);
-        constexpr int grain = 4000;  // milli-cores: smaller changes move no instance
+        constexpr int grain = 8000;  // milli-cores: smaller changes move no instance
         load.wantedMilliCores = (load.wantedMilliCores + grain - 1) / grain * grain;
         load.longMilliCores = (load.longMilliCores + grain - 1) / grain * grain;
         std::string text = encodePoolLoad(load);
