Start first what needs the fewest core-seconds for its worth

Change: jobs that can still meet their objective, cheapest for their worth first; late ones after them, lost ones last.

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -87,6 +87,11 @@
             }
         }
     }
+    QueueWork &queue = m_queueWork[job->spec.queue];
+    for (const StepSpec &step : job->spec.steps) {
+        queue.work += 1e-9 * step.count * step.each.milliCores * static_cast<double>(step.estimate.count());
+    }
+    ++queue.jobs;
     Job &added = *m_jobs.emplace(id, std::move(job)).first->second;
     openDueOccurrences(added, now, wallMs);
     if (added.occurrencesDone == std::max(1, added.spec.occurrences)) {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -167,6 +167,13 @@
     std::vector<JobWrite> writes;
 };
 
+/// Declared work of the jobs that a queue has brought.
+struct QueueWork
+{
+    double work = 0;  // core-seconds
+    int jobs = 0;
+};
+
 /// A line for the log about one decision.
 struct Decision
 {
@@ -322,6 +329,7 @@
     std::vector<Decision> m_decisions;
     std::vector<Finished> m_finished;
     SchedulerCounts m_counts;
+    std::map<std::string, QueueWork> m_queueWork;
 };
 
 }
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -30,13 +30,30 @@
     return longest;
 }
 
+/// How much a job can still earn; a late one earns little, and nothing after three times its objective.
+enum class Prospect { LongRunning, InTime, Late, Lost };
+
 struct Candidate
 {
     Job *job = nullptr;
-    bool late = false;
-    Duration slack{0};
+    Prospect prospect = Prospect::InTime;
+    double cost = 0;  // core-seconds that are left for each unit of worth
 };
 
+/// Core-seconds of a job by its declared times; `left`: without tasks that are done.
+double declaredWork(const Job &job, bool left)
+{
+    double work = 0;
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < job.spec.steps.size(); ++step) {
+            const StepSpec &spec = job.spec.steps[step];
+            const int tasks = left ? spec.count - occurrence.done[step] : spec.count;
+            work += 1e-9 * tasks * spec.each.milliCores * static_cast<double>(spec.estimate.count());
+        }
+    }
+    return work;
+}
+
 }
 
 bool Scheduler::stepReady(const Job &job, const Occurrence &occurrence, int step) const
@@ -48,8 +65,10 @@
     });
 }
 
-/// Urgent queues first; within them jobs that can still meet their objective, least slack first. A late job earns
-/// little, so it waits until the others have found room.
+/// Queue order. Load that it answers: a queue asks for more than its pool holds for some seconds, so not every job can
+/// meet its objective. Jobs that still can go first, those that need the fewest core-seconds for their worth before the
+/// others; a started job has less left and so is finished before a new one begins. Least slack first was worse there:
+/// it spends the room on jobs that are about to be late.
 void Scheduler::place(TimePoint now)
 {
     m_changed = false;
@@ -72,11 +91,20 @@
         }
         const Duration slack = job->objective - now - remainingChain(*job);
         const bool isLong = !job->spec.steps.empty() && job->spec.steps.front().longRunning;
-        candidates.push_back({job.get(), !isLong && slack < Duration{0}, isLong ? Duration::min() : slack});
+        const double all = declaredWork(*job, false);
+        const QueueWork &queue = m_queueWork[job->spec.queue];
+        const double mean = queue.jobs > 0 ? queue.work / queue.jobs : all;
+        // The users value a job by its work against the mean of its queue.
+        const double worth = 0.3 + (mean > 0 ? 0.7 * all / mean : 0.7);
+        const Prospect prospect = isLong                   ? Prospect::LongRunning
+            : slack >= Duration{0}                         ? Prospect::InTime
+            : -slack < 2 * (job->objective - job->learned) ? Prospect::Late
+                                                           : Prospect::Lost;
+        candidates.push_back({job.get(), prospect, declaredWork(*job, true) / worth});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        return std::tuple(left.late, left.job->spec.priority, left.slack, left.job->spec.id)
-            < std::tuple(right.late, right.job->spec.priority, right.slack, right.job->spec.id);
+        return std::tuple(left.prospect, left.job->spec.priority, left.cost, left.job->spec.id)
+            < std::tuple(right.prospect, right.job->spec.priority, right.cost, right.job->spec.id);
     });
     std::size_t blocked = 0;
     for (const Candidate &candidate : candidates) {
