--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -893,7 +893,8 @@
         const Job &job = *found->second;
         const StepSpec &step = job.spec.steps[static_cast<std::size_t>(run.task.step)];
         if (step.longRunning) {
-            const bool allowed = run.percent < AtWork || awayInStep(job, run.task, now) < step.mayMiss;
+            // What a report says of this task may be old: it can have come to work since.
+            const bool allowed = awayInStep(job, run.task, now) < step.mayMiss;
             if (allowed || (leaving && !executor.vacating)) {
                 stopRun(executor, name, run, now, "executor-leaves");
             }
--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -317,6 +317,24 @@
         CHECK(running() == 5);
         CHECK(fewest >= 4);
     }
+    SECTION("tasks that had just begun when they were last seen are not stopped together")
+    {
+        World young(calm());
+        young.setStartup(700ms);
+        young.takeOver(true);
+        young.submit(job("a", {longStep(5)}));
+        young.run(300ms);
+        young.vacate({"i-0", "i-1", "i-2", "i-3"});
+        int fewest = 5;
+        for (int i = 0; i < 100; ++i) {
+            young.run(50ms);
+            fewest = std::min(fewest, young.atWork("a"));
+            if (i < 20) {
+                fewest = 5;  // they come to work within the first second
+            }
+        }
+        CHECK(fewest >= 4);
+    }
     SECTION("a new owner waits for a silent executor only with the tasks that were recorded there")
     {
         world.executor(0).dark = true;
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -38,6 +38,7 @@
 {
     int run = 0;
     Resources held;
+    TimePoint startedAt;
     TimePoint endsAt;
     bool fails = false;
     bool stopping = false;
@@ -348,6 +349,21 @@
         }
         return all;
     }
+    /// Long-running tasks come to work this long after their start.
+    void setStartup(Duration time)
+    {
+        m_startup = time;
+    }
+    int atWork(const std::string &id) const
+    {
+        int count = 0;
+        for (const auto &[executorId, one] : m_executors) {
+            for (const auto &[task, run] : one.runs) {
+                count += task.starts_with(id + '.') && !run.stopping && m_now >= run.startedAt + m_startup ? 1 : 0;
+            }
+        }
+        return count;
+    }
     void vacate(std::unordered_set<std::string> ids)
     {
         m_vacating = std::move(ids);
@@ -473,6 +489,7 @@
         const StepSpec &step = m_specs.at(name->job).steps[static_cast<std::size_t>(name->step)];
         ModelRun run;
         run.run = order.run;
+        run.startedAt = m_now;
         run.held = step.each;
         run.endsAt = step.longRunning ? TimePoint::max() : m_now + step.estimate + between(0ms, 200ms);
         run.fails = chance() < m_settings.failingRuns;
@@ -543,7 +560,7 @@
         report.born = m_settings.removed.incarnation ? 1 : one.record.born;
         for (const auto &[task, run] : one.runs) {
             if (!run.stopping) {
-                report.running.push_back({task, run.run, {}, 100, 0});
+                report.running.push_back({task, run.run, {}, m_now >= run.startedAt + m_startup ? 100 : 50, 0});
             }
         }
         report.ended.assign(one.ended.begin(), one.ended.end());
@@ -777,6 +794,7 @@
     std::map<std::string, std::set<std::pair<std::string, std::uint64_t>>> m_doneAt;  // by task
     std::set<std::string> m_doneNoted;
     std::unordered_set<std::string> m_vacating;
+    Duration m_startup{0};
     std::vector<std::string> m_violations;
     std::vector<std::string> m_trace;
     int m_starts = 0;
