Give shares to the entries with the most processor time for them

Ruled out: capacity (the pool had three quarters of its cores free), order of the queue. Change: entries publish their processor share; a share goes where shares per core are fewest, and is handed over when another entry has 1.5 times the room.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -633,6 +633,10 @@
     milliseconds("longest-lease-ms", arguments.longestLeaseMs, "longest lease of a run that executors take, ms");
     milliseconds("stop-ms", arguments.stopMs, "time that an executor takes to stop a task, ms");
     milliseconds("holder-turn-ms", arguments.holderTurnMs, "pause between two holders' orders for an instance, ms");
+    serve->add_option("--cpu-share", arguments.settings.cpuShare, "processor share of this entry, in cores")
+        ->envname(environmentName("serve-cpu-share"))
+        ->check(CLI::Range(0.01, 64.0))
+        ->capture_default_str();
     serve->add_option("--grace-s", arguments.graceS, "time between SIGTERM and SIGKILL, seconds")
         ->envname(environmentName("serve-grace-s"))
         ->check(CLI::Range(0.1, 3600.0))
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <charconv>
 #include <random>
 
 namespace briarvane
@@ -24,6 +25,9 @@
 constexpr Duration RankDelay{500'000};         // the next entry tries when the one before it did not
 constexpr Duration ListPeriod{700'000};        // of executors; a leaving one gets no new work after 2 s
 constexpr Duration RebalancePause{4'000'000};  // between two shares that are handed over
+constexpr double RebalanceGain = 1.5;          // a handover costs a fraction of a second of starts
+constexpr double SmallestCpuShare = 0.01;
+constexpr std::string_view ServingState = "serving ";  // followed by the entry's processor share
 constexpr Duration StoreTimeout{700'000};
 constexpr Duration NewsPause{120'000};      // joins the news of several shares into one call
 constexpr Duration StatePeriod{5'000'000};  // of the line with the counters of the store
@@ -64,6 +68,12 @@
     void enterMembership();
     void memberItem(const StoreItem &item);
     std::vector<std::string> neededShares() const;
+    struct Candidate
+    {
+        double cpuShare = 1;
+        int owned = 0;
+    };
+    std::map<std::string, Candidate> candidates() const;
     int rankFor(const std::string &share) const;
     void assign();
     void acquire(const std::string &share);
@@ -270,7 +280,9 @@
 void JobEntry::enterMembership()
 {
     StoreTxn txn;
-    txn.writes.push_back({keys::entry(m_settings.name), m_stopping ? "stopping" : "serving", m_lease});
+    txn.writes.push_back({keys::entry(m_settings.name),
+                          m_stopping ? "stopping" : std::string(ServingState) + std::to_string(m_settings.cpuShare),
+                          m_lease});
     m_store.commit(txn, StoreTimeout, [this](const StoreReply &entered) {
         m_front.note(entered);
         if (entered.outcome == StoreOutcome::NotFound) {  // the lease lapsed meanwhile
@@ -339,30 +351,41 @@
     return static_cast<int>(m_shares.size()) + (m_fleet ? 1 : 0);
 }
 
-/// Place of this entry among those that should own the share: fewest shares first, then by hash. -1: not at all.
-int JobEntry::rankFor(const std::string &share) const
+/// Serving entries with their processor share and the shares that they own.
+std::map<std::string, JobEntry::Candidate> JobEntry::candidates() const
 {
-    std::map<std::string, int> owned;
+    std::map<std::string, Candidate> serving;
     for (const auto &[name, state] : m_entries) {
-        if (state == "serving") {
-            owned[name] = 0;
+        if (state.starts_with(ServingState)) {
+            Candidate &candidate = serving[name];
+            const std::string_view share = std::string_view(state).substr(ServingState.size());
+            std::from_chars(share.data(), share.data() + share.size(), candidate.cpuShare);
+            candidate.cpuShare = std::clamp(candidate.cpuShare, SmallestCpuShare, 64.0);
         }
     }
-    if (!owned.contains(m_settings.name)) {
-        return -1;
-    }
-    for (const auto &[other, mark] : m_owners) {
-        const std::string holder = mark.holder.substr(0, mark.holder.find(' '));
-        if (const auto place = owned.find(holder); place != owned.end()) {
-            ++place->second;
+    for (const auto &[share, mark] : m_owners) {
+        const auto place = serving.find(mark.holder.substr(0, mark.holder.find(' ')));
+        if (place != serving.end()) {
+            ++place->second.owned;
         }
     }
+    return serving;
+}
+
+/// Place of this entry among those that should own the share: least loaded with it first, then by hash. -1: not at all.
+int JobEntry::rankFor(const std::string &share) const
+{
+    const auto serving = candidates();
+    if (!serving.contains(m_settings.name)) {
+        return -1;
+    }
     const auto key = [&](const std::string &name) {
-        return std::pair(owned.at(name), std::hash<std::string>{}(name + '/' + share));
+        const Candidate &candidate = serving.at(name);
+        return std::pair((candidate.owned + 1) / candidate.cpuShare, std::hash<std::string>{}(name + '/' + share));
     };
     const auto own = key(m_settings.name);
     int rank = 0;
-    for (const auto &[name, count] : owned) {
+    for (const auto &[name, candidate] : serving) {
         rank += key(name) < own ? 1 : 0;
     }
     return rank;
@@ -551,34 +574,26 @@
     });
 }
 
-/// Hands a share over when another entry has two fewer.
+/// Hands a share over when another entry would carry it much more easily.
 void JobEntry::rebalance()
 {
     const TimePoint now = steadyNow();
-    if (ownedCount() < 2 || now - m_rebalancedAt < RebalancePause || now - m_enteredAt < RebalancePause) {
+    if (ownedCount() == 0 || now - m_rebalancedAt < RebalancePause || now - m_enteredAt < RebalancePause) {
         return;
     }
-    std::map<std::string, int> owned;
-    for (const auto &[name, state] : m_entries) {
-        if (state == "serving") {
-            owned[name] = 0;
-        }
-    }
-    for (const auto &[share, mark] : m_owners) {
-        const auto place = owned.find(mark.holder.substr(0, mark.holder.find(' ')));
-        if (place != owned.end()) {
-            ++place->second;
-        }
-    }
-    int fewest = ownedCount();
-    for (const auto &[name, count] : owned) {
-        fewest = std::min(fewest, count);
-    }
-    if (ownedCount() - fewest < 2) {
+    const auto serving = candidates();
+    const auto self = serving.find(m_settings.name);
+    if (self == serving.end()) {
         return;
     }
-    m_rebalancedAt = now;
-    release(m_shares.empty() ? keys::FleetShare : m_shares.rbegin()->first);
+    const double load = self->second.owned / self->second.cpuShare;
+    const bool better = std::any_of(serving.begin(), serving.end(), [load](const auto &entry) {
+        return (entry.second.owned + 1) / entry.second.cpuShare * RebalanceGain < load;
+    });
+    if (better) {
+        m_rebalancedAt = now;
+        release(m_shares.empty() ? keys::FleetShare : m_shares.rbegin()->first);
+    }
 }
 
 // Fleet ---------------------------------------------------------------------------------------------------------------
--- a/src/job_entry.h
+++ b/src/job_entry.h
@@ -16,6 +16,7 @@
     std::optional<Endpoint> metrics;
     Endpoint store;
     Endpoint machines;
+    double cpuShare = 1;              // of a core; stronger entries own more shares
     Duration runLease{6'000'000};     // of runs on executors; at most what executors allow
     Duration stopTime{400'000};       // an executor takes this long to stop a task
     Duration holderTurn{3'000'000};   // two holders' orders for one instance are this far apart
