Abandon a claim that a restarted owner refused

Ruled out: expiry of a claim in a swap of unknown effect (kept by 'sent'), rotation, sealed segments. Change: the claimant remembers the incarnation it asked; a refusal by another one is followed by an abandon, and only the same one may settle without a write. The model of the test does the same.

--- a/src/entry_orders.h
+++ b/src/entry_orders.h
@@ -97,8 +97,9 @@
         std::uint32_t shard = 0;
         ClaimOrder order;
         std::function<void(ClaimResult)> done;
-        int sends = 0;   // to this entry's own shard or to another entry
-        EntryId target;  // of the last send
+        int sends = 0;                  // to this entry's own shard or to another entry
+        EntryId target;                 // of the last send
+        std::uint64_t targetStart = 0;  // its incarnation at that time
         bool local = false;
         TimePoint started;
         TimePoint resendAt;
@@ -148,6 +149,7 @@
         void sendClaim(std::uint64_t sequence, Pending &pending, bool forceLocal);
         void sendSettle(Settling &settling, bool forceLocal);
         void abandon(std::uint64_t sequence, const Pending &pending);
+        std::uint64_t startOf(const EntryId &entry) const;  // its present incarnation; 0: not known
         void verdict(std::uint64_t sequence, Verdict verdict, const KeptAnswer *answer, const OrderKeyHash *key,
                      std::uint32_t shard);
         void settled(std::uint64_t sequence);
@@ -255,9 +257,11 @@
     const EntryId target = responsible(item.shard);
     ++item.sends;
     item.target = target;
+    item.targetStart = startOf(target);
     item.resendAt = now + OrderResend;
     if (forceLocal || target.empty() || target == self.entry) {
         item.target = self.entry;
+        item.targetStart = self.startId;
         item.local = true;
         const std::uint32_t shard = item.shard;
         shards[shard].usedAt = now;
@@ -313,7 +317,8 @@
     Settling &settling = settles[sequence];
     settling.shard = item.shard;
     settling.order = {item.order.key, item.order.bodyHash, {self, sequence}, OrderState::Abandoned, nullptr};
-    settling.onlyTarget = item.sends == 1 ? item.target : EntryId{};
+    // An owner that has restarted since does not know what its predecessor has under way.
+    settling.onlyTarget = item.sends == 1 && item.targetStart == startOf(item.target) ? item.target : EntryId{};
     settling.started = cluster.now();
     sendSettle(settling, item.local);
 }
@@ -340,8 +345,8 @@
     if (verdict == Verdict::Run && item.order.deadline <= cluster.now()) {
         verdict = Verdict::Busy;
         abandon(sequence, item);
-    } else if (verdict != Verdict::Run && item.sends > 1) {
-        // Another entry may have recorded the claim, or still do so.
+    } else if (verdict != Verdict::Run && (item.sends > 1 || item.targetStart != startOf(item.target))) {
+        // Another entry, or an earlier start of this one, may have recorded the claim, or still do so.
         abandon(sequence, item);
     }
     ClaimResult result;
@@ -641,6 +646,16 @@
     return view;
 }
 
+template<Platform P, class C>
+std::uint64_t OrderClient<P, C>::State::startOf(const EntryId &entry) const
+{
+    if (entry == self.entry) {
+        return self.startId;
+    }
+    const EntryStatus *status = cluster.membership().entry(entry);
+    return status == nullptr ? 0 : status->startId;
+}
+
 template<Platform P, class C>
 EntryId OrderClient<P, C>::State::responsible(std::uint32_t shard) const
 {
--- a/tests/core_orders.cpp
+++ b/tests/core_orders.cpp
@@ -63,6 +63,7 @@
     ClaimStage stage = ClaimStage::Pending;
     bool dead = false;  // the claimant restarted
     std::vector<std::size_t> sentTo;
+    std::uint64_t sentToStart = 0;  // incarnation of the first owner at that time
     std::optional<OrderState> settle;
     bool settleConfirmed = false;
     std::int64_t settleMs = 0;
@@ -274,6 +275,7 @@
         }
         claim.touchedMs = nowMs;
         claim.sentTo = {owner};
+        claim.sentToStart = ownerStarts[owner];
         claims.push_back(claim);
         network.push_back({owner, 0, claim.order});
         return claims.back();
@@ -306,7 +308,7 @@
         claim.settle = state;
         claim.settleConfirmed = false;
         SettleOrder order{claim.order.key, claim.order.bodyHash, claim.order.claim, state, nullptr};
-        order.onlyHere = claim.sentTo == std::vector{owner};
+        order.onlyHere = claim.sentTo == std::vector{owner} && claim.sentToStart == ownerStarts[owner];
         if (state == OrderState::Finished) {
             order.answer = std::make_shared<const KeptAnswer>(
                 KeptAnswer{200, "text/plain", std::to_string(claim.order.claim.sequence), true});
@@ -480,7 +482,8 @@
         }
         if (given.verdict != Verdict::Run) {
             claim->stage = ClaimStage::Told;
-            if (claim->sentTo.size() > 1) {
+            // An owner that has restarted since the claim was sent does not know what its predecessor has under way.
+            if (claim->sentTo.size() > 1 || item.ownerStart != claim->sentToStart) {
                 giveUp(*claim, item.owner);
             }
             return;
