--- /dev/null
+++ b/tests/core_jobs.cpp
@@ -0,0 +1,139 @@
+// Jobs, their names and their records.
+
+#include "job.h"
+#include "plan.h"
+
+#include <catch2/catch.hpp>
+
+using namespace briarvane;
+using namespace std::chrono_literals;
+
+TEST_CASE("Task names are read back as they were written")
+{
+    const auto name = parseTaskName(formatTaskName({"5c0e7a21d94b36f8", 3, 1, 17}));
+    REQUIRE(name);
+    CHECK(name->job == "5c0e7a21d94b36f8");
+    CHECK(name->occurrence == 3);
+    CHECK(name->step == 1);
+    CHECK(name->index == 17);
+
+    SECTION("others are refused")
+    {
+        for (const char *text : {"", "a", "a.1.2", "a.1.2.x", ".1.2.3", "a.1..3", "a.1.2.-3", "a.1.2.99999999999"}) {
+            CHECK_FALSE(parseTaskName(text));
+        }
+    }
+}
+
+TEST_CASE("A job's record keeps all that its owner needs after a takeover")
+{
+    JobRecord record;
+    record.spec.queue = "r-1";
+    record.spec.service = "orders";
+    record.spec.payload = "text \"with\" quotes";
+    record.spec.priority = 1;
+    record.spec.maxAttempts = 4;
+    record.spec.stretch = 1.6;
+    record.spec.targetLatency = 600ms;
+    record.spec.acceptedMs = 1'700'000'000'000;
+    record.spec.occurrences = 2;
+    record.spec.firstDueMs = 1'700'000'001'000;
+    record.spec.intervalMs = 500;
+    StepSpec step;
+    step.count = 8;
+    step.each = {1900, 3900, 1};
+    step.estimate = 1100ms;
+    step.gang = true;
+    step.sameRack = true;
+    step.requiredLabel = "b";
+    step.dataRack = "r1-3";
+    step.perExecutorLimit = 2;
+    step.speculative = true;
+    step.longRunning = true;
+    step.checkpointing = true;
+    step.fills = true;
+    step.image = "img";
+    step.latencyTarget = 40ms;
+    step.mayMiss = 3;
+    StepSpec second;
+    second.count = 1;
+    second.after = {0};
+    record.spec.steps = {step, second};
+
+    const auto read = parseJobRecord("id", encodeJobRecord(record));
+    REQUIRE(read);
+    const JobSpec &spec = read.value().spec;
+    CHECK(spec.id == "id");
+    CHECK(spec.queue == "r-1");
+    CHECK(spec.payload == record.spec.payload);
+    CHECK(spec.maxAttempts == 4);
+    CHECK(spec.stretch == 1.6);
+    CHECK(spec.targetLatency == 600ms);
+    CHECK(spec.occurrences == 2);
+    CHECK(spec.firstDueMs == record.spec.firstDueMs);
+    CHECK(spec.intervalMs == 500);
+    REQUIRE(spec.steps.size() == 2);
+    const StepSpec &back = spec.steps[0];
+    CHECK(back.each == step.each);
+    CHECK(back.estimate == 1100ms);
+    CHECK((back.gang && back.sameRack && back.speculative && back.longRunning && back.checkpointing && back.fills));
+    CHECK(back.requiredLabel == "b");
+    CHECK(back.dataRack == "r1-3");
+    CHECK(back.perExecutorLimit == 2);
+    CHECK(back.latencyTarget == 40ms);
+    CHECK(back.mayMiss == 3);
+    CHECK(spec.steps[1].after == std::vector<int>{0});
+
+    SECTION("a final state is kept alone")
+    {
+        record.state = JobState::Failed;
+        record.endedMs = 5;
+        const auto final = parseJobRecord("id", encodeJobRecord(record));
+        REQUIRE(final);
+        CHECK(final.value().state == JobState::Failed);
+        CHECK(final.value().spec.steps.empty());
+    }
+    SECTION("damage is an error, not an empty job")
+    {
+        for (const char *text : {"", "{", "[]", "{}", "{\"steps\":1}", "{\"steps\":[1]}", "{\"state\":\"lost\"}"}) {
+            CHECK_FALSE(parseJobRecord("id", text));
+        }
+    }
+}
+
+TEST_CASE("Progress keeps which runs failed, so that an end that is listed again is not counted again")
+{
+    JobProgress progress;
+    progress[{0, 1, 2}] = {5, {1, 3}, false, "i-1", "saved"};
+    progress[{0, 0, 0}] = {1, {}, true, "", ""};
+    const auto read = parseProgress(encodeProgress(progress));
+    REQUIRE(read);
+    CHECK(read.value() == progress);
+    CHECK_FALSE(parseProgress("{}"));
+    CHECK_FALSE(parseProgress("[[1,2]]"));
+}
+
+TEST_CASE("The longest chain of work decides a job's objective")
+{
+    StepSpec first;
+    first.estimate = 300ms;
+    StepSpec second;
+    second.estimate = 200ms;
+    second.after = {0};
+    StepSpec beside;
+    beside.estimate = 400ms;
+    CHECK(longestChain({first, second, beside}) == 500ms);
+    CHECK(longestChain({}) == 0ms);
+}
+
+TEST_CASE("Host and the longest prefix select the queue")
+{
+    Plan plan;
+    plan.queues
+        = {{"a", "one.example", "/x/", "s"}, {"b", "one.example", "/x/y/", "s"}, {"c", "two.example", "/", "s"}};
+    CHECK(plan.queueFor("one.example", "/x/1")->name == "a");
+    CHECK(plan.queueFor("one.example", "/x/y/1")->name == "b");
+    CHECK(plan.queueFor("two.example", "/x/y/1")->name == "c");
+    CHECK(plan.queueFor("one.example", "/z") == nullptr);
+    CHECK(plan.queueFor("three.example", "/x/1") == nullptr);
+}
--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -162,7 +162,7 @@
         world.run(3s);
         CHECK(world.state("a") == JobState::Completed);
         CHECK(world.starts() == 5);
-        CHECK(text(world) == "");
+        CHECK(text(world).empty());
     }
     SECTION("while the store is down the next step runs, and completed waits")
     {
@@ -174,7 +174,7 @@
         world.setStoreDown(false);
         world.run(1s);
         CHECK(world.state("a") == JobState::Completed);
-        CHECK(text(world) == "");
+        CHECK(text(world).empty());
     }
     SECTION("a cancelled job starts nothing more and its runs stop")
     {
@@ -184,7 +184,7 @@
         for (int i = 0; i < 6; ++i) {
             CHECK(world.runsAt(i) == 0);
         }
-        CHECK(text(world) == "");
+        CHECK(text(world).empty());
     }
 }
 
@@ -215,7 +215,7 @@
         CHECK(world.starts() == before);
         world.run(15s);
         CHECK(world.state("a") == JobState::Completed);
-        CHECK(text(world) == "");
+        CHECK(text(world).empty());
     }
     SECTION("work that waited starts although no run ends any more")
     {
@@ -239,7 +239,7 @@
         }
         world.run(20s);
         CHECK(world.state("a") == JobState::Completed);
-        CHECK(text(world) == "");
+        CHECK(text(world).empty());
     }
     SECTION("a run whose job is gone is stopped, and nothing starts beside it before that")
     {
@@ -249,7 +249,7 @@
         world.takeOver();
         world.run(5s);
         CHECK(world.state("b") == JobState::Completed);
-        CHECK(text(world) == "");
+        CHECK(text(world).empty());
     }
 }
 
@@ -303,7 +303,7 @@
         world.crash(0);
         world.run(9s);
         CHECK(running() == 5);
-        CHECK(text(world) == "");
+        CHECK(text(world).empty());
     }
     SECTION("an executor that must be empty gives its tasks up within the allowance")
     {
@@ -344,7 +344,7 @@
         world.takeOver();
         world.run(2s);
         CHECK(running() >= 5 - there);
-        CHECK(text(world) == "");
+        CHECK(text(world).empty());
     }
 }
 
@@ -352,10 +352,11 @@
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
         const World world = history(seed);
-        INFO("seed " << seed << "\n" << (world.violations().empty() ? std::string() : world.trace(brokenTask(world))));
-        CHECK(text(world) == "");
+        INFO("seed " << seed << " " << text(world) << world.openJobs() << "\n"
+                     << (world.violations().empty() ? std::string() : world.trace(brokenTask(world))));
+        CHECK(text(world).empty());
         INFO(world.summary());
-        CHECK(world.openJobs() == "");
+        CHECK(world.openJobs().empty());
     }
 }
 
@@ -370,9 +371,10 @@
     const unsigned count = number("HISTORIES", 1000);
     for (unsigned seed = first; seed < first + count; ++seed) {
         const World world = history(seed);
-        INFO("seed " << seed << "\n" << (world.violations().empty() ? std::string() : world.trace(brokenTask(world))));
-        CHECK(text(world) == "");
-        CHECK(world.openJobs() == "");
+        INFO("seed " << seed << " " << text(world) << world.openJobs() << "\n"
+                     << (world.violations().empty() ? std::string() : world.trace(brokenTask(world))));
+        CHECK(text(world).empty());
+        CHECK(world.openJobs().empty());
     }
 }
 
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -163,7 +163,7 @@
         m_store.owner = token;
         note("new owner " + std::to_string(token));
         SchedulerSettings settings;
-        const Duration lease = Duration(static_cast<std::int64_t>(settings.lease.count() / 0.98));
+        const Duration lease = Duration(static_cast<std::int64_t>(static_cast<double>(settings.lease.count()) / 0.98));
         const TimePoint until = first ? m_now : m_now + settings.unconfirmedLimit + lease + settings.leaseMargin;
         m_owner = std::make_unique<Owner>(Owner{Scheduler(settings, "orders", token, until), token, {}, m_now});
         m_owner->scheduler.confirmed(m_now);
--- /dev/null
+++ b/tests/run_platform_wire.cpp
@@ -0,0 +1,143 @@
+// The adapter: the users' names and formats against the project's types.
+
+#include "wire.h"
+
+#include <catch2/catch.hpp>
+
+using namespace briarvane;
+using namespace briarvane::platform;
+using namespace std::chrono_literals;
+
+TEST_CASE("The configuration is decoded once, with the limits that it sets")
+{
+    const auto plan = decodePlan(R"({"version":7,"routes":[{"name":"r-1","host":"h.example","prefix":"/k/",
+        "kind":"non_idempotent","timeout_ms":3000,"target_latency_ms":600,"priority":1,"service":"s1","max_attempts":4,
+        "stretch":1.6}],"services":[{"name":"s1","max_conns":64,"admission_check":true,"spare":false},
+        {"name":"s2","spare":true}],"limits":{"body_bytes":1000,"header_bytes":2000},"new_field":[1]})");
+    REQUIRE(plan);
+    CHECK(plan.value().version == 7);
+    REQUIRE(plan.value().queues.size() == 1);
+    CHECK(plan.value().queues[0].targetLatency == 600ms);
+    CHECK(plan.value().queues[0].stretch == 1.6);
+    CHECK(plan.value().services[0].guardsCapacity);
+    CHECK(plan.value().services[1].spare);
+    CHECK(plan.value().bodyLimit == 1000);
+    CHECK_FALSE(decodePlan("{}"));
+    CHECK_FALSE(decodePlan("not json"));
+}
+
+TEST_CASE("An executor's entry from another writer names no executor")
+{
+    const std::string sound = R"({"service":"s1","address":"10.0.0.1:80","zone":"z","state":"ready",
+        "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-2"],"born":170})";
+    const auto record = decodeExecutor("i-1", sound);
+    REQUIRE(record);
+    CHECK(record.value().port == 80);
+    CHECK(record.value().rack == "r1-2");
+    CHECK(record.value().born == 170);
+    CHECK_FALSE(record.value().draining);
+    for (const char *text : {"", "[]", "{}", R"({"service":"s1","address":"10.0.0.1:80","state":"odd","capacity":{}})",
+                             R"({"service":1,"address":"10.0.0.1:80","state":"ready","capacity":{}})",
+                             R"({"service":"s1","address":"10.0.0.1","state":"ready","capacity":{}})",
+                             R"({"service":"s1","address":"10.0.0.1:99999","state":"ready","capacity":{}})",
+                             R"({"service":"s1","address":"10.0.0.1:80","state":"ready"})"}) {
+        CHECK_FALSE(decodeExecutor("i-1", text));
+    }
+}
+
+TEST_CASE("A report lists what runs and what has ended, in the order of the ends")
+{
+    const auto report = decodeHold(R"({"clock_ms":482113,"born":17,"running":[["j.0.1.17",2,"c",41,123.5]],
+        "ended":[[58,"j.0.1.9",1,"done",""],[57,"j.0.1.8",3,"failed","x"]]})");
+    REQUIRE(report);
+    CHECK(report.value().running[0].percent == 41);
+    CHECK(report.value().running[0].load == 123.5);
+    CHECK(report.value().ended[0].number == 57);
+    CHECK(report.value().ended[0].how == RunEnd::Failed);
+    CHECK(report.value().ended[1].how == RunEnd::Done);
+    CHECK_FALSE(decodeHold(R"({"clock_ms":1,"running":[]})"));
+    CHECK_FALSE(decodeHold(R"({"clock_ms":1,"running":[],"ended":[[1,"t",1,"odd",""]]})"));
+}
+
+TEST_CASE("Only an answer says that an order had no effect")
+{
+    std::int64_t clock = 0;
+    CHECK(decodeOrderAnswer(0, true, "", clock) == OrderResult::Unanswered);
+    CHECK(decodeOrderAnswer(0, false, "", clock) == OrderResult::NotSent);
+    CHECK(decodeOrderAnswer(200, true, R"({"clock_ms":5})", clock) == OrderResult::Done);
+    CHECK(clock == 5);
+    CHECK(decodeOrderAnswer(409, true, R"({"reason":"fence"})", clock) == OrderResult::Fenced);
+    CHECK(decodeOrderAnswer(409, true, R"({"reason":"old"})", clock) == OrderResult::Superseded);
+    CHECK(decodeOrderAnswer(409, true, R"({"reason":"late"})", clock) == OrderResult::Late);
+    CHECK(decodeOrderAnswer(409, true, R"({"reason":"room"})", clock) == OrderResult::NoRoom);
+    CHECK(decodeOrderAnswer(409, true, R"({"reason":"ticket"})", clock) == OrderResult::NoTicket);
+    CHECK(decodeOrderAnswer(421, true, "", clock) == OrderResult::Replaced);
+    CHECK(decodeOrderAnswer(503, true, "", clock) == OrderResult::Unhealthy);
+    CHECK(decodeOrderAnswer(500, true, "", clock) == OrderResult::Unanswered);
+}
+
+TEST_CASE("A transaction carries bytes as base64 and reads them back")
+{
+    StoreTxn txn;
+    txn.expected.emplace_back("k", 3);
+    txn.writes.push_back({"k", std::string("\0\1\xff", 3), 9});
+    txn.removed.emplace_back("old");
+    const std::string expected = R"({"precondition":[{"key":"k","revision":3}],)"
+                                 R"("writes":[{"key":"k","value":"AAH/","lease":9}],"remove":["old"]})";
+    CHECK(encodeTxn(txn) == expected);
+    StoreReply reply;
+    REQUIRE(
+        decodeStoreBody(R"({"key":"k","value":"AAH/","revision":4,"created":2,"lease":0,"store_revision":9})", reply));
+    CHECK(reply.items[0].value == std::string("\0\1\xff", 3));
+    CHECK(reply.items[0].created == 2);
+    CHECK(reply.revision == 9);
+    StoreReply events;
+    REQUIRE(decodeStoreBody(R"({"events":[{"key":"a","revision":5,"tombstone":true}],"store_revision":5})", events));
+    CHECK(events.items[0].removed);
+    CHECK_FALSE(decodeStoreBody("nothing", events));
+}
+
+TEST_CASE("A caller's job is checked before anything is stored")
+{
+    Queue queue;
+    queue.name = "r-1";
+    queue.service = "s1";
+    queue.maxAttempts = 4;
+    const auto job = decodeJob("5c0e7a21d94b36f8", queue,
+                               R"j({"spec":"(text)","steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900},
+        {"count":20,"after":[0],"long_running":true,"may_miss":2,"target_ms":40,"fills":true}]})j",
+                               17);
+    REQUIRE(job);
+    CHECK(job.value().steps[1].longRunning);
+    CHECK(job.value().steps[1].mayMiss == 2);
+    CHECK(job.value().steps[1].fills);
+    CHECK(job.value().steps[1].latencyTarget == 40ms);
+    CHECK(job.value().maxAttempts == 4);
+    const std::string longText(4001, 'x');
+    for (const std::string &body :
+         {std::string(), std::string("{}"), std::string(R"({"steps":[]})"), std::string(R"({"steps":[{"count":0}]})"),
+          std::string(R"({"steps":[{"count":1,"after":[0]}]})"), std::string(R"({"steps":[7]})"),
+          R"({"spec":")" + longText + R"(","steps":[{"count":1}]})"}) {
+        CHECK_FALSE(decodeJob("5c0e7a21d94b36f8", queue, body, 17));
+    }
+    CHECK(isJobId("5c0e7a21d94b36f8"));
+    CHECK_FALSE(isJobId("5c0e7a21d94b36f"));
+    CHECK_FALSE(isJobId("5c0e7a21d94b36fg"));
+}
+
+TEST_CASE("The machines' list and its answers")
+{
+    const auto page = decodeInstances(R"({"machines":[{"machine":"m-1","pool":"s1","state":"upkeep","zone":"z",
+        "labels":["a","r1"],"capacity":{"cpu":16000},"id":"i-1"}],"next_token":"n"})");
+    REQUIRE(page);
+    CHECK(page.value().instances[0].state == InstanceState::Upkeep);
+    CHECK(page.value().next == "n");
+    CHECK(decodeInstanceAnswer(409, true, R"({"reason":"wave"})") == InstanceOrderResult::WrongWave);
+    CHECK(decodeInstanceAnswer(409, true, R"({"reason":"busy"})") == InstanceOrderResult::Busy);
+    CHECK(decodeInstanceAnswer(0, true, "") == InstanceOrderResult::Unknown);
+    CHECK(decodeInstanceAnswer(0, false, "") == InstanceOrderResult::Refused);
+    const auto wave = decodeWave(R"({"wave":1,"machines":["m-1","m-2"],"within_s":20.5,"cap":3})");
+    REQUIRE(wave);
+    CHECK(wave.value().within == 20500ms);
+    CHECK(wave.value().atOnce == 3);
+}
