--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -27,7 +27,6 @@
     bool fence = false;         // executors take orders with any token
     bool precondition = false;  // the store takes writes of deposed owners
     bool runNumber = false;     // executors take a run that they have stopped
-    bool incarnation = false;   // reports of a reborn executor look like those of its predecessor
     bool storeFirst = false;    // ends are forgotten by executors as soon as they are reported
     bool leaseBound = false;    // executors keep runs whose lease has lapsed
 };
@@ -557,7 +556,7 @@
         }
         HoldReport report;
         report.clockMs = one.clockMs(m_now);
-        report.born = m_settings.removed.incarnation ? 1 : one.record.born;
+        report.born = one.record.born;
         for (const auto &[task, run] : one.runs) {
             if (!run.stopping) {
                 report.running.push_back({task, run.run, {}, m_now >= run.startedAt + m_startup ? 100 : 50, 0});
