--- a/src/job.cpp
+++ b/src/job.cpp
@@ -97,7 +97,7 @@
     put("fills", step.fills, false);
     put("image", step.image, "");
     put("latency_ms", step.latencyTarget.count() / 1000, 0);
-    put("may_miss", step.mayMiss, 0);
+    put("absent", step.mayMiss, 0);
     if (!step.after.empty()) {
         object["after"] = json::value_from(step.after);
     }
@@ -139,7 +139,7 @@
     step.fills = fieldOr(object, "fills", false);
     step.image = fieldOr(object, "image", std::string());
     step.latencyTarget = std::chrono::milliseconds(fieldOr(object, "latency_ms", std::int64_t{0}));
-    step.mayMiss = fieldOr(object, "may_miss", 0);
+    step.mayMiss = fieldOr(object, "absent", 0);
     if (const json::value *after = object.if_contains("after"); after != nullptr && after->is_array()) {
         for (const json::value &earlier : after->get_array()) {
             step.after.push_back(static_cast<int>(earlier.to_number<std::int64_t>()));
--- /dev/null
+++ b/src/job_entry_ownership.cpp
@@ -0,0 +1,480 @@
+// Who owns which share, and the fleet's part of the daemon.
+
+#include "job_entry_parts.h"
+
+#include <charconv>
+
+namespace briarvane
+{
+
+// Membership and ownership --------------------------------------------------------------------------------------------
+
+void JobEntry::grant()
+{
+    m_store.grantLease(LeaseTtl, [this](const StoreReply &granted) {
+        m_front.note(granted);
+        if (granted.outcome != StoreOutcome::Done || granted.lease == 0) {
+            later(LeaseRenewal / 2, [this] { grant(); });
+            return;
+        }
+        m_lease = granted.lease;
+        enterMembership();
+    });
+}
+
+void JobEntry::enterMembership()
+{
+    StoreTxn txn;
+    txn.writes.push_back({keys::entry(m_settings.name),
+                          m_stopping ? "stopping" : std::string(ServingState) + std::to_string(m_settings.cpuShare),
+                          m_lease});
+    m_store.commit(txn, StoreTimeout, [this](const StoreReply &entered) {
+        m_front.note(entered);
+        if (entered.outcome == StoreOutcome::NotFound) {  // the lease lapsed meanwhile
+            grant();
+            return;
+        }
+        if (entered.outcome != StoreOutcome::Done) {
+            later(LeaseRenewal / 2, [this] { enterMembership(); });
+            return;
+        }
+        if (!m_entered) {
+            m_enteredAt = steadyNow();
+            m_entered = true;
+            logEvent(LogLevel::Info, "store-reached", {{"lease", std::to_string(m_lease)}});
+        }
+        later(LeaseRenewal, [this] { renew(); });
+    });
+}
+
+void JobEntry::renew()
+{
+    m_store.renewLease(m_lease, [this](const StoreReply &renewed) {
+        m_front.note(renewed);
+        if (renewed.outcome == StoreOutcome::NotFound) {
+            logEvent(LogLevel::Warn, "lease-lapsed", {{"lease", std::to_string(m_lease)}});
+            m_entered = false;
+            grant();
+            return;
+        }
+        later(renewed.outcome == StoreOutcome::Done ? LeaseRenewal : LeaseRenewal / 3, [this] { renew(); });
+    });
+}
+
+void JobEntry::memberItem(const StoreItem &item)
+{
+    if (item.key.starts_with(keys::Entries)) {
+        const std::string name = item.key.substr(keys::Entries.size());
+        if (item.removed) {
+            m_entries.erase(name);
+        } else {
+            m_entries[name] = item.value;
+        }
+        return;
+    }
+    if (!item.key.starts_with(keys::Owners)) {
+        return;
+    }
+    const std::string share = item.key.substr(keys::Owners.size());
+    OwnerMark &mark = m_owners[share];
+    mark.revision = item.revision;
+    mark.holder = item.removed ? std::string() : item.value;
+    mark.vacantSince = item.removed ? steadyNow() : TimePoint{};
+}
+
+std::vector<std::string> JobEntry::neededShares() const
+{
+    std::vector<std::string> shares{keys::FleetShare};
+    for (const PooledService &service : m_plan.services) {
+        shares.push_back(service.name);
+    }
+    return shares;
+}
+
+int JobEntry::ownedCount() const
+{
+    return static_cast<int>(m_shares.size()) + (m_fleet ? 1 : 0);
+}
+
+/// Serving entries with their processor share and the shares that they own.
+std::map<std::string, JobEntry::Candidate> JobEntry::candidates() const
+{
+    std::map<std::string, Candidate> serving;
+    for (const auto &[name, state] : m_entries) {
+        if (state.starts_with(ServingState)) {
+            Candidate &candidate = serving[name];
+            const std::string_view share = std::string_view(state).substr(ServingState.size());
+            std::from_chars(share.data(), share.data() + share.size(), candidate.cpuShare);
+            candidate.cpuShare = std::clamp(candidate.cpuShare, SmallestCpuShare, 64.0);
+        }
+    }
+    for (const auto &[share, mark] : m_owners) {
+        const auto place = serving.find(mark.holder.substr(0, mark.holder.find(' ')));
+        if (place != serving.end()) {
+            ++place->second.owned;
+        }
+    }
+    return serving;
+}
+
+/// Place of this entry among those that should own the share: least loaded with it first, then by hash. -1: not at all.
+int JobEntry::rankFor(const std::string &share) const
+{
+    const auto serving = candidates();
+    if (!serving.contains(m_settings.name)) {
+        return -1;
+    }
+    const auto key = [&](const std::string &name) {
+        const Candidate &candidate = serving.at(name);
+        return std::pair((candidate.owned + 1) / candidate.cpuShare, std::hash<std::string>{}(name + '/' + share));
+    };
+    const auto own = key(m_settings.name);
+    int rank = 0;
+    for (const auto &[name, candidate] : serving) {
+        rank += key(name) < own ? 1 : 0;
+    }
+    return rank;
+}
+
+void JobEntry::assign()
+{
+    const TimePoint now = steadyNow();
+    if (m_entered && !m_stopping && m_membership.complete() && m_plan.version >= 0 && now - m_enteredAt > SettlePause) {
+        for (const std::string &share : neededShares()) {
+            OwnerMark &mark = m_owners[share];
+            const std::string self = m_settings.name + ' ';
+            const bool formerSelf = mark.holder.starts_with(self) && mark.holder != self + m_startId;
+            if (!mark.holder.empty() && !formerSelf) {
+                continue;
+            }
+            if (mark.vacantSince == TimePoint{}) {
+                mark.vacantSince = now;
+            }
+            const int rank = rankFor(share);
+            if (rank >= 0 && now - mark.vacantSince >= rank * RankDelay && !m_acquiring.contains(share)) {
+                acquire(share);
+                break;  // the next one after this has been seen, so that shares spread
+            }
+        }
+        rebalance();
+    }
+    later(AssignPeriod / 4, [this] { assign(); });
+}
+
+void JobEntry::acquire(const std::string &share)
+{
+    m_acquiring.insert(share);
+    m_store.read(keys::ownerMark(share), StoreTimeout, [this, share](const StoreReply &reply) {
+        if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::NotFound) {
+            const bool exists = reply.outcome == StoreOutcome::Done && !reply.items.empty();
+            acquireAfterMark(share,
+                             !exists                                               ? keys::Predecessor::None
+                                 : reply.items.front().value == keys::ReleasedMark ? keys::Predecessor::Released
+                                                                                   : keys::Predecessor::Lost);
+        } else {
+            m_acquiring.erase(share);
+        }
+    });
+}
+
+void JobEntry::acquireAfterMark(const std::string &share, keys::Predecessor predecessor)
+{
+    const OwnerMark mark = m_owners[share];
+    const std::string holder = m_settings.name + ' ' + m_startId;
+    StoreTxn txn;
+    txn.expected.emplace_back(keys::owner(share), mark.holder.empty() ? 0 : mark.revision);
+    txn.writes.push_back({keys::owner(share), holder, m_lease});
+    txn.writes.push_back({keys::ownerMark(share), holder, 0});
+    const TimePoint sentAt = bootNow();
+    m_store.commit(txn, StoreTimeout, [this, share, predecessor, holder, sentAt](const StoreReply &reply) {
+        if (reply.outcome == StoreOutcome::Done) {
+            own(share, reply.revision, predecessor, sentAt);
+        } else if (reply.outcome == StoreOutcome::Unknown) {
+            m_store.read(keys::owner(share), StoreTimeout,
+                         [this, share, predecessor, holder, sentAt](const StoreReply &read) {
+                             if (read.outcome == StoreOutcome::Done && !read.items.empty()
+                                 && read.items.front().value == holder) {
+                                 own(share, read.items.front().revision, predecessor, sentAt);
+                             }
+                             m_acquiring.erase(share);
+                         });
+            return;
+        }
+        m_acquiring.erase(share);
+    });
+}
+
+void JobEntry::own(const std::string &share, std::uint64_t fencingToken, keys::Predecessor predecessor,
+                   TimePoint provenAt)
+{
+    OwnerMark &mark = m_owners[share];
+    if (mark.revision < fencingToken) {
+        mark = {m_settings.name + ' ' + m_startId, fencingToken, {}};
+    }
+    logEvent(LogLevel::Info, "share-acquired",
+             {{"share", share},
+              {"token", std::to_string(fencingToken)},
+              {"predecessor",
+               predecessor == keys::Predecessor::None           ? "none"
+                   : predecessor == keys::Predecessor::Released ? "released"
+                                                                : "lost"}});
+    watchFleet();
+    const TimePoint now = bootNow();
+    if (share == keys::FleetShare) {
+        FleetOwnerSettings settings;
+        settings.turnPause = m_settings.holderTurn + std::chrono::milliseconds(300);
+        m_fleet = std::make_unique<FleetOwner<Client>>(
+            m_store, m_timers, fencingToken, predecessor != keys::Predecessor::None, settings, fleetHooks(), now);
+        std::set<std::string> spare;
+        for (const PooledService &service : m_plan.services) {
+            if (service.spare) {
+                spare.insert(service.name);
+            }
+        }
+        m_fleet->setSparePools(std::move(spare));
+        for (const auto &[id, wave] : m_waves) {
+            m_fleet->addWave(wave);
+        }
+        m_fleet->start();
+        watchFleet();
+        updateVacating();
+        return;
+    }
+    ShareOwnerSettings settings;
+    settings.scheduler.lease = m_settings.runLease;
+    settings.scheduler.stopTime = m_settings.stopTime;
+    settings.keepFinal = m_settings.keepFinal;
+    auto owner = std::make_unique<ShareOwner<Client>>(m_store, m_timers, share, fencingToken, predecessor, settings,
+                                                      shareHooks(), now, provenAt);
+    owner->setVacating(m_vacating);
+    if (m_haveExecutors) {
+        owner->setExecutors(m_executorList);
+    }
+    owner->start();
+    m_shares[share] = std::move(owner);
+}
+
+void JobEntry::dropOwner(std::string share, std::string_view why)
+{
+    logEvent(LogLevel::Warn, "share-lost", {{"share", share}, {"why", std::string(why)}});
+    // Not at once: the owner is still on the stack.
+    later(Duration{0}, [this, share] {
+        if (share == keys::FleetShare) {
+            m_fleet.reset();
+            m_newsView.reset();
+        } else {
+            m_shares.erase(share);
+        }
+        OwnerMark &mark = m_owners[share];
+        if (mark.holder == m_settings.name + ' ' + m_startId) {  // not yet seen to be gone: let the store decide
+            m_store.read(keys::owner(share), StoreTimeout, [this, share](const StoreReply &reply) {
+                OwnerMark &current = m_owners[share];
+                if (reply.outcome == StoreOutcome::NotFound) {
+                    current.holder.clear();
+                    current.vacantSince = steadyNow();
+                } else if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                    const bool own = reply.items.front().value == m_settings.name + ' ' + m_startId;
+                    const bool running = m_shares.contains(share) || (share == keys::FleetShare && m_fleet);
+                    if (own && !running) {
+                        release(share);
+                    } else {
+                        current.holder = reply.items.front().value;
+                        current.revision = reply.items.front().revision;
+                    }
+                } else {
+                    later(StoreTimeout, [this, share] { dropOwner(share, "check-again"); });
+                }
+            });
+        }
+    });
+}
+
+/// Gives a share back, so that another entry takes it at once.
+void JobEntry::release(std::string share)
+{
+    const bool running = share == keys::FleetShare ? m_fleet != nullptr : m_shares.contains(share);
+    const std::uint64_t token = !running ? m_owners[share].revision
+        : share == keys::FleetShare      ? m_fleet->fencingToken()
+                                         : m_shares.at(share)->fencingToken();
+    if (share == keys::FleetShare) {
+        m_fleet.reset();
+        m_newsView.reset();
+    } else {
+        m_shares.erase(share);
+    }
+    logEvent(LogLevel::Info, "share-released", {{"share", share}, {"token", std::to_string(token)}});
+    StoreTxn txn;
+    txn.expected.emplace_back(keys::owner(share), token);
+    txn.removed.push_back(keys::owner(share));
+    txn.writes.push_back({keys::ownerMark(share), keys::ReleasedMark, 0});
+    m_store.commit(txn, StoreTimeout, [this, share](const StoreReply &reply) {
+        const bool open = reply.outcome != StoreOutcome::Done && reply.outcome != StoreOutcome::Conflict;
+        if (open && !m_shares.contains(share) && !(share == keys::FleetShare && m_fleet)) {
+            later(LeaseRenewal, [this, share] {
+                if (!m_shares.contains(share) && !(share == keys::FleetShare && m_fleet)) {
+                    release(share);
+                }
+            });
+        }
+    });
+}
+
+/// Hands a share over when another entry would carry it much more easily.
+void JobEntry::rebalance()
+{
+    const TimePoint now = steadyNow();
+    if (ownedCount() == 0 || now - m_rebalancedAt < RebalancePause || now - m_enteredAt < RebalancePause) {
+        return;
+    }
+    const auto serving = candidates();
+    const auto self = serving.find(m_settings.name);
+    if (self == serving.end()) {
+        return;
+    }
+    const double load = self->second.owned / self->second.cpuShare;
+    const bool better = std::any_of(serving.begin(), serving.end(), [load](const auto &entry) {
+        return (entry.second.owned + 1) / entry.second.cpuShare * RebalanceGain < load;
+    });
+    if (better) {
+        m_rebalancedAt = now;
+        release(m_shares.empty() ? keys::FleetShare : m_shares.rbegin()->first);
+    }
+}
+
+// Fleet ---------------------------------------------------------------------------------------------------------------
+
+void JobEntry::watchFleet()
+{
+    const auto watch = [this](std::optional<StoreView<Client>> &view, const std::string &prefix, Duration pause) {
+        if (!view) {
+            view.emplace(
+                m_store, m_timers, prefix, StoreViewSettings{.watchPause = pause},
+                [this](const StoreItem &item) { fleetItem(item); }, [this] { updateVacating(); });
+            view->start();
+        }
+    };
+    watch(m_vacateView, keys::FleetVacate, Duration{0});
+    if (m_fleet) {
+        watch(m_newsView, keys::FleetNews, NewsPause);
+    }
+}
+
+void JobEntry::fleetItem(const StoreItem &item)
+{
+    boost::system::error_code error;
+    std::set<std::string> ids;
+    if (item.key == keys::FleetDone) {
+        return;
+    }
+    if (item.key.starts_with(keys::FleetLoads)) {
+        const auto load = parsePoolLoad(item.value, bootNow());
+        if (load) {
+            m_loads[item.key.substr(keys::FleetLoads.size())] = load.value();
+        } else if (!item.removed) {
+            logEvent(LogLevel::Error, "load-unreadable", {{"key", item.key}});
+        }
+        return;
+    }
+    const boost::json::value value
+        = item.removed ? boost::json::value(boost::json::array()) : boost::json::parse(item.value, error);
+    if (error || !value.is_array()) {
+        logEvent(LogLevel::Error, "fleet-item-unreadable", {{"key", item.key}});
+        return;
+    }
+    for (const boost::json::value &id : value.get_array()) {
+        ids.insert(std::string(id.as_string()));
+    }
+    if (item.key == keys::FleetVacate) {
+        m_vacating = {ids.begin(), ids.end()};
+    } else if (item.key.starts_with(keys::FleetCleared)) {
+        m_cleared[item.key.substr(keys::FleetCleared.size())] = std::move(ids);
+    }
+}
+
+void JobEntry::updateVacating()
+{
+    for (const auto &[share, owner] : m_shares) {
+        owner->setVacating(m_vacating);
+    }
+    if (m_fleet) {
+        std::set<std::string> cleared;
+        for (const auto &[share, ids] : m_cleared) {
+            cleared.insert(ids.begin(), ids.end());
+        }
+        m_fleet->setCleared(cleared);
+        for (const auto &[pool, load] : std::exchange(m_loads, {})) {
+            m_fleet->setLoad(pool, load);
+        }
+    }
+}
+
+MaintenanceResult JobEntry::meaningOf(const std::string &instance, platform::InstanceOrderResult result)
+{
+    using Order = platform::InstanceOrderResult;
+    if (result != Order::Done) {
+        logEvent(LogLevel::Warn, "instance-order-refused",
+                 {{"instance", instance}, {"result", std::string(toString(result))}});
+    }
+    switch (result) {
+    case Order::Done:
+        return MaintenanceResult::Begun;
+    case Order::Fenced:
+        return MaintenanceResult::Fenced;
+    case Order::WrongWave:
+    case Order::Invalid:
+        return MaintenanceResult::Impossible;
+    case Order::Busy:
+    case Order::Refused:
+        return MaintenanceResult::Refused;
+    case Order::Unknown:
+        break;
+    }
+    return MaintenanceResult::Unknown;
+}
+
+FleetOwnerHooks JobEntry::fleetHooks()
+{
+    FleetOwnerHooks hooks;
+    hooks.list = [this](FleetOwnerHooks::Listed done) { m_machines.list(std::move(done)); };
+    hooks.maintain = [this](const MaintenanceOrder &order, std::uint64_t fencingToken,
+                            std::function<void(MaintenanceResult)> done) {
+        m_machines.maintain(order.instance, order.wave, fencingToken,
+                            [order, done = std::move(done)](platform::InstanceOrderResult result) {
+                                done(meaningOf(order.instance, result));
+                            });
+    };
+    hooks.move
+        = [this](const MoveOrder &order, std::uint64_t fencingToken, std::function<void(MaintenanceResult)> done) {
+              m_machines.move(order.instance, order.pool, fencingToken,
+                              [order, done = std::move(done)](platform::InstanceOrderResult result) {
+                                  done(meaningOf(order.instance, result));
+                              });
+          };
+    hooks.status = [](std::int64_t wave, bool completed) {
+        return StoreWrite{std::string(platform::WaveStatusPrefix) + std::to_string(wave),
+                          platform::encodeWaveStatus(completed), 0};
+    };
+    hooks.lost = [this](std::string_view why) { dropOwner(keys::FleetShare, why); };
+    return hooks;
+}
+
+ShareOwnerHooks JobEntry::shareHooks()
+{
+    ShareOwnerHooks hooks;
+    hooks.send = [this](const ExecutorOrder &order, ShareOwnerHooks::Ordered done) {
+        m_executors.send(order, std::move(done));
+    };
+    hooks.know = [this](const ExecutorRecord &record) {
+        m_known.insert(record.id);
+        m_executors.setExecutor(record.id, record.address, record.port, ExecutorConnections);
+    };
+    hooks.finished = [this](const Scheduler::Finished &finished) {
+        const MetricKey key{ServiceId{finished.queue}, {}, RequestClass::Short};
+        m_metrics.add("briarvane_jobs_ended_total", key, {{"in_time", finished.inTime ? "yes" : "no"}});
+        m_metrics.observe(metric::Response, key, finished.total);
+    };
+    hooks.lost = [this](const std::string &share, std::string_view why) { dropOwner(share, why); };
+    return hooks;
+}
+
+}
--- /dev/null
+++ b/src/job_entry_parts.h
@@ -0,0 +1,157 @@
+#pragma once
+
+// The daemon's class: parts, state and wiring. Everything runs on the I/O thread.
+//
+// Index
+// [1] Times and limits
+// [2] The daemon
+
+#include "job_entry.h"
+
+#include "clients.h"
+#include "fleet_owner.h"
+#include "http.h"
+#include "job_front.h"
+#include "metrics.h"
+#include "share_owner.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace briarvane
+{
+
+// [1] Times and limits ------------------------------------------------------------------------------------------------
+
+constexpr Duration LeaseTtl{2'000'000};    // of membership and ownership; a takeover begins this late
+constexpr Duration LeaseRenewal{550'000};  // three tries within the lease
+constexpr Duration SettlePause{450'000};   // all entries start within 0.3 s; the first must not take every share
+constexpr Duration AssignPeriod{200'000};
+constexpr Duration RankDelay{500'000};         // the next entry tries when the one before it did not
+constexpr Duration ListPeriod{700'000};        // of executors; a leaving one gets no new work after 2 s
+constexpr Duration RebalancePause{4'000'000};  // between two shares that are handed over
+constexpr double RebalanceGain = 1.5;          // a handover costs a fraction of a second of starts
+constexpr double SmallestCpuShare = 0.01;
+constexpr std::string_view ServingState = "serving ";  // followed by the entry's processor share
+constexpr Duration StoreTimeout{700'000};
+constexpr Duration NewsPause{120'000};      // joins the news of several shares into one call
+constexpr Duration StatePeriod{5'000'000};  // of the line with the counters of the store
+constexpr Duration PlanWatch{1'500'000};    // a silent connection is noticed before a change must be in force
+constexpr int ExecutorConnections = 3;      // one waits for ends, two carry starts and stops
+constexpr Duration StopLead{2'600'000};     // the balancer needs two looks, a second apart, to turn away
+constexpr Duration StopSlack{700'000};      // the process is gone this long before it would be killed
+
+// [2] The daemon ------------------------------------------------------------------------------------------------------
+
+struct OwnerMark
+{
+    std::string holder;  // entry name and start id
+    std::uint64_t revision = 0;
+    TimePoint vacantSince;  // default: owned
+};
+
+/// Parts of the daemon and their wiring; everything runs on the I/O thread.
+class JobEntry
+{
+public:
+    JobEntry(boost::asio::io_context &io, const JobEntrySettings &settings);
+    int run();
+
+    static std::string newStartId();
+
+private:
+    using Client = platform::StoreClient;
+
+    // Settings of the operators
+    void operatorItem(const StoreItem &item);
+
+    // Membership and ownership
+    void renew();
+    void grant();
+    void enterMembership();
+    void memberItem(const StoreItem &item);
+    std::vector<std::string> neededShares() const;
+    struct Candidate
+    {
+        double cpuShare = 1;
+        int owned = 0;
+    };
+    std::map<std::string, Candidate> candidates() const;
+    int rankFor(const std::string &share) const;
+    void assign();
+    void acquire(const std::string &share);
+    void acquireAfterMark(const std::string &share, keys::Predecessor predecessor);
+    void own(const std::string &share, std::uint64_t fencingToken, keys::Predecessor predecessor, TimePoint provenAt);
+    void dropOwner(std::string share, std::string_view why);
+    void release(std::string share);
+    void rebalance();
+    int ownedCount() const;
+
+    // Fleet
+    void watchFleet();
+    void fleetItem(const StoreItem &item);
+    void updateVacating();
+    static MaintenanceResult meaningOf(const std::string &instance, platform::InstanceOrderResult result);
+    FleetOwnerHooks fleetHooks();
+    ShareOwnerHooks shareHooks();
+
+    // Executors
+    void listExecutors(const std::string &after);
+
+    // Callers
+    void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const std::string &id);
+    void reply(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &body);
+    void refuse(const std::shared_ptr<HttpExchange> &exchange, const FrontReply &result);
+    void handleReadiness(const std::shared_ptr<HttpExchange> &exchange);
+    std::string exposition();
+    void summarize();
+
+    // Stop
+    void waitSignal();
+    void beginStop();
+
+    void later(Duration pause, std::function<void()> function)
+    {
+        m_timers.at(steadyNow() + pause, std::move(function));
+    }
+
+    boost::asio::io_context &m_io;
+    JobEntrySettings m_settings;
+    std::string m_startId = newStartId();
+    Timers m_timers;
+    Client m_store;
+    platform::ExecutorClient m_executors;
+    platform::MachineClient m_machines;
+    JobFront<Client> m_front;
+    StoreView<Client> m_operator;
+    StoreView<Client> m_membership;
+    std::optional<StoreView<Client>> m_vacateView;  // while this entry owns a share
+    std::optional<StoreView<Client>> m_newsView;    // while it owns the fleet
+    HttpServer m_callers;
+    HttpServer m_readiness;
+    std::optional<HttpServer> m_metricsServer;
+    boost::asio::signal_set m_signals;
+    Metrics m_metrics;
+
+    Plan m_plan;
+    std::map<std::int64_t, MaintenanceWave> m_waves;
+    std::uint64_t m_lease = 0;
+    TimePoint m_enteredAt;
+    bool m_entered = false;
+    bool m_stopping = false;
+    std::map<std::string, std::string> m_entries;  // name to state
+    std::map<std::string, OwnerMark> m_owners;     // by share
+    std::set<std::string> m_acquiring;
+    std::map<std::string, std::unique_ptr<ShareOwner<Client>>> m_shares;
+    std::unique_ptr<FleetOwner<Client>> m_fleet;
+    TimePoint m_rebalancedAt;
+    std::vector<ExecutorRecord> m_listed;  // being read
+    std::vector<ExecutorRecord> m_executorList;
+    bool m_haveExecutors = false;
+    std::set<std::string> m_known;  // executors with an endpoint
+    std::unordered_set<std::string> m_vacating;
+    std::map<std::string, std::set<std::string>> m_cleared;  // by share
+    std::map<std::string, PoolLoad> m_loads;                 // news by share
+};
+
+}
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -197,6 +197,8 @@
 /// earlier owner started without a trace.
 constexpr int InheritedRunGap = 16;
 
+constexpr Duration StartRetryPause{200'000};  // after a start that an executor refused, or a report that did not come
+
 // [4] The scheduler ---------------------------------------------------------------------------------------------------
 
 class Scheduler
