--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -27,7 +27,7 @@
 std::vector<PooledInstance> fleet(int busy, int spare)
 {
     std::vector<PooledInstance> all;
-    all.reserve(static_cast<std::size_t>(busy + spare));
+    all.reserve(static_cast<std::size_t>(busy) + static_cast<std::size_t>(spare));
     for (int i = 0; i < busy; ++i) {
         all.push_back(instance("m" + std::to_string(i), "orders"));
     }
