Refuse a late copy of a claim that was told not to run

A claim got its verdict "busy" and its claimant went by it. A second copy of the same message was queued at the same owner, got a record in the store, and the owner restarted before it could tell anybody. The claimant had been told "busy" by the only start it knew of, so it settled nothing, and the key stayed in progress. Ruled out: a lost settle (each settle of the key was confirmed in the trace) and a restarted claimant (it never restarted). Change: a claim whose first copy still waits, or that was told not to run, gets no record for later copies until its deadline; copies of a claim that was told to run still find their record.

--- a/src/orders.cpp
+++ b/src/orders.cpp
@@ -49,6 +49,9 @@
 OrderCommands OrderShard::claim(ClaimOrder order, const OrderView &view)
 {
     OrderCommands commands;
+    if (answerCopy(order, view, commands)) {
+        return commands;
+    }
     // Verdicts that need no new record come from memory, if the memory is recent or the record cannot change any more.
     if (m_loaded) {
         const OrderRecord *record = find(order.key, view);
@@ -56,12 +59,12 @@
         const bool recent = view.now - m_confirmedAt <= m_settings.staleAfter;
         const bool own = record && isClaim(*record, order.claim);
         if (!decision.record && !own && (decision.verdict == Verdict::Replay || (recent && record))) {
-            commands.push_back(GiveVerdict{order.claim, order.key, decision.verdict, decision.answer});
+            give(order, decision.verdict, decision.answer, commands);
             return commands;
         }
     }
     if (m_queue.size() >= m_settings.queue) {
-        commands.push_back(GiveVerdict{order.claim, order.key, Verdict::Busy, nullptr});
+        give(order, Verdict::Busy, nullptr, commands);
         return commands;
     }
     if (m_queue.empty()) {
@@ -72,13 +75,43 @@
     return commands;
 }
 
+bool OrderShard::answerCopy(const ClaimOrder &order, const OrderView &view, OrderCommands &commands)
+{
+    if (view.now >= m_forgetAt) {
+        std::erase_if(m_refused, [&](const auto &refused) { return refused.second <= view.now; });
+        m_forgetAt = view.now + DropPeriod;
+    }
+    if (m_refused.contains(order.claim)) {
+        commands.push_back(GiveVerdict{order.claim, order.key, Verdict::Busy, nullptr});
+        return true;
+    }
+    const auto same = [&](const Operation &operation) {
+        const auto *claim = std::get_if<ClaimOrder>(&operation.order);
+        return claim && claim->claim == order.claim;
+    };
+    return std::any_of(m_queue.begin(), m_queue.end(), same) || std::any_of(m_inFlight.begin(), m_inFlight.end(), same);
+}
+
+void OrderShard::give(const ClaimOrder &order, Verdict verdict, std::shared_ptr<const KeptAnswer> answer,
+                      OrderCommands &commands)
+{
+    if (verdict != Verdict::Run) {
+        m_refused[order.claim] = order.deadline;  // later copies are refused by their deadline
+    }
+    commands.push_back(GiveVerdict{order.claim, order.key, verdict, std::move(answer)});
+}
+
 OrderCommands OrderShard::settle(SettleOrder order, const OrderView &view)
 {
     OrderCommands commands;
     if (order.state == OrderState::Abandoned) {
         const std::size_t dropped = std::erase_if(m_queue, [&](const Operation &operation) {
             const auto *claim = std::get_if<ClaimOrder>(&operation.order);
-            return claim && !operation.sent && claim->claim == order.claim;
+            const bool unsent = claim && !operation.sent && claim->claim == order.claim;
+            if (unsent) {
+                m_refused[claim->claim] = claim->deadline;
+            }
+            return unsent;
         });
         // No write is needed for a claim that no swap carried yet, unless another owner or a copy of it that arrived
         // here earlier may have recorded it.
@@ -413,7 +446,7 @@
 {
     for (Operation &operation : m_inFlight) {
         if (const auto *claim = std::get_if<ClaimOrder>(&operation.order)) {
-            commands.push_back(GiveVerdict{claim->claim, claim->key, operation.verdict, std::move(operation.answer)});
+            give(*claim, operation.verdict, std::move(operation.answer), commands);
         } else if (const auto &settle = std::get<SettleOrder>(operation.order); settle.state != OrderState::Claimed) {
             commands.push_back(ConfirmSettle{settle.claim});
         }
@@ -539,7 +572,7 @@
         const auto *claim = std::get_if<ClaimOrder>(&operation->order);
         // A claim that was in a swap of unknown effect stays: Busy would say that it is not recorded.
         if (claim && !operation->sent && claim->deadline <= view.now) {
-            commands.push_back(GiveVerdict{claim->claim, claim->key, Verdict::Busy, nullptr});
+            give(*claim, Verdict::Busy, nullptr, commands);
             operation = m_queue.erase(operation);
         } else {
             ++operation;
--- a/src/orders.h
+++ b/src/orders.h
@@ -263,6 +263,12 @@
         bool record = false;  // a new record is needed
     };
 
+    /// A claim whose first copy waits here, or was told not to run, gets no record: its claimant goes by the first
+    /// verdict,
+    /// so nobody would settle one.
+    bool answerCopy(const ClaimOrder &order, const OrderView &view, OrderCommands &commands);
+    void give(const ClaimOrder &order, Verdict verdict, std::shared_ptr<const KeptAnswer> answer,
+              OrderCommands &commands);
     void step(const OrderView &view, OrderCommands &commands);
     void buildBatch(const OrderView &view, OrderCommands &commands);
     void seal(const OrderView &view, OrderCommands &commands);
@@ -339,6 +345,9 @@
     TimePoint m_callStarted;  // of the last read of the head
     TimePoint m_paceAt;       // when all batches sent so far are paid for, one per `gather`
 
+    std::map<ClaimId, TimePoint> m_refused;  // claims that were told not to run, until their deadline
+    TimePoint m_forgetAt;                    // when m_refused is looked through next
+
     TimePoint m_flushAt;
     TimePoint m_retryAt;
     TimePoint m_dropAt;
--- a/tests/core_orders.cpp
+++ b/tests/core_orders.cpp
@@ -760,6 +760,46 @@
     }
 }
 
+TEST_CASE("A late copy of a claim that was told not to run is not recorded", "[orders]")
+{
+    // Guards against a key that stays in progress: the claimant goes by the first verdict and settles nothing later.
+    Direct direct(testSettings(0));
+    const ClaimOrder holder{{1, 1}, 1, {{{"caller"}, 1}, 101}, 0, direct.view.now + Duration{500'000}};
+    const ClaimOrder other{{1, 1}, 1, {{{"caller"}, 1}, 102}, 0, direct.view.now + Duration{500'000}};
+    const auto verdict = [&](OrderCommands commands) {
+        auto given = direct.run(std::move(commands));
+        for (int i = 0; i < 3 && !given; ++i) {
+            direct.wait(100);
+            given = direct.run(direct.shard.tick(direct.view));
+        }
+        return given ? std::optional(given->verdict) : std::nullopt;
+    };
+    SECTION("the holder runs, the other claim is told so")
+    {
+        REQUIRE(verdict(direct.shard.claim(holder, direct.view)) == Verdict::Run);
+        REQUIRE(verdict(direct.shard.claim(other, direct.view)) == Verdict::InProgress);
+        SECTION("the holder gives up, then the other's copy arrives: the key stays free")
+        {
+            direct.run(direct.shard.settle({{1, 1}, 1, holder.claim, OrderState::Abandoned, nullptr}, direct.view));
+            direct.wait(100);
+            direct.run(direct.shard.tick(direct.view));
+            CHECK(verdict(direct.shard.claim(other, direct.view)) == Verdict::Busy);
+            CHECK(direct.claim(1) == Verdict::Run);
+        }
+        SECTION("a copy of the holder's claim finds its record")
+        {
+            CHECK(verdict(direct.shard.claim(holder, direct.view)) == Verdict::Run);
+        }
+    }
+    SECTION("a copy that arrives while the first waits for the store gets no second verdict")
+    {
+        OrderCommands first = direct.shard.claim(holder, direct.view);
+        CHECK(direct.shard.claim(holder, direct.view).empty());
+        CHECK(verdict(std::move(first)) == Verdict::Run);
+        CHECK_FALSE(verdict(direct.shard.tick(direct.view)).has_value());
+    }
+}
+
 TEST_CASE("A segment reads back as it was written", "[orders]")
 {
     // Guards against records that change or vanish between two entries.
