Let pools give up what they do not need, to the pool that does

Change: a pool gives up instances without long-running tasks that it has not needed for 1.5 s; they take no new work and go, when empty, to a pool that needs more or to the spare pool. Rising demand is continued for the 1.5 s of a move. Short tasks are packed up to 0.75 of an instance. A pool whose owner is silent is kept at its part of the fleet. A word that an executor is empty answers a revision of the list of those that must be: after a move was called off an old word counts no more.

--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -93,9 +93,14 @@
     {
         m_sparePools = std::move(pools);
     }
-    void setCleared(const std::set<std::string> &executors)
+    /// Empty executors, each with the revision of the published list that its owner answered.
+    void setCleared(const std::map<std::string, std::uint64_t> &executors)
     {
-        m_planner.setCleared(executors);
+        std::set<std::string> ids;
+        for (const auto &[id, revision] : executors) {
+            ids.insert(id);
+        }
+        m_planner.setCleared(std::move(ids));
         m_pools.setCleared(executors);
         act();
     }
@@ -200,6 +205,9 @@
                 maintain(order);
             }
             m_pools.setReserved(m_planner.busy());
+            if (!m_publishing) {
+                m_pools.setVacatePublished(m_published, m_publishedRevision);
+            }
             for (const MoveOrder &order : m_pools.tick(now)) {
                 move(order);
             }
@@ -271,13 +279,14 @@
         for (const auto &[wave, instances] : m_planner.begunInstances()) {
             done[std::to_string(wave)] = boost::json::value_from(instances);
         }
+        const bool vacateChanged = leaving != m_published || m_publishedRevision == 0;
         const std::string vacateText = boost::json::serialize(vacate);
         const std::string doneText = boost::json::serialize(done);
         const std::vector<std::int64_t> announced = m_planner.unannouncedWaves();
         std::vector<std::int64_t> completed;
         StoreTxn txn;
         txn.expected.emplace_back(keys::owner(keys::FleetShare), m_fencingToken);
-        if (vacateText != m_storedVacate) {
+        if (vacateChanged) {
             txn.writes.push_back({keys::FleetVacate, vacateText, 0});
         }
         if (doneText != m_storedDone) {
@@ -296,17 +305,22 @@
         }
         m_publishing = true;
         m_store.commit(txn, m_settings.storeTimeout,
-                       guarded([this, vacateText, doneText, announced, completed](const StoreReply &reply) {
+                       guarded([this, leaving, vacateChanged, doneText, announced, completed](const StoreReply &reply) {
                            m_publishing = false;
                            if (reply.outcome == StoreOutcome::Conflict) {
                                lose("precondition");
                                return;
                            }
                            if (reply.outcome != StoreOutcome::Done) {
+                               m_published.clear();  // either list may be stored
+                               m_publishedRevision = 0;
                                later(m_settings.retryPause, [this] { act(); });
                                return;
                            }
-                           m_storedVacate = vacateText;
+                           if (vacateChanged) {
+                               m_published = leaving;
+                               m_publishedRevision = reply.revision;
+                           }
                            m_storedDone = doneText;
                            for (const std::int64_t wave : announced) {
                                m_planner.announced(wave);
@@ -332,7 +346,8 @@
     std::map<std::int64_t, MaintenanceWave> m_waves;
     std::map<std::int64_t, std::set<std::string>> m_done;
     std::set<std::string> m_sparePools;
-    std::string m_storedVacate;
+    std::set<std::string> m_published;      // executors that must become empty, as stored
+    std::uint64_t m_publishedRevision = 0;  // of that list
     std::string m_storedDone;
     bool m_loaded = false;
     bool m_listed = false;
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -246,7 +246,7 @@
     settings.keepFinal = m_settings.keepFinal;
     auto owner = std::make_unique<ShareOwner<Client>>(m_store, m_timers, share, fencingToken, predecessor, settings,
                                                       shareHooks(), now, provenAt);
-    owner->setVacating(m_vacating);
+    owner->setVacating(m_vacating, m_vacatingRevision);
     if (m_haveExecutors) {
         owner->setExecutors(m_executorList);
     }
@@ -375,6 +375,15 @@
         }
         return;
     }
+    if (item.key.starts_with(keys::FleetCleared)) {
+        const auto news = item.removed ? Result<ClearedNews>(ClearedNews()) : parseClearedNews(item.value);
+        if (news) {
+            m_cleared[item.key.substr(keys::FleetCleared.size())] = news.value();
+        } else {
+            logEvent(LogLevel::Error, "cleared-unreadable", {{"key", item.key}});
+        }
+        return;
+    }
     const boost::json::value value
         = item.removed ? boost::json::value(boost::json::array()) : boost::json::parse(item.value, error);
     if (error || !value.is_array()) {
@@ -386,20 +395,21 @@
     }
     if (item.key == keys::FleetVacate) {
         m_vacating = {ids.begin(), ids.end()};
-    } else if (item.key.starts_with(keys::FleetCleared)) {
-        m_cleared[item.key.substr(keys::FleetCleared.size())] = std::move(ids);
+        m_vacatingRevision = item.revision;
     }
 }
 
 void JobEntry::updateVacating()
 {
     for (const auto &[share, owner] : m_shares) {
-        owner->setVacating(m_vacating);
+        owner->setVacating(m_vacating, m_vacatingRevision);
     }
     if (m_fleet) {
-        std::set<std::string> cleared;
-        for (const auto &[share, ids] : m_cleared) {
-            cleared.insert(ids.begin(), ids.end());
+        std::map<std::string, std::uint64_t> cleared;
+        for (const auto &[share, news] : m_cleared) {
+            for (const std::string &id : news.executors) {
+                cleared[id] = news.listRevision;
+            }
         }
         m_fleet->setCleared(cleared);
         for (const auto &[pool, load] : std::exchange(m_loads, {})) {
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -150,8 +150,9 @@
     bool m_haveExecutors = false;
     std::set<std::string> m_known;  // executors with an endpoint
     std::unordered_set<std::string> m_vacating;
-    std::map<std::string, std::set<std::string>> m_cleared;  // by share
-    std::map<std::string, PoolLoad> m_loads;                 // news by share
+    std::uint64_t m_vacatingRevision = 0;          // of the list above in the store
+    std::map<std::string, ClearedNews> m_cleared;  // by share
+    std::map<std::string, PoolLoad> m_loads;       // news by share
 };
 
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -8,6 +8,8 @@
 
 #include "job.h"
 
+#include <set>
+
 namespace briarvane
 {
 
@@ -64,6 +66,16 @@
     std::string executor;  // its present incarnation; empty while there is none
 };
 
+/// What the owner of a share tells of the executors that must become empty.
+struct ClearedNews
+{
+    std::uint64_t listRevision = 0;   // of the list of those executors that this answers
+    std::set<std::string> executors;  // without runs, and without new ones while they stay in the list
+};
+
+std::string encodeClearedNews(const ClearedNews &news);
+Result<ClearedNews> parseClearedNews(std::string_view text);
+
 /// Instances that are due for maintenance within a time, a few at once.
 struct MaintenanceWave
 {
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -15,7 +15,8 @@
     return json::serialize(json::object{{"wanted", load.wantedMilliCores},
                                         {"long", load.longMilliCores},
                                         {"widest", load.widestStep},
-                                        {"idle", json::value_from(load.idle)}});
+                                        {"idle", json::value_from(load.idle)},
+                                        {"light", json::value_from(load.light)}});
 }
 
 Result<PoolLoad> parsePoolLoad(std::string_view text, TimePoint now)
@@ -36,9 +37,16 @@
         }
         *field = static_cast<int>(number->get_int64());
     }
-    if (const json::value *idle = object.if_contains("idle"); idle != nullptr && idle->is_array()) {
-        for (const json::value &id : idle->get_array()) {
-            load.idle.insert(std::string(id.as_string()));
+    for (const auto &[name, field] : {std::pair{"idle", &load.idle}, std::pair{"light", &load.light}}) {
+        const json::value *ids = object.if_contains(name);
+        if (ids == nullptr || !ids->is_array()) {
+            return Error{ErrorCode::Invalid, "a pool's load cannot be read"};
+        }
+        for (const json::value &id : ids->get_array()) {
+            if (!id.is_string()) {
+                return Error{ErrorCode::Invalid, "a pool's load cannot be read"};
+            }
+            field->insert(std::string(id.as_string()));
         }
     }
     return load;
@@ -54,13 +62,9 @@
 {
     m_sparePools = sparePools;
     m_instances.clear();
-    const bool first = m_baseSizes.empty();
     for (const PooledInstance &one : instances) {
         m_instances[one.id] = one;
         m_homes.try_emplace(one.id, one.pool);
-        if (first) {
-            ++m_baseSizes[one.pool];
-        }
     }
     std::erase_if(m_moves, [&](const auto &entry) {
         const auto &[id, move] = entry;
@@ -75,24 +79,30 @@
 
 void PoolPlanner::setLoad(const std::string &pool, PoolLoad load)
 {
-    for (const std::string &id : load.idle) {
-        m_idleSince.try_emplace(id, load.learned);
-    }
-    if (const auto before = m_loads.find(pool); before != m_loads.end()) {
-        for (const std::string &id : before->second.idle) {
-            if (!load.idle.contains(id)) {
-                m_idleSince.erase(id);
-            }
-        }
+    std::deque<std::pair<TimePoint, int>> &recent = m_recent[pool];
+    recent.emplace_back(load.learned, load.wantedMilliCores);
+    while (recent.size() > 1 && load.learned - recent[1].first > m_settings.surplusFor) {
+        recent.pop_front();  // the first one that is kept still held when the window began
     }
     m_loads[pool] = std::move(load);
 }
 
-void PoolPlanner::setCleared(std::set<std::string> executors)
+void PoolPlanner::setCleared(std::map<std::string, std::uint64_t> executors)
 {
     m_cleared = std::move(executors);
 }
 
+void PoolPlanner::setVacatePublished(const std::set<std::string> &executors, std::uint64_t revision)
+{
+    for (auto &[id, move] : m_moves) {
+        if (!executors.contains(move.executor)) {
+            move.vacateRevision = 0;
+        } else if (move.vacateRevision == 0) {
+            move.vacateRevision = revision;
+        }
+    }
+}
+
 void PoolPlanner::setReserved(std::set<std::string> instances)
 {
     m_reserved = std::move(instances);
@@ -122,88 +132,149 @@
     return count;
 }
 
-int PoolPlanner::wantedOf(const std::string &pool, TimePoint now) const
+std::optional<int> PoolPlanner::neededFor(const std::string &pool, int milliCores, TimePoint now) const
 {
     const auto load = m_loads.find(pool);
-    const auto base = m_baseSizes.find(pool);
-    const int home = base == m_baseSizes.end() ? 0 : base->second;
-    if (load == m_loads.end() || now - load->second.learned > m_settings.loadAge) {
-        return home;
+    if (load == m_loads.end()) {
+        return std::nullopt;
+    }
+    if (now - load->second.learned > m_settings.loadAge) {
+        return meanSize();
     }
-    int milliCores = 0;
+    int each = 0;
     for (const auto &[id, one] : m_instances) {
-        milliCores = std::max(milliCores, one.pool == pool ? one.capacity.milliCores : 0);
+        each = std::max(each, one.pool == pool ? one.capacity.milliCores : 0);
     }
-    if (milliCores == 0) {
-        return home;
+    const int cores = each == 0 ? 0 : static_cast<int>(std::ceil(milliCores * m_settings.headroom / each));
+    return std::max({cores, load->second.widestStep, static_cast<int>(std::ceil(meanSize() * m_settings.floorShare))});
+}
+
+int PoolPlanner::meanSize() const
+{
+    std::set<std::string> pools;
+    for (const auto &[id, one] : m_instances) {
+        if (!m_sparePools.contains(one.pool)) {
+            pools.insert(one.pool);
+        }
     }
-    const double wanted = load->second.wantedMilliCores * m_settings.headroom / milliCores;
-    return std::max({static_cast<int>(std::ceil(wanted)), load->second.widestStep, home});
+    const double mean = static_cast<double>(m_instances.size()) / std::max(1.0, static_cast<double>(pools.size()));
+    return static_cast<int>(mean);
 }
 
 bool PoolPlanner::isEmpty(const Move &move) const
 {
-    return move.executor.empty() || m_cleared.contains(move.executor);
+    if (move.executor.empty()) {
+        return true;
+    }
+    const auto cleared = m_cleared.find(move.executor);
+    return move.vacateRevision != 0 && cleared != m_cleared.end() && cleared->second >= move.vacateRevision;
+}
+
+bool PoolPlanner::isSent(const Move &move) const
+{
+    return move.accepted || move.orderedAt != TimePoint{};
+}
+
+int PoolPlanner::expectedOf(const std::string &pool) const
+{
+    const std::deque<std::pair<TimePoint, int>> &recent = m_recent.at(pool);
+    const auto &[latest, wanted] = recent.back();
+    auto before = recent.rbegin();
+    while (std::next(before) != recent.rend() && latest - before->first < m_settings.riseOver) {
+        ++before;
+    }
+    const double rise = std::max(0, wanted - before->second);
+    const double over = static_cast<double>(std::max(latest - before->first, m_settings.riseOver).count());
+    const double ahead = rise * static_cast<double>(m_settings.riseAhead.count()) / over;
+    return wanted + static_cast<int>(std::min(ahead, static_cast<double>(wanted)));
+}
+
+/// Instances that their pool has not needed for a while leave it: idle ones first, then those with short tasks only.
+void PoolPlanner::planParking(TimePoint now)
+{
+    if (m_sparePools.empty()) {
+        return;
+    }
+    for (const auto &[pool, load] : m_loads) {
+        int peak = 0;
+        for (const auto &[time, milliCores] : m_recent[pool]) {
+            peak = std::max(peak, milliCores);
+        }
+        const std::optional<int> needed = neededFor(pool, peak, now);
+        int surplus = needed && !m_sparePools.contains(pool) ? instancesOf(pool) - *needed : 0;
+        for (const std::set<std::string> *executors : {&load.idle, &load.light}) {
+            for (const auto &[id, one] : m_instances) {
+                if (surplus <= 0) {
+                    break;
+                }
+                if (one.pool != pool || one.state != InstanceState::Up || m_moves.contains(id)
+                    || m_reserved.contains(id) || !executors->contains(one.executor)) {
+                    continue;
+                }
+                --surplus;
+                const auto home = m_homes.find(id);
+                const bool wasSpare = home != m_homes.end() && m_sparePools.contains(home->second);
+                const std::string &spare = wasSpare ? home->second : *m_sparePools.begin();
+                m_moves[id] = {spare, pool, one.executor, now, {}, false};
+            }
+        }
+    }
 }
 
-/// Instances for pools that want more than they have.
+/// A pool that needs its leaving instances again keeps them.
+void PoolPlanner::keep(const std::string &pool, int &missing)
+{
+    std::erase_if(m_moves, [&](const auto &entry) {
+        const Move &move = entry.second;
+        const bool kept = missing > 0 && move.from == pool && !move.executor.empty() && !isSent(move);
+        missing -= kept ? 1 : 0;
+        return kept;
+    });
+}
+
+/// Instances for pools that need more than they have: spare ones, then those that are leaving other pools.
 void PoolPlanner::planArrivals(TimePoint now)
 {
     std::vector<std::pair<int, std::string>> wants;  // missing instances, most first
     for (const auto &[pool, load] : m_loads) {
-        const int missing = m_sparePools.contains(pool) ? 0 : wantedOf(pool, now) - instancesOf(pool);
+        const std::optional<int> needed = neededFor(pool, expectedOf(pool), now);
+        int missing = needed && !m_sparePools.contains(pool) ? *needed - instancesOf(pool) : 0;
+        keep(pool, missing);
         if (missing > 0) {
             wants.emplace_back(missing, pool);
         }
     }
-    std::sort(wants.rbegin(), wants.rend());
-    std::vector<std::string> free;
+    std::vector<std::string> leaving;
+    std::vector<std::string> free;  // taken from the end
     for (const auto &[id, one] : m_instances) {
-        if (m_sparePools.contains(one.pool) && one.state == InstanceState::Up && !m_moves.contains(id)
-            && !m_reserved.contains(id)) {
+        const auto move = m_moves.find(id);
+        if (move != m_moves.end()) {
+            if (m_sparePools.contains(move->second.pool) && !isSent(move->second)) {
+                leaving.push_back(id);
+            }
+        } else if (m_sparePools.contains(one.pool) && one.state == InstanceState::Up && !m_reserved.contains(id)) {
             free.push_back(id);
         }
     }
+    free.insert(free.begin(), leaving.begin(), leaving.end());
     while (!free.empty() && !wants.empty()) {
+        std::sort(wants.rbegin(), wants.rend());
         auto &[missing, pool] = wants.front();
         const std::string id = free.back();
         free.pop_back();
-        m_moves[id] = {pool, m_instances[id].pool, {}, now, {}, false};
+        const PooledInstance &one = m_instances[id];
+        const auto [move, added] = m_moves.try_emplace(id, Move{pool, one.pool, {}, now, {}, false});
+        move->second.pool = pool;
         if (--missing == 0) {
             wants.erase(wants.begin());
         }
-        std::sort(wants.rbegin(), wants.rend());
-    }
-}
-
-/// Instances that their pool has not needed for a while go back to the spare pool.
-void PoolPlanner::planParking(TimePoint now)
-{
-    if (m_sparePools.empty()) {
-        return;
-    }
-    std::map<std::string, int> surplus;
-    for (const auto &[pool, load] : m_loads) {
-        surplus[pool] = instancesOf(pool) - wantedOf(pool, now);
-    }
-    for (const auto &[id, one] : m_instances) {
-        const auto idle = m_idleSince.find(one.executor);
-        const bool parked = m_sparePools.contains(one.pool) || m_moves.contains(id) || m_reserved.contains(id);
-        if (parked || one.state != InstanceState::Up || surplus[one.pool] <= 0 || idle == m_idleSince.end()
-            || now - idle->second < m_settings.idleBeforeParking) {
-            continue;
-        }
-        --surplus[one.pool];
-        const auto home = m_homes.find(id);
-        const bool wasSpare = home != m_homes.end() && m_sparePools.contains(home->second);
-        m_moves[id] = {wasSpare ? home->second : *m_sparePools.begin(), one.pool, one.executor, now, {}, false};
     }
 }
 
 std::vector<MoveOrder> PoolPlanner::tick(TimePoint now)
 {
-    planArrivals(now);
     planParking(now);
+    planArrivals(now);
     std::vector<MoveOrder> orders;
     for (auto &[id, move] : m_moves) {
         const auto present = m_instances.find(id);
--- a/src/scheduler_orders.cpp
+++ b/src/scheduler_orders.cpp
@@ -446,8 +446,18 @@
     }
     for (const auto &[id, executor] : m_executors) {
         constexpr Duration settled{500'000};  // shorter gaps between two tasks are no news
-        if (executor.listed && executor.adopted && executor.runs.empty() && now - executor.lastReport > settled) {
+        if (!executor.listed || !executor.adopted) {
+            continue;
+        }
+        const bool lasting = std::any_of(executor.runs.begin(), executor.runs.end(), [&](const auto &entry) {
+            const auto job = m_jobs.find(entry.second.task.job);
+            return job == m_jobs.end()
+                || job->second->spec.steps[static_cast<std::size_t>(entry.second.task.step)].longRunning;
+        });
+        if (executor.runs.empty() && now - executor.lastReport > settled) {
             load.idle.insert(id);
+        } else if (!lasting) {
+            load.light.insert(id);
         }
     }
     return load;
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -244,8 +244,13 @@
             && std::find(labels.begin(), labels.end(), spec.requiredLabel) == labels.end()) {
             continue;
         }
-        double score = static_cast<double>(executor.used.milliCores)
-            / std::max(1.0, static_cast<double>(executor.record.capacity.milliCores));
+        const double capacity = std::max(1.0, static_cast<double>(executor.record.capacity.milliCores));
+        const double usedShare = static_cast<double>(executor.used.milliCores) / capacity;
+        const double share = static_cast<double>(after.milliCores) / capacity;
+        // Up to this share tasks are packed, so that instances become empty and can leave the pool; above it they are
+        // spread, because tasks use more than they state.
+        constexpr double packUpTo = 0.75;
+        double score = share <= packUpTo && !spec.longRunning ? packUpTo - share : usedShare;
         score += executor.failureScore;
         if (!spec.dataRack.empty() && executor.record.rack != spec.dataRack) {
             score += 4;  // elsewhere it takes several times as long
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -96,8 +96,9 @@
         recordExecutors();
     }
 
-    void setVacating(const std::unordered_set<std::string> &executors)
+    void setVacating(const std::unordered_set<std::string> &executors, std::uint64_t listRevision)
     {
+        m_vacatingRevision = listRevision;
         m_scheduler.setVacating(executors, bootNow());
         wake();
     }
@@ -603,20 +604,24 @@
 
     void publishCleared()
     {
-        std::vector<std::string> ids = m_scheduler.vacated();
-        if (m_publishingCleared || ids == m_cleared) {
+        const std::vector<std::string> ids = m_scheduler.vacated();
+        const bool same = ids == m_cleared && (ids.empty() || m_clearedRevision == m_vacatingRevision);
+        if (m_publishingCleared || same) {
             return;
         }
+        const ClearedNews news{m_vacatingRevision, {ids.begin(), ids.end()}};
         m_publishingCleared = true;
         StoreTxn txn;
         txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
-        txn.writes.push_back({keys::cleared(m_share), boost::json::serialize(boost::json::value_from(ids)), 0});
-        m_store.commit(txn, m_settings.storeTimeout, guarded([this, ids = std::move(ids)](const StoreReply &reply) {
+        txn.writes.push_back({keys::cleared(m_share), encodeClearedNews(news), 0});
+        m_store.commit(txn, m_settings.storeTimeout,
+                       guarded([this, ids, revision = news.listRevision](const StoreReply &reply) {
                            m_publishingCleared = false;
                            if (reply.outcome == StoreOutcome::Conflict) {
                                lose("precondition");
                            } else if (reply.outcome == StoreOutcome::Done) {
                                m_cleared = ids;
+                               m_clearedRevision = revision;
                            }
                        }));
     }
@@ -661,6 +666,8 @@
     std::vector<ExecutorRecord> m_listed;
     std::set<std::string> m_used;                       // recorded in the store
     std::optional<std::vector<std::string>> m_cleared;  // as published by this owner
+    std::uint64_t m_clearedRevision = 0;                // of the list that it answered
+    std::uint64_t m_vacatingRevision = 0;
     std::deque<std::pair<TimePoint, std::string>> m_final;
     std::string m_publishedCounts;
     std::string m_publishedLoad;
