Ask which instances are left before waiting for silent executors

Pools move more now, so executors end by moves often; they stay recorded for a few seconds, and an owner that takes over then waits the whole lease for them. Ruled out: forgetting recorded executors that are not listed in the store (an entry may be missing while the executor runs). Change: while recorded executors are silent the new owner lists the instances; an executor that no instance has any more has ended. It is relied on only if the list was asked for after the former owner gave its last orders, and not while an instance without a named executor is up or down. The new test (with and without the list) fails without the change.

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -16,11 +16,11 @@
 }
 
 Scheduler::Scheduler(SchedulerSettings settings, std::string service, std::uint64_t fencingToken,
-                     TimePoint inheritedUntil)
+                     Inheritance inheritance)
     : m_settings(settings)
     , m_service(std::move(service))
     , m_fencingToken(fencingToken)
-    , m_inheritedUntil(inheritedUntil)
+    , m_inheritance(inheritance)
     , m_hasPredecessor(true)
 {
 }
@@ -433,6 +433,44 @@
     }
 }
 
+bool Scheduler::waitsForInherited() const
+{
+    return !m_inheritedDark.empty();
+}
+
+bool Scheduler::wantsInstances(TimePoint now) const
+{
+    return waitsForInherited() && now >= m_inheritance.ordersUntil;
+}
+
+void Scheduler::setInstances(const std::vector<PooledInstance> &instances, TimePoint askedAt, TimePoint now)
+{
+    if (askedAt < m_inheritance.ordersUntil) {
+        return;
+    }
+    std::set<std::string> present;
+    for (const PooledInstance &one : instances) {
+        const bool unnamed
+            = one.executor.empty() && (one.state == InstanceState::Up || one.state == InstanceState::Down);
+        if (unnamed) {
+            return;  // it may be the one that is looked for
+        }
+        if (one.state != InstanceState::Moving && one.state != InstanceState::Upkeep) {
+            present.insert(one.executor);
+        }
+    }
+    const std::size_t ended = std::erase_if(m_inheritedDark, [&](const auto &entry) {
+        const bool gone = !present.contains(entry.first);
+        if (gone) {
+            decide("inherited-executor-gone", {},
+                   "executor=" + entry.first + " instances=" + std::to_string(instances.size())
+                       + " list_age_ms=" + std::to_string((now - askedAt).count() / 1000));
+        }
+        return gone;
+    });
+    m_changed = m_changed || ended > 0;
+}
+
 std::vector<std::string> Scheduler::vacated() const
 {
     std::vector<std::string> ids;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -201,11 +201,17 @@
 
 // [4] The scheduler ---------------------------------------------------------------------------------------------------
 
+/// How long what earlier owners did may still matter.
+struct Inheritance
+{
+    TimePoint ordersUntil;  // they may still give orders
+    TimePoint runsUntil;    // their runs may still go on at executors that do not answer
+};
+
 class Scheduler
 {
 public:
-    /// `inheritedUntil`: runs of earlier owners on executors that do not answer have surely ended after this.
-    Scheduler(SchedulerSettings settings, std::string service, std::uint64_t fencingToken, TimePoint inheritedUntil);
+    Scheduler(SchedulerSettings settings, std::string service, std::uint64_t fencingToken, Inheritance inheritance);
 
     // Jobs
     void addJob(JobSpec spec, std::uint64_t revision, const JobProgress *progress, bool inherited, TimePoint now,
@@ -218,6 +224,13 @@
     void setExecutors(const std::vector<ExecutorRecord> &records, TimePoint now);
     void inheritExecutor(const ExecutorRecord &record, TimePoint now);  // with the `born` that was recorded
     void setVacating(const std::unordered_set<std::string> &ids, TimePoint now);
+    bool waitsForInherited() const;  // for recorded executors that have not answered
+    /// Whether a list of the instances could end the wait for recorded executors that do not answer.
+    bool wantsInstances(TimePoint now) const;
+    /// All instances, by a call sent at `askedAt`. What ran on an executor that no instance has any more has ended; it
+    /// is relied on only if the call was sent after earlier owners gave their last orders, which a later incarnation
+    /// under the same id might take.
+    void setInstances(const std::vector<PooledInstance> &instances, TimePoint askedAt, TimePoint now);
     std::vector<std::string> vacated() const;  // vacating and without runs
 
     // Results
@@ -310,7 +323,7 @@
     SchedulerSettings m_settings;
     std::string m_service;
     std::uint64_t m_fencingToken;
-    TimePoint m_inheritedUntil;
+    Inheritance m_inheritance;
     bool m_hasPredecessor = false;
     TimePoint m_confirmedAt;
     bool m_deposed = false;
--- a/src/scheduler_orders.cpp
+++ b/src/scheduler_orders.cpp
@@ -257,8 +257,8 @@
             openDueOccurrences(*job, now, wallMs);
         }
     }
-    m_hasPredecessor = now < m_inheritedUntil;
-    if (!m_inheritedDark.empty() && now >= m_inheritedUntil) {
+    m_hasPredecessor = now < m_inheritance.runsUntil;
+    if (!m_inheritedDark.empty() && now >= m_inheritance.runsUntil) {
         m_inheritedDark.clear();
         m_changed = true;
     }
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -26,16 +26,17 @@
 struct ShareOwnerSettings
 {
     SchedulerSettings scheduler;
-    Duration tickPeriod{50'000};        // longest time between two looks at bounds and retries
-    Duration confirmPeriod{800'000};    // ownership is proven this often when no write proves it
-    Duration storeTimeout{700'000};     // of reads and writes; a slow store takes up to 250 ms
-    Duration retryPause{120'000};       // after a failed store call
-    Duration countsPeriod{700'000};     // waiting jobs are published this often; callers may see 2 s old counts
-    Duration loadPeriod{250'000};       // of the load that capacity follows; a burst lasts some seconds
-    Duration loadRefresh{1'500'000};    // an unchanged load is told again
-    Duration summaryPeriod{1'000'000};  // of the line in the log that tells what placement can use
-    Duration usedPeriod{1'000'000};     // the recorded executors are pruned at most this often
-    Duration keepFinal{180'000'000};    // final states stay readable this long
+    Duration tickPeriod{50'000};          // longest time between two looks at bounds and retries
+    Duration confirmPeriod{800'000};      // ownership is proven this often when no write proves it
+    Duration storeTimeout{700'000};       // of reads and writes; a slow store takes up to 250 ms
+    Duration retryPause{120'000};         // after a failed store call
+    Duration countsPeriod{700'000};       // waiting jobs are published this often; callers may see 2 s old counts
+    Duration loadPeriod{250'000};         // of the load that capacity follows; a burst lasts some seconds
+    Duration instancesPeriod{1'000'000};  // of asking for the instances while executors of an earlier owner are silent
+    Duration loadRefresh{1'500'000};      // an unchanged load is told again
+    Duration summaryPeriod{1'000'000};    // of the line in the log that tells what placement can use
+    Duration usedPeriod{1'000'000};       // the recorded executors are pruned at most this often
+    Duration keepFinal{180'000'000};      // final states stay readable this long
 };
 
 // [2] What an owner needs from its entry ------------------------------------------------------------------------------
@@ -46,6 +47,7 @@
     using Ordered = std::function<void(OrderResult, std::int64_t clockMs, const HoldReport *report)>;
     std::function<void(const ExecutorOrder &, Ordered)> send;
     std::function<void(const ExecutorRecord &)> know;  // before the first order to an executor
+    std::function<void(std::function<void(const Result<std::vector<PooledInstance>> &)>)> instances;  // lists all
     std::function<void(const Scheduler::Finished &)> finished;
     std::function<void(const std::string &share, std::string_view why)> lost;  // the entry destroys the owner later
 };
@@ -64,7 +66,7 @@
         , m_fencingToken(fencingToken)
         , m_settings(settings)
         , m_hooks(std::move(hooks))
-        , m_scheduler(settings.scheduler, m_share, fencingToken, inheritedUntil(predecessor, settings, acquiredAt))
+        , m_scheduler(settings.scheduler, m_share, fencingToken, inheritance(predecessor, settings, acquiredAt))
         , m_jobs(
               store, timers, keys::jobs(m_share), {}, [this](const StoreItem &item) { jobChanged(item); },
               [this] { jobsRefreshed(); })
@@ -118,21 +120,22 @@
 
 private:
     /// An owner that lost its share may go on until it notices; one that gave it back has stopped.
-    static TimePoint inheritedUntil(keys::Predecessor predecessor, const ShareOwnerSettings &settings,
-                                    TimePoint acquiredAt)
+    static Inheritance inheritance(keys::Predecessor predecessor, const ShareOwnerSettings &settings,
+                                   TimePoint acquiredAt)
     {
         const SchedulerSettings &scheduler = settings.scheduler;
         const auto lease = Duration(
             static_cast<std::int64_t>(static_cast<double>(scheduler.lease.count()) / (1 - scheduler.clockSlowdown)));
         switch (predecessor) {
         case keys::Predecessor::None:
-            return acquiredAt;
+            return {acquiredAt, acquiredAt};
         case keys::Predecessor::Released:
-            return acquiredAt + lease + scheduler.leaseMargin;
+            return {acquiredAt, acquiredAt + lease + scheduler.leaseMargin};
         case keys::Predecessor::Lost:
             break;
         }
-        return acquiredAt + scheduler.unconfirmedLimit + lease + scheduler.leaseMargin;
+        const TimePoint ordersUntil = acquiredAt + scheduler.unconfirmedLimit;
+        return {ordersUntil, ordersUntil + lease + scheduler.leaseMargin};
     }
 
     /// Wraps a completion so that it does nothing once the owner is gone.
@@ -274,12 +277,36 @@
             publishLoad();
             summarize();
             collectGarbage();
+            askInstances();
         }
         wake();
     }
 
     // Executors
 
+    /// Executors that ended by a move or an upkeep answer no more; the list of instances tells it sooner than time
+    /// does.
+    void askInstances()
+    {
+        const TimePoint askedAt = bootNow();
+        if (!m_scheduler.waitsForInherited()) {
+            return;
+        }
+        if (!m_scheduler.wantsInstances(askedAt)) {
+            later(m_settings.instancesPeriod, [this] { askInstances(); });
+            return;
+        }
+        m_hooks.instances(guarded([this, askedAt](const Result<std::vector<PooledInstance>> &listed) {
+            if (listed) {
+                m_scheduler.setInstances(listed.value(), askedAt, bootNow());
+                wake();
+            } else {
+                logRepeated(LogLevel::Warn, "machines-not-listed", m_share, {{"why", listed.error().message}});
+            }
+            later(m_settings.instancesPeriod, [this] { askInstances(); });
+        }));
+    }
+
     /// An executor is recorded before its first order, so that the next owner knows where runs may be.
     void recordExecutors()
     {
--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -218,6 +218,33 @@
         CHECK(world.state("a") == JobState::Completed);
         CHECK(text(world).empty());
     }
+    SECTION(
+        "what ran on an executor that no instance has any more starts again once the former owner has surely stopped")
+    {
+        for (const bool listed : {true, false}) {
+            WorldSettings settings = calm();
+            settings.instancesListed = listed;
+            World left(settings);
+            left.takeOver(true);
+            left.submit(job("a", {step(4, 2s)}));
+            left.run(500ms);
+            const int before = left.starts();
+            for (int i = 0; i < 6; ++i) {
+                if (left.runsAt(i) > 0) {
+                    left.crash(i);
+                }
+            }
+            left.depose(true);
+            left.takeOver();
+            left.run(3500ms);
+            CHECK(left.starts() == before);
+            left.run(2s);
+            CHECK((left.starts() > before) == listed);
+            left.run(12s);
+            CHECK(left.state("a") == JobState::Completed);
+            CHECK(text(left).empty());
+        }
+    }
     SECTION("work that waited starts although no run ends any more")
     {
         // Seen on a hunted day: the executors had reported before they were listed, and nothing else happened.
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -90,6 +90,7 @@
     double lostOrders = 0;   // share of orders without an answer, carried out late
     double lostCommits = 0;  // share of commits that are done and not answered
     double failingRuns = 0.03;
+    bool instancesListed = true;  // the machines API answers
     Removed removed;
 };
 
@@ -163,7 +164,8 @@
         note("new owner " + std::to_string(token));
         SchedulerSettings settings;
         const Duration lease = Duration(static_cast<std::int64_t>(static_cast<double>(settings.lease.count()) / 0.98));
-        const TimePoint until = first ? m_now : m_now + settings.unconfirmedLimit + lease + settings.leaseMargin;
+        const TimePoint orders = first ? m_now : m_now + settings.unconfirmedLimit;
+        const Inheritance until{orders, first ? orders : orders + lease + settings.leaseMargin};
         m_owner = std::make_unique<Owner>(Owner{Scheduler(settings, "orders", token, until), token, {}, m_now});
         m_owner->scheduler.confirmed(m_now);
         for (const auto &[id, record] : m_store.used) {
@@ -604,6 +606,18 @@
         }
         owner.scheduler.setExecutors(records, m_now);
         owner.scheduler.setVacating(m_vacating, m_now);
+        if (m_settings.instancesListed && owner.scheduler.wantsInstances(m_now)) {
+            std::vector<PooledInstance> instances;
+            for (const auto &[id, one] : m_executors) {
+                instances.push_back(
+                    {"m-" + id, "orders", one.up ? InstanceState::Up : InstanceState::Moving, {}, {}, {}, id});
+            }
+            after(between(5ms, 300ms), [this, token = owner.token, askedAt = m_now, instances] {
+                if (Scheduler *scheduler = current(token)) {
+                    scheduler->setInstances(instances, askedAt, m_now);
+                }
+            });
+        }
     }
 
     void step(Owner &owner)
