Let spare instances not hide that an executor is gone

Cause: a list of instances was set aside when it held an instance that is up and names no executor, in case that one is the executor that is looked for. Change: only an instance that is down and names none sets the list aside. The model lists a spare instance.

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -450,10 +450,8 @@
     }
     std::set<std::string> present;
     for (const PooledInstance &one : instances) {
-        const bool unnamed
-            = one.executor.empty() && (one.state == InstanceState::Up || one.state == InstanceState::Down);
-        if (unnamed) {
-            return;  // it may be the one that is looked for
+        if (one.executor.empty() && one.state == InstanceState::Down) {
+            return;  // it may be cut off with the executor that is looked for; spare instances are up and off
         }
         if (one.state != InstanceState::Moving && one.state != InstanceState::Upkeep) {
             present.insert(one.executor);
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -607,7 +607,7 @@
         owner.scheduler.setExecutors(records, m_now);
         owner.scheduler.setVacating(m_vacating, m_now);
         if (m_settings.instancesListed && owner.scheduler.wantsInstances(m_now)) {
-            std::vector<PooledInstance> instances;
+            std::vector<PooledInstance> instances{{"m-spare", "spare", InstanceState::Up, {}, {}, {}, {}}};  // off
             for (const auto &[id, one] : m_executors) {
                 instances.push_back(
                     {"m-" + id, "orders", one.up ? InstanceState::Up : InstanceState::Moving, {}, {}, {}, id});
