--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -478,7 +478,7 @@
         m_known.insert(record.id);
         m_executors.setExecutor(record.id, record.address, record.port, ExecutorConnections);
     };
-        hooks.instances = [this](auto done) { m_machines.list(std::move(done)); };
+    hooks.instances = [this](auto done) { m_machines.list(std::move(done)); };
     hooks.finished = [this](const Scheduler::Finished &finished) {
         const MetricKey key{ServiceId{finished.queue}, {}, RequestClass::Short};
         m_metrics.add("briarvane_jobs_ended_total", key, {{"in_time", finished.inTime ? "yes" : "no"}});
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -314,6 +314,8 @@
     void place(TimePoint now);
     bool placeStep(Job &job, int occurrence, int step, TimePoint now);
     bool stepReady(const Job &job, const Occurrence &occurrence, int step) const;
+    bool takesWork(const Executor &executor, TimePoint now) const;
+    std::map<std::string_view, int> roomPerRack(const StepSpec &spec, TimePoint now) const;
     Executor *pickExecutor(const Job &job, int occurrence, int step, TimePoint now);
     void start(Job &job, const TaskName &name, Executor &executor, TimePoint now);
     void sendStart(Job &job, const std::string &name, Run &run, Executor &executor, TimePoint now);
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -195,6 +195,30 @@
     return true;
 }
 
+bool Scheduler::takesWork(const Executor &executor, TimePoint now) const
+{
+    return executor.listed && executor.adopted && !executor.record.draining && !executor.vacating
+        && executor.ejectedUntil <= now && executor.usableFrom <= now && executor.adoptedAt < m_confirmedAt
+        && executor.unknownSizes == 0
+        && (executor.runs.empty() || now - executor.quietSince() < m_settings.silentAfter);
+}
+
+/// Tasks of the step that each rack has room for.
+std::map<std::string_view, int> Scheduler::roomPerRack(const StepSpec &spec, TimePoint now) const
+{
+    std::map<std::string_view, int> room;
+    for (const auto &[id, executor] : m_executors) {
+        Resources after = executor.used;
+        after += spec.each;
+        while (takesWork(executor, now) && after.fitsInto(executor.record.capacity)
+               && room[executor.record.rack] < spec.count) {
+            ++room[executor.record.rack];
+            after += spec.each;
+        }
+    }
+    return room;
+}
+
 /// The best executor with room for one more task of the step; null when there is none.
 Executor *Scheduler::pickExecutor(const Job &job, int number, int step, TimePoint now)
 {
@@ -226,16 +250,16 @@
     if (spec.fills) {
         wanted.milliCores = 0;
     }
+    std::map<std::string_view, int> rackRoom;
+    if (spec.sameRack) {
+        rackRoom = roomPerRack(spec, now);
+    }
     Executor *best = nullptr;
     double bestScore = 0;
     for (auto &[id, executor] : m_executors) {
-        const bool usable = executor.listed && executor.adopted && !executor.record.draining && !executor.vacating
-            && executor.ejectedUntil <= now && executor.usableFrom <= now && executor.adoptedAt < m_confirmedAt
-            && executor.unknownSizes == 0
-            && (executor.runs.empty() || now - executor.quietSince() < m_settings.silentAfter);
         Resources after = executor.used;
         after += wanted;
-        if (!usable || !after.fitsInto(executor.record.capacity)
+        if (!takesWork(executor, now) || !after.fitsInto(executor.record.capacity)
             || (spec.perExecutorLimit > 0 && here[id] >= spec.perExecutorLimit)) {
             continue;
         }
@@ -258,7 +282,9 @@
         if (spec.longRunning) {  // one dark rack costs few of them
             score += 2 * here[id] + racks[executor.record.rack];
         } else if (spec.sameRack) {
-            score -= racks[executor.record.rack];
+            // The rack that can hold the most of the step's tasks, with those that are there.
+            const int together = std::min(spec.count, racks[executor.record.rack] + rackRoom[executor.record.rack]);
+            score -= 2.0 * together / std::max(1, spec.count);
         }
         if (spec.fills || spec.latencyTarget.count() > 0) {  // kept apart: what fills disturbs what serves
             for (const auto &[name, run] : executor.runs) {
--- a/tests/core_orders.cpp
+++ b/tests/core_orders.cpp
@@ -793,9 +793,9 @@
     }
     SECTION("a copy that arrives while the first waits for the store gets no second verdict")
     {
-        OrderCommands first = direct.shard.claim(holder, direct.view);
+        const OrderCommands first = direct.shard.claim(holder, direct.view);
         CHECK(direct.shard.claim(holder, direct.view).empty());
-        CHECK(verdict(std::move(first)) == Verdict::Run);
+        CHECK(verdict(first) == Verdict::Run);
         CHECK_FALSE(verdict(direct.shard.tick(direct.view)).has_value());
     }
 }
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -42,6 +42,14 @@
     bool fails = false;
     bool stopping = false;
     TimePoint stoppedAt;
+    bool saves = false;  // writes a checkpoint every second
+    int percent = 100;   // pace
+
+    std::string checkpoint(TimePoint now) const
+    {
+        const auto saved = std::chrono::floor<std::chrono::seconds>(now - startedAt).count();
+        return saves && saved > 0 ? "after " + std::to_string(saved) + " s" : std::string();
+    }
 };
 
 struct ModelExecutor
@@ -265,6 +273,10 @@
     {
         return m_now;
     }
+    std::int64_t wallMs() const
+    {
+        return unixMs(m_now);
+    }
     JobState state(const std::string &id) const
     {
         return m_store.jobs.at(id).job.state;
@@ -365,6 +377,30 @@
         }
         return count;
     }
+    /// What long-running tasks report as their tail, ms.
+    void setTail(double ms)
+    {
+        m_tail = ms;
+    }
+    /// The checkpoint that the last start of the task carried.
+    std::string startedFrom(const std::string &task) const
+    {
+        const auto found = m_startedFrom.find(task);
+        return found == m_startedFrom.end() ? std::string() : found->second;
+    }
+    /// Executors where tasks run whose names begin so, with each task's pace in percent.
+    std::multimap<int, int> placesOf(const std::string &prefix) const
+    {
+        std::multimap<int, int> places;
+        for (const auto &[id, one] : m_executors) {
+            for (const auto &[task, run] : one.runs) {
+                if (task.starts_with(prefix)) {
+                    places.emplace(std::stoi(id.substr(2)), run.percent);
+                }
+            }
+        }
+        return places;
+    }
     void vacate(std::unordered_set<std::string> ids)
     {
         m_vacating = std::move(ids);
@@ -439,7 +475,8 @@
                     continue;
                 }
                 const RunEnd how = stopped ? RunEnd::Stopped : run->second.fails ? RunEnd::Failed : RunEnd::Done;
-                one.ended.push_back({one.nextEnd++, run->first, run->second.run, how, {}});
+                one.ended.push_back({one.nextEnd++, run->first, run->second.run, how,
+                                     how == RunEnd::Done ? std::string() : run->second.checkpoint(m_now)});
                 note("ended " + run->first + " run " + std::to_string(run->second.run) + " on " + id + " "
                      + std::string(toString(how)));
                 one.lowest[run->first] = std::max(one.lowest[run->first], run->second.run);
@@ -461,6 +498,11 @@
         if (order.kind == OrderKind::Start) {
             return startRun(one, order);
         }
+        if (order.kind == OrderKind::Pace) {
+            if (const auto run = one.runs.find(order.task); run != one.runs.end() && run->second.run == order.run) {
+                run->second.percent = order.percent;
+            }
+        }
         if (order.kind == OrderKind::Stop) {
             one.lowest[order.task] = std::max(one.lowest[order.task], order.run);
             const auto run = one.runs.find(order.task);
@@ -494,7 +536,9 @@
         run.held = step.each;
         run.endsAt = step.longRunning ? TimePoint::max() : m_now + step.estimate + between(0ms, 200ms);
         run.fails = chance() < m_settings.failingRuns;
+        run.saves = step.checkpointing;
         one.runs[order.task] = run;
+        m_startedFrom[order.task] = order.checkpoint;
         note("started " + order.task + " run " + std::to_string(order.run) + " on " + one.record.id + " token "
              + std::to_string(order.fencingToken));
         ++m_starts;
@@ -561,7 +605,9 @@
         report.born = one.record.born;
         for (const auto &[task, run] : one.runs) {
             if (!run.stopping) {
-                report.running.push_back({task, run.run, {}, m_now >= run.startedAt + m_startup ? 100 : 50, 0});
+                report.running.push_back({task, run.run, run.checkpoint(m_now),
+                                          m_now >= run.startedAt + m_startup ? 100 : 50,
+                                          run.held.milliCores > 0 ? m_tail : 0});
             }
         }
         report.ended.assign(one.ended.begin(), one.ended.end());
@@ -808,6 +854,8 @@
     std::set<std::string> m_doneNoted;
     std::unordered_set<std::string> m_vacating;
     Duration m_startup{0};
+    double m_tail = 0;
+    std::map<std::string, std::string> m_startedFrom;
     std::vector<std::string> m_violations;
     std::vector<std::string> m_trace;
     int m_starts = 0;
