Leave an instance alone after a refused move, and a pool that takes no such instances

All sites here have one kind of instance; where pools take kinds of their own, an instance that gives way for a pool which refuses it would stand empty and cost four calls a second. Change: after a refusal an instance is left alone for 2 s; a pool that refused a kind for good is not asked for it again. Figures: core_fleet_plans, the two new sections fail without the change.

--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -257,7 +257,7 @@
                          } else if (result == MaintenanceResult::Begun) {
                              m_pools.moved(order.instance, now);
                          } else if (result != MaintenanceResult::Unknown) {
-                             m_pools.refused(order.instance, now);
+                             m_pools.refused(order.instance, result == MaintenanceResult::Impossible, now);
                          }
                          act();
                      }));
--- a/src/orders.h
+++ b/src/orders.h
@@ -264,8 +264,7 @@
     };
 
     /// A claim whose first copy waits here, or was told not to run, gets no record: its claimant goes by the first
-    /// verdict,
-    /// so nobody would settle one.
+    /// verdict, so nobody would settle one.
     bool answerCopy(const ClaimOrder &order, const OrderView &view, OrderCommands &commands);
     void give(const ClaimOrder &order, Verdict verdict, std::shared_ptr<const KeptAnswer> answer,
               OrderCommands &commands);
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -110,8 +110,7 @@
     };
 
     /// What one attempt of a call writes and reads. Its operations hold it: they may end after the call was given up,
-    /// when
-    /// the connection already serves the next one.
+    /// when the connection already serves the next one.
     struct Exchange
     {
         explicit Exchange(http::request<http::string_body> content)
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -52,6 +52,17 @@
     return load;
 }
 
+namespace
+{
+
+/// Instances of one kind can change places.
+std::string kindOf(const PooledInstance &one)
+{
+    return one.labels.empty() ? one.id : one.labels.front();
+}
+
+}
+
 PoolPlanner::PoolPlanner(PoolPlannerSettings settings)
     : m_settings(settings)
 {
@@ -116,9 +127,36 @@
     }
 }
 
-void PoolPlanner::refused(const std::string &instance, TimePoint /*now*/)
+void PoolPlanner::refused(const std::string &instance, bool forGood, TimePoint now)
 {
-    m_moves.erase(instance);
+    const auto move = m_moves.find(instance);
+    if (move == m_moves.end()) {
+        return;
+    }
+    const auto present = m_instances.find(instance);
+    if (forGood && present != m_instances.end()) {
+        m_impossible.emplace(kindOf(present->second), move->second.pool);
+    }
+    m_pausedUntil[instance] = now + m_settings.refusedPause;
+    m_moves.erase(move);
+}
+
+bool PoolPlanner::mayMove(const PooledInstance &one, const std::string &pool, TimePoint now) const
+{
+    const auto paused = m_pausedUntil.find(one.id);
+    return (paused == m_pausedUntil.end() || now >= paused->second) && !m_impossible.contains({kindOf(one), pool});
+}
+
+/// The spare pool that it came from, or else any that takes its kind.
+std::optional<std::string> PoolPlanner::sparePoolFor(const PooledInstance &one, TimePoint now) const
+{
+    const auto home = m_homes.find(one.id);
+    if (home != m_homes.end() && m_sparePools.contains(home->second) && mayMove(one, home->second, now)) {
+        return home->second;
+    }
+    const auto found = std::find_if(m_sparePools.begin(), m_sparePools.end(),
+                                    [&](const std::string &pool) { return mayMove(one, pool, now); });
+    return found == m_sparePools.end() ? std::nullopt : std::optional(*found);
 }
 
 int PoolPlanner::instancesOf(const std::string &pool) const
@@ -211,11 +249,10 @@
                     || m_reserved.contains(id) || !executors->contains(one.executor)) {
                     continue;
                 }
-                --surplus;
-                const auto home = m_homes.find(id);
-                const bool wasSpare = home != m_homes.end() && m_sparePools.contains(home->second);
-                const std::string &spare = wasSpare ? home->second : *m_sparePools.begin();
-                m_moves[id] = {spare, pool, one.executor, now, {}, false};
+                if (const std::optional<std::string> spare = sparePoolFor(one, now)) {
+                    --surplus;
+                    m_moves[id] = {*spare, pool, one.executor, now, {}, false};
+                }
             }
         }
     }
@@ -257,16 +294,18 @@
         }
     }
     free.insert(free.begin(), leaving.begin(), leaving.end());
-    while (!free.empty() && !wants.empty()) {
+    for (; !free.empty() && !wants.empty(); free.pop_back()) {
         std::sort(wants.rbegin(), wants.rend());
-        auto &[missing, pool] = wants.front();
-        const std::string id = free.back();
-        free.pop_back();
-        const PooledInstance &one = m_instances[id];
-        const auto [move, added] = m_moves.try_emplace(id, Move{pool, one.pool, {}, now, {}, false});
-        move->second.pool = pool;
-        if (--missing == 0) {
-            wants.erase(wants.begin());
+        const PooledInstance &one = m_instances[free.back()];
+        const auto want = std::find_if(wants.begin(), wants.end(),
+                                       [&](const auto &item) { return mayMove(one, item.second, now); });
+        if (want == wants.end()) {
+            continue;
+        }
+        const auto [move, added] = m_moves.try_emplace(one.id, Move{want->second, one.pool, {}, now, {}, false});
+        move->second.pool = want->second;
+        if (--want->first == 0) {
+            wants.erase(want);
         }
     }
 }
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -29,6 +29,7 @@
     Duration riseOver{500'000};        // the rise of demand is taken over this time
     Duration riseAhead{1'500'000};     // and continued for this time, which a move takes; at most to twice the present
     Duration surplusFor{1'500'000};    // not needed for this long: demand falls and rises between steps of jobs
+    Duration refusedPause{2'000'000};  // after a refused move: the instance is busy or another owner's turn is not over
     Duration orderRepeat{1'500'000};   // an unanswered or refused move is tried again
     Duration arrivalLimit{6'000'000};  // a moved instance that has not come up by then is no longer counted
     Duration loadAge{3'000'000};       // older loads are not acted on: their owner may be gone
@@ -71,7 +72,8 @@
     void setVacatePublished(const std::set<std::string> &executors, std::uint64_t revision);
     void setReserved(std::set<std::string> instances);  // in a wave now
     void moved(const std::string &instance, TimePoint now);
-    void refused(const std::string &instance, TimePoint now);
+    /// `forGood`: the pool takes no instances of this kind.
+    void refused(const std::string &instance, bool forGood, TimePoint now);
 
     std::vector<MoveOrder> tick(TimePoint now);
     std::set<std::string> vacating() const;  // executors that must take no work
@@ -96,6 +98,8 @@
     /// Cores that a pool is expected to want when an instance that is ordered now has come up.
     int expectedOf(const std::string &pool) const;
     int meanSize() const;  // of a pool, if the spare instances were divided as well
+    bool mayMove(const PooledInstance &one, const std::string &pool, TimePoint now) const;
+    std::optional<std::string> sparePoolFor(const PooledInstance &one, TimePoint now) const;
     bool isEmpty(const Move &move) const;
     bool isSent(const Move &move) const;
     void planParking(TimePoint now);
@@ -110,7 +114,9 @@
     std::map<std::string, std::uint64_t> m_cleared;
     std::set<std::string> m_reserved;
     std::map<std::string, Move> m_moves;
-    std::map<std::string, std::string> m_homes;  // pool of each instance when it was first seen
+    std::map<std::string, TimePoint> m_pausedUntil;              // by instance whose move was refused
+    std::set<std::pair<std::string, std::string>> m_impossible;  // kind of instance and pool
+    std::map<std::string, std::string> m_homes;                  // pool of each instance when it was first seen
 };
 
 }
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -179,9 +179,25 @@
         }
         SECTION("a refused move is planned again")
         {
-            planner.refused(orders[0].instance, now);
+            planner.refused(orders[0].instance, false, now);
             CHECK(planner.tick(now + 2s).size() == 2);
         }
+        SECTION("but not at once: another instance goes, and the refused one is left alone for a while")
+        {
+            planner.moved(orders[1].instance, now);
+            planner.refused(orders[0].instance, false, now);
+            const auto next = planner.tick(now + 100ms);
+            REQUIRE(next.size() == 1);
+            CHECK(next[0].instance != orders[0].instance);
+        }
+        SECTION("a pool that takes no such instances is not asked again")
+        {
+            planner.refused(orders[0].instance, true, now);
+            planner.refused(orders[1].instance, true, now);
+            CHECK(planner.tick(now + 3s).size() == 1);  // instances of a test have no kind: the third is still tried
+            planner.setLoad("bills", load(110, now + 3s));
+            CHECK_FALSE(planner.tick(now + 3s).empty());  // another pool may get them
+        }
     }
     SECTION("demand that rises is met ahead, for the time that a move takes")
     {
