Give each test fleet ports of its own

Ruled out: load (chaos alone in the same clone passed at once; the first run's chaos was running at that moment). Change: the harness takes the first block of 200 loopback ports below the range of outgoing connections in which nobody listens, and listens on the block's last port itself while it is used.

--- a/tests/harness.cpp
+++ b/tests/harness.cpp
@@ -220,6 +220,65 @@
     return response;
 }
 
+/// Listens on the last port of its block for as long as the block is used.
+struct PortBlock::Reservation
+{
+    asio::io_context io;
+    asio::ip::tcp::acceptor guard{io};
+    std::uint16_t first = 0;
+
+    static bool listensOn(asio::ip::tcp::acceptor &acceptor, std::uint16_t port)
+    {
+        boost::system::error_code error;
+        acceptor.open(asio::ip::tcp::v4(), error);
+        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+        if (!error) {
+            acceptor.listen(1, error);
+        }
+        if (error) {
+            boost::system::error_code ignored;
+            acceptor.close(ignored);
+        }
+        return !error;
+    }
+
+    bool take(std::uint16_t begin)
+    {
+        if (!listensOn(guard, static_cast<std::uint16_t>(begin + Size - 1))) {
+            return false;
+        }
+        ::fcntl(guard.native_handle(), F_SETFD, FD_CLOEXEC);  // programs of the fleet may outlive this process
+        for (int offset = 0; offset < Size - 1; ++offset) {
+            asio::ip::tcp::acceptor probe(io);
+            if (!listensOn(probe, static_cast<std::uint16_t>(begin + offset))) {
+                guard.close();
+                return false;
+            }
+        }
+        first = begin;
+        return true;
+    }
+};
+
+PortBlock::PortBlock()
+    : m_reservation(std::make_shared<Reservation>())
+{
+    constexpr int begin = 21000;
+    constexpr int end = 32600;  // outgoing connections get ports from 32768 on
+    for (int port = begin; port < end; port += Size) {
+        if (m_reservation->take(static_cast<std::uint16_t>(port))) {
+            return;
+        }
+    }
+    throw std::runtime_error("no block of free ports on loopback");
+}
+
+std::uint16_t PortBlock::first() const
+{
+    return m_reservation->first;
+}
+
 Fleet::Fleet(FleetOptions options)
     : m_options(std::move(options))
     , m_instances(m_options.instances)
@@ -249,12 +308,7 @@
     constexpr int limitMs = 20'000;
     constexpr int perRack = 4;
     const std::string ip = "127.0.0.1:";
-    for (const std::uint16_t port : {platformPort(), upstreamControlPort(), callerPort(0)}) {
-        if (request(port, "GET", "/", {}, "", 1000).connected) {
-            std::cerr << "port " << port << " is in use, perhaps by an earlier run\n";
-            return false;
-        }
-    }
+
     std::string names;
     for (const Instance &instance : m_instances) {
         names += (names.empty() ? "" : ",") + instance.id;
@@ -332,7 +386,7 @@
 
 std::uint16_t Fleet::callerPort(int entry) const
 {
-    return static_cast<std::uint16_t>(m_options.basePort + 10 + entry * 3);
+    return static_cast<std::uint16_t>(m_ports.first() + 10 + entry * 3);
 }
 
 std::uint16_t Fleet::operatorPort(int entry) const
@@ -342,12 +396,12 @@
 
 std::uint16_t Fleet::platformPort() const
 {
-    return m_options.basePort;
+    return m_ports.first();
 }
 
 std::uint16_t Fleet::upstreamControlPort() const
 {
-    return static_cast<std::uint16_t>(m_options.basePort + 100);
+    return static_cast<std::uint16_t>(m_ports.first() + 100);
 }
 
 const std::vector<Instance> &Fleet::instances() const
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -80,7 +81,7 @@
 {
     std::string bin;   // folder of the programs
     std::string work;  // folder for logs
-    std::uint16_t basePort = 21000;
+
     int entries = 8;
     std::vector<Instance> instances;  // ports are filled in
     int dataCentres = 3;
@@ -91,7 +92,21 @@
     int readLimit = 2000;
 };
 
-/// Platform stand-in, upstream stand-in with all executors, entries. Ports follow from `basePort`.
+/// A block of loopback ports that no other fleet on the machine uses.
+class PortBlock
+{
+public:
+    static constexpr std::uint16_t Size = 200;
+
+    PortBlock();  // throws when no block is free
+    std::uint16_t first() const;
+
+private:
+    struct Reservation;
+    std::shared_ptr<Reservation> m_reservation;
+};
+
+/// Platform stand-in, upstream stand-in with all executors, entries. Ports are taken from a block of its own.
 class Fleet
 {
 public:
@@ -124,6 +139,7 @@
 private:
     bool waitPort(std::uint16_t port, int limitMs) const;
     FleetOptions m_options;
+    PortBlock m_ports;
     mutable std::atomic<int> m_commands = 0;  // commands may run at the same time
     std::vector<Instance> m_instances;
     Process m_platform;
--- /dev/null
+++ b/tests/run_harness.cpp
@@ -0,0 +1,29 @@
+#include "harness.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+TEST_CASE("Each fleet has ports of its own")
+{
+    // Guards against two runs on one machine that meet: one of them used to fail with "port 23000 is in use".
+    const harness::Fleet first{harness::FleetOptions{}};
+    SECTION("two fleets at the same time")
+    {
+        const harness::Fleet second{harness::FleetOptions{}};
+        CHECK(second.platformPort() != first.platformPort());
+        CHECK(second.callerPort(0) != first.callerPort(0));
+    }
+    SECTION("somebody else listens on a port of the next block")
+    {
+        boost::asio::io_context io;
+        std::uint16_t next = 0;
+        {
+            const harness::Fleet probe{harness::FleetOptions{}};
+            next = probe.platformPort();
+        }
+        const boost::asio::ip::tcp::acceptor other(io, {boost::asio::ip::make_address("127.0.0.1"), next});
+        const harness::Fleet second{harness::FleetOptions{}};
+        CHECK(second.platformPort() != next);
+    }
+}
