Say once what the owners, the orders and the lists of ids have in common

Cause: read again as a newcomer. PoolLoad carried long-running cores that nobody read, a planned move a time that nobody read. Ruled out: one base with confirm as well: what follows a proof differs between the two, a hook for it would be longer. An id list in the store with a wrong type is now logged instead of ending the process. No check, bound or expectation is changed.

--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -5,6 +5,7 @@
 #include "boot_clock.h"
 #include "job_keys.h"
 #include "log.h"
+#include "owner_life.h"
 #include "pool_planner.h"
 #include "store_view.h"
 #include "wave_planner.h"
@@ -40,28 +41,21 @@
 };
 
 template<Store S>
-class FleetOwner
+class FleetOwner : private OwnerLife
 {
 public:
     FleetOwner(S &store, Timers &timers, std::uint64_t fencingToken, bool hadOwner, FleetOwnerSettings settings,
                FleetOwnerHooks hooks, TimePoint acquiredAt)
-        : m_store(store)
-        , m_timers(timers)
-        , m_fencingToken(fencingToken)
+        : OwnerLife(timers, fencingToken)
+        , m_store(store)
         , m_settings(settings)
         , m_hooks(std::move(hooks))
         , m_planner(settings.waves)
         , m_pools(settings.pools)
         , m_ordersFrom(hadOwner ? acquiredAt + settings.turnPause : acquiredAt)
-        , m_alive(std::make_shared<bool>(true))
     {
     }
-    FleetOwner(const FleetOwner &) = delete;
-    FleetOwner &operator=(const FleetOwner &) = delete;
-    ~FleetOwner()
-    {
-        *m_alive = false;
-    }
+    using OwnerLife::fencingToken;
 
     void start()
     {
@@ -109,31 +103,8 @@
         m_pools.setLoad(pool, std::move(load));
         act();
     }
-    std::uint64_t fencingToken() const
-    {
-        return m_fencingToken;
-    }
 
 private:
-    template<class F>
-    auto guarded(F function)
-    {
-        return [alive = m_alive, function = std::move(function)](const auto &...arguments) mutable {
-            if (*alive) {
-                function(arguments...);
-            }
-        };
-    }
-
-    void later(Duration pause, std::function<void()> function)
-    {
-        m_timers.at(steadyNow() + pause, [alive = m_alive, function = std::move(function)] {
-            if (*alive) {
-                function();
-            }
-        });
-    }
-
     void lose(std::string_view why)
     {
         if (!std::exchange(m_lost, true)) {
@@ -163,12 +134,11 @@
         const TimePoint sentAt = bootNow();
         m_store.read(keys::owner(keys::FleetShare), m_settings.storeTimeout,
                      guarded([this, sentAt](const StoreReply &reply) {
-                         const bool answered = reply.outcome == StoreOutcome::Done;
-                         if (reply.outcome == StoreOutcome::NotFound
-                             || (answered && (reply.items.empty() || reply.items.front().revision != m_fencingToken))) {
+                         if (isDeposed(reply)) {
                              lose("ownership-key-gone");
                              return;
                          }
+                         const bool answered = reply.outcome == StoreOutcome::Done;
                          if (answered) {
                              m_confirmedAt = sentAt;
                          }
@@ -226,7 +196,7 @@
     {
         logEvent(LogLevel::Info, "maintenance-ordered",
                  {{"instance", order.instance}, {"wave", std::to_string(order.wave)}});
-        m_hooks.maintain(order, m_fencingToken, guarded([this, order](MaintenanceResult result) {
+        m_hooks.maintain(order, fencingToken(), guarded([this, order](MaintenanceResult result) {
                              const TimePoint now = bootNow();
                              switch (result) {
                              case MaintenanceResult::Begun:
@@ -250,7 +220,7 @@
     void move(const MoveOrder &order)
     {
         logEvent(LogLevel::Info, "move-ordered", {{"instance", order.instance}, {"pool", order.pool}});
-        m_hooks.move(order, m_fencingToken, guarded([this, order](MaintenanceResult result) {
+        m_hooks.move(order, fencingToken(), guarded([this, order](MaintenanceResult result) {
                          const TimePoint now = bootNow();
                          if (result == MaintenanceResult::Fenced) {
                              lose("fenced");
@@ -285,7 +255,7 @@
         const std::vector<std::int64_t> announced = m_planner.unannouncedWaves();
         std::vector<std::int64_t> completed;
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(keys::FleetShare), m_fencingToken);
+        txn.expected.emplace_back(keys::owner(keys::FleetShare), fencingToken());
         if (vacateChanged) {
             txn.writes.push_back({keys::FleetVacate, vacateText, 0});
         }
@@ -334,15 +304,12 @@
     }
 
     S &m_store;
-    Timers &m_timers;
-    std::uint64_t m_fencingToken;
     FleetOwnerSettings m_settings;
     FleetOwnerHooks m_hooks;
     WavePlanner m_planner;
     PoolPlanner m_pools;
     TimePoint m_ordersFrom;
     TimePoint m_confirmedAt;
-    std::shared_ptr<bool> m_alive;
     std::map<std::int64_t, MaintenanceWave> m_waves;
     std::map<std::int64_t, std::set<std::string>> m_done;
     std::set<std::string> m_sparePools;
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -362,7 +362,6 @@
 void JobEntry::fleetItem(const StoreItem &item)
 {
     boost::system::error_code error;
-    std::set<std::string> ids;
     if (item.key == keys::FleetDone) {
         return;
     }
@@ -386,15 +385,13 @@
     }
     const boost::json::value value
         = item.removed ? boost::json::value(boost::json::array()) : boost::json::parse(item.value, error);
-    if (error || !value.is_array()) {
+    const auto ids = parseIds(error ? nullptr : &value);
+    if (!ids) {
         logEvent(LogLevel::Error, "fleet-item-unreadable", {{"key", item.key}});
         return;
     }
-    for (const boost::json::value &id : value.get_array()) {
-        ids.insert(std::string(id.as_string()));
-    }
     if (item.key == keys::FleetVacate) {
-        m_vacating = {ids.begin(), ids.end()};
+        m_vacating = {ids.value().begin(), ids.value().end()};
         m_vacatingRevision = item.revision;
     }
 }
--- /dev/null
+++ b/src/owner_life.h
@@ -0,0 +1,64 @@
+#pragma once
+
+// What the owners of a share and of the fleet have in common: completions and timers that do nothing once the owner is
+// gone, and what a read of the ownership key tells.
+
+#include "http_timers.h"
+#include "store.h"
+
+namespace briarvane
+{
+
+class OwnerLife
+{
+public:
+    OwnerLife(Timers &timers, std::uint64_t fencingToken)
+        : m_timers(timers)
+        , m_fencingToken(fencingToken)
+        , m_alive(std::make_shared<bool>(true))
+    {
+    }
+    OwnerLife(const OwnerLife &) = delete;
+    OwnerLife &operator=(const OwnerLife &) = delete;
+    ~OwnerLife()
+    {
+        *m_alive = false;
+    }
+
+    /// Wraps a completion so that it does nothing once the owner is gone.
+    template<class F>
+    auto guarded(F function) const
+    {
+        return [alive = m_alive, function = std::move(function)](const auto &...arguments) mutable {
+            if (*alive) {
+                function(arguments...);
+            }
+        };
+    }
+
+    /// Calls the function after the pause unless the owner is gone by then.
+    Timers::Key later(Duration pause, std::function<void()> function) const
+    {
+        return m_timers.at(steadyNow() + pause, guarded(std::move(function)));
+    }
+
+    std::uint64_t fencingToken() const
+    {
+        return m_fencingToken;
+    }
+
+    /// Whether the answer to a read of the ownership key says that it is another's, or nobody's.
+    bool isDeposed(const StoreReply &reply) const
+    {
+        const bool answered = reply.outcome == StoreOutcome::Done;
+        return reply.outcome == StoreOutcome::NotFound
+            || (answered && (reply.items.empty() || reply.items.front().revision != m_fencingToken));
+    }
+
+private:
+    Timers &m_timers;
+    std::uint64_t m_fencingToken;
+    std::shared_ptr<bool> m_alive;
+};
+
+}
--- a/src/plan.cpp
+++ b/src/plan.cpp
@@ -17,6 +17,22 @@
     return best;
 }
 
+Result<std::set<std::string>> parseIds(const boost::json::value *list)
+{
+    const Error damaged{ErrorCode::Invalid, "not a list of texts"};
+    if (list == nullptr || !list->is_array()) {
+        return damaged;
+    }
+    std::set<std::string> ids;
+    for (const boost::json::value &id : list->get_array()) {
+        if (!id.is_string()) {
+            return damaged;
+        }
+        ids.insert(std::string(id.get_string()));
+    }
+    return ids;
+}
+
 std::string encodeClearedNews(const ClearedNews &news)
 {
     return boost::json::serialize(
@@ -32,18 +48,11 @@
         return damaged;
     }
     const boost::json::value *revision = value.get_object().if_contains("list");
-    const boost::json::value *executors = value.get_object().if_contains("executors");
-    if (revision == nullptr || !revision->is_number() || executors == nullptr || !executors->is_array()) {
+    const auto executors = parseIds(value.get_object().if_contains("executors"));
+    if (revision == nullptr || !revision->is_number() || !executors) {
         return damaged;
     }
-    ClearedNews news;
-    news.listRevision = revision->to_number<std::uint64_t>(error);
-    for (const boost::json::value &id : executors->get_array()) {
-        if (!id.is_string()) {
-            return damaged;
-        }
-        news.executors.insert(std::string(id.as_string()));
-    }
+    const ClearedNews news{revision->to_number<std::uint64_t>(error), executors.value()};
     return error ? Result<ClearedNews>(damaged) : Result<ClearedNews>(news);
 }
 
--- a/src/plan.h
+++ b/src/plan.h
@@ -8,6 +8,8 @@
 
 #include "job.h"
 
+#include <boost/json/fwd.hpp>
+
 #include <set>
 
 namespace briarvane
@@ -73,6 +75,8 @@
     std::set<std::string> executors;  // without runs, and without new ones while they stay in the list
 };
 
+/// A list of texts as a set; an error when it is anything else.
+Result<std::set<std::string>> parseIds(const boost::json::value *list);
 std::string encodeClearedNews(const ClearedNews &news);
 Result<ClearedNews> parseClearedNews(std::string_view text);
 
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -10,10 +10,20 @@
 
 namespace json = boost::json;
 
+namespace
+{
+
+/// Instances of one kind can change places.
+std::string kindOf(const PooledInstance &one)
+{
+    return one.labels.empty() ? one.id : one.labels.front();
+}
+
+}
+
 std::string encodePoolLoad(const PoolLoad &load)
 {
     return json::serialize(json::object{{"wanted", load.wantedMilliCores},
-                                        {"long", load.longMilliCores},
                                         {"widest", load.widestStep},
                                         {"idle", json::value_from(load.idle)},
                                         {"light", json::value_from(load.light)}});
@@ -29,8 +39,8 @@
     const json::object &object = value.get_object();
     PoolLoad load;
     load.learned = now;
-    for (const auto &[name, field] : {std::pair{"wanted", &load.wantedMilliCores},
-                                      std::pair{"long", &load.longMilliCores}, std::pair{"widest", &load.widestStep}}) {
+    for (const auto &[name, field] :
+         {std::pair{"wanted", &load.wantedMilliCores}, std::pair{"widest", &load.widestStep}}) {
         const json::value *number = object.if_contains(name);
         if (number == nullptr || !number->is_int64()) {
             return Error{ErrorCode::Invalid, "a pool's load cannot be read"};
@@ -38,31 +48,15 @@
         *field = static_cast<int>(number->get_int64());
     }
     for (const auto &[name, field] : {std::pair{"idle", &load.idle}, std::pair{"light", &load.light}}) {
-        const json::value *ids = object.if_contains(name);
-        if (ids == nullptr || !ids->is_array()) {
+        const auto ids = parseIds(object.if_contains(name));
+        if (!ids) {
             return Error{ErrorCode::Invalid, "a pool's load cannot be read"};
         }
-        for (const json::value &id : ids->get_array()) {
-            if (!id.is_string()) {
-                return Error{ErrorCode::Invalid, "a pool's load cannot be read"};
-            }
-            field->insert(std::string(id.as_string()));
-        }
+        *field = ids.value();
     }
     return load;
 }
 
-namespace
-{
-
-/// Instances of one kind can change places.
-std::string kindOf(const PooledInstance &one)
-{
-    return one.labels.empty() ? one.id : one.labels.front();
-}
-
-}
-
 PoolPlanner::PoolPlanner(PoolPlannerSettings settings)
     : m_settings(settings)
 {
@@ -251,7 +245,7 @@
                 }
                 if (const std::optional<std::string> spare = sparePoolFor(one, now)) {
                     --surplus;
-                    m_moves[id] = {*spare, pool, one.executor, now, {}, false};
+                    m_moves[id] = {*spare, pool, one.executor};
                 }
             }
         }
@@ -302,7 +296,7 @@
         if (want == wants.end()) {
             continue;
         }
-        const auto [move, added] = m_moves.try_emplace(one.id, Move{want->second, one.pool, {}, now, {}, false});
+        const auto [move, added] = m_moves.try_emplace(one.id, Move{want->second, one.pool, {}});
         move->second.pool = want->second;
         if (--want->first == 0) {
             wants.erase(want);
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -38,11 +38,11 @@
 /// What the owner of a share tells about its pool.
 struct PoolLoad
 {
-    int wantedMilliCores = 0;     // running, waiting and soon ready
-    int longMilliCores = 0;       // of these, long-running
+    int wantedMilliCores = 0;  // running, waiting and soon ready
+
     int widestStep = 0;           // executors that a long-running step needs at least
     std::set<std::string> idle;   // executors without runs
-    std::set<std::string> light;  // executors with short tasks only
+    std::set<std::string> light;  // the others without long-running tasks
     TimePoint learned;
 };
 
@@ -86,7 +86,7 @@
         std::string pool;  // goal
         std::string from;
         std::string executor;  // before the move; empty when it is spare
-        TimePoint since;
+
         TimePoint orderedAt;
         bool accepted = false;
         std::uint64_t vacateRevision = 0;  // of the first stored list that names the executor; 0: none yet
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -139,6 +139,12 @@
     return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
+const StepSpec *Scheduler::findStep(const TaskName &name) const
+{
+    const auto job = m_jobs.find(name.job);
+    return job == m_jobs.end() ? nullptr : &job->second->spec.steps[static_cast<std::size_t>(name.step)];
+}
+
 Task *Scheduler::findTask(const TaskName &name, Job **job)
 {
     const auto found = m_jobs.find(name.job);
@@ -346,15 +352,20 @@
     decide("task-stopped", run.task.job,
            "task=" + name + " run=" + std::to_string(run.run) + " executor=" + executor.record.id
                + " why=" + std::string(why));
+    m_orders.push_back(orderOn(executor, OrderKind::Stop, name, run.run));
+    executor.nextHold = std::min(executor.nextHold, now + m_settings.holdPause);
+}
+
+ExecutorOrder Scheduler::orderOn(const Executor &executor, OrderKind kind, const std::string &task, int run) const
+{
     ExecutorOrder order;
-    order.kind = OrderKind::Stop;
+    order.kind = kind;
     order.executor = executor.record.id;
     order.fencingToken = m_fencingToken;
-    order.task = name;
-    order.run = run.run;
+    order.task = task;
+    order.run = run;
     order.timeout = m_settings.orderTimeout;
-    m_orders.push_back(std::move(order));
-    executor.nextHold = std::min(executor.nextHold, now + m_settings.holdPause);
+    return order;
 }
 
 void Scheduler::stopAllRuns(Job &job, TimePoint now, std::string_view why)
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -289,6 +289,8 @@
 
 private:
     Task *findTask(const TaskName &name, Job **job = nullptr);
+    const StepSpec *findStep(const TaskName &name) const;  // null when the job is gone
+    ExecutorOrder orderOn(const Executor &executor, OrderKind kind, const std::string &task, int run) const;
     void makeOccurrence(Job &job, int number);
     void openDueOccurrences(Job &job, TimePoint now, std::int64_t wallMs);
     void requeue(const TaskName &name, TimePoint retryAt);
--- a/src/scheduler_orders.cpp
+++ b/src/scheduler_orders.cpp
@@ -142,14 +142,7 @@
         if (run.state == RunState::Stopping && run.stopAnsweredAt == TimePoint{}
             && now - run.stopSentAt >= m_settings.stopRepeat) {
             run.stopSentAt = now;
-            ExecutorOrder order;
-            order.kind = OrderKind::Stop;
-            order.executor = executor.record.id;
-            order.fencingToken = m_fencingToken;
-            order.task = name;
-            order.run = run.run;
-            order.timeout = m_settings.orderTimeout;
-            m_orders.push_back(std::move(order));
+            m_orders.push_back(orderOn(executor, OrderKind::Stop, name, run.run));
         }
     }
 }
@@ -210,23 +203,18 @@
     double worst = 0;
     bool anyFilling = false;
     for (const auto &[name, run] : executor.runs) {
-        const auto found = m_jobs.find(run.task.job);
-        if (found == m_jobs.end()) {
-            continue;
-        }
-        const StepSpec &spec = found->second->spec.steps[static_cast<std::size_t>(run.task.step)];
-        anyFilling = anyFilling || spec.fills;
-        if (spec.latencyTarget.count() > 0) {
-            worst = std::max(worst, run.load * 1000 / static_cast<double>(spec.latencyTarget.count()));
+        const StepSpec *spec = findStep(run.task);
+        anyFilling = anyFilling || (spec != nullptr && spec->fills);
+        if (spec != nullptr && spec->latencyTarget.count() > 0) {
+            worst = std::max(worst, run.load * 1000 / static_cast<double>(spec->latencyTarget.count()));
         }
     }
     if (!anyFilling || !mayOrder(now)) {
         return;
     }
     for (auto &[name, run] : executor.runs) {
-        const auto found = m_jobs.find(run.task.job);
-        if (found == m_jobs.end() || run.state != RunState::Running
-            || !found->second->spec.steps[static_cast<std::size_t>(run.task.step)].fills) {
+        const StepSpec *spec = findStep(run.task);
+        if (spec == nullptr || !spec->fills || run.state != RunState::Running) {
             continue;
         }
         int wanted = run.pace;
@@ -237,14 +225,8 @@
         }
         if (wanted != run.pace) {
             run.pace = wanted;
-            ExecutorOrder order;
-            order.kind = OrderKind::Pace;
-            order.executor = executor.record.id;
-            order.fencingToken = m_fencingToken;
-            order.task = name;
-            order.run = run.run;
+            ExecutorOrder order = orderOn(executor, OrderKind::Pace, name, run.run);
             order.percent = wanted;
-            order.timeout = m_settings.orderTimeout;
             m_orders.push_back(std::move(order));
         }
     }
@@ -433,7 +415,7 @@
                 const int open = spec.count - occurrence.done[step];
                 const int cores = spec.fills ? 0 : open * spec.each.milliCores;
                 if (spec.longRunning) {
-                    load.longMilliCores += cores;
+
                     load.wantedMilliCores += cores;
                     const int limit = std::max(1, spec.perExecutorLimit);
                     load.widestStep = std::max(load.widestStep, (spec.count + limit - 1) / limit);
@@ -450,9 +432,8 @@
             continue;
         }
         const bool lasting = std::any_of(executor.runs.begin(), executor.runs.end(), [&](const auto &entry) {
-            const auto job = m_jobs.find(entry.second.task.job);
-            return job == m_jobs.end()
-                || job->second->spec.steps[static_cast<std::size_t>(entry.second.task.step)].longRunning;
+            const StepSpec *spec = findStep(entry.second.task);
+            return spec == nullptr || spec->longRunning;
         });
         if (executor.runs.empty() && now - executor.lastReport > settled) {
             load.idle.insert(id);
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -208,12 +208,14 @@
 {
     std::map<std::string_view, int> room;
     for (const auto &[id, executor] : m_executors) {
+        if (!takesWork(executor, now)) {
+            continue;
+        }
+        int &inRack = room[executor.record.rack];
         Resources after = executor.used;
         after += spec.each;
-        while (takesWork(executor, now) && after.fitsInto(executor.record.capacity)
-               && room[executor.record.rack] < spec.count) {
-            ++room[executor.record.rack];
-            after += spec.each;
+        for (; after.fitsInto(executor.record.capacity) && inRack < spec.count; after += spec.each) {
+            ++inRack;
         }
     }
     return room;
@@ -288,12 +290,10 @@
         }
         if (spec.fills || spec.latencyTarget.count() > 0) {  // kept apart: what fills disturbs what serves
             for (const auto &[name, run] : executor.runs) {
-                const auto found = m_jobs.find(run.task.job);
-                if (found == m_jobs.end()) {
-                    continue;
-                }
-                const StepSpec &other = found->second->spec.steps[static_cast<std::size_t>(run.task.step)];
-                score += other.fills != spec.fills && (other.fills || other.latencyTarget.count() > 0) ? 0.5 : 0;
+                const StepSpec *other = findStep(run.task);
+                const bool disturbs = other != nullptr && other->fills != spec.fills
+                    && (other->fills || other->latencyTarget.count() > 0);
+                score += disturbs ? 0.5 : 0;
             }
         }
         if (best == nullptr || score < bestScore) {
@@ -342,16 +342,10 @@
     const Task *task = findTask(run.task);
     run.state = RunState::Starting;
     run.sentAt = now;
-    ExecutorOrder order;
-    order.kind = OrderKind::Start;
-    order.executor = executor.record.id;
-    order.fencingToken = m_fencingToken;
-    order.task = name;
-    order.run = run.run;
+    ExecutorOrder order = orderOn(executor, OrderKind::Start, name, run.run);
     order.payload = job.spec.payload;
     order.checkpoint = step.checkpointing ? task->checkpoint : std::string();
     order.leaseUntilMs = leaseUntil(executor, now);
-    order.timeout = m_settings.orderTimeout;
     extendLease(executor, order.leaseUntilMs);
     if (executor.runs.size() == 1) {
         executor.busySince = now;
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -10,6 +10,7 @@
 #include "boot_clock.h"
 #include "job_keys.h"
 #include "log.h"
+#include "owner_life.h"
 #include "scheduler.h"
 #include "store_view.h"
 
@@ -55,31 +56,25 @@
 // [3] The owner -------------------------------------------------------------------------------------------------------
 
 template<Store S>
-class ShareOwner
+class ShareOwner : private OwnerLife
 {
 public:
     ShareOwner(S &store, Timers &timers, std::string share, std::uint64_t fencingToken, keys::Predecessor predecessor,
                ShareOwnerSettings settings, ShareOwnerHooks hooks, TimePoint acquiredAt, TimePoint provenAt)
-        : m_store(store)
+        : OwnerLife(timers, fencingToken)
+        , m_store(store)
         , m_timers(timers)
         , m_share(std::move(share))
-        , m_fencingToken(fencingToken)
         , m_settings(settings)
         , m_hooks(std::move(hooks))
         , m_scheduler(settings.scheduler, m_share, fencingToken, inheritance(predecessor, settings, acquiredAt))
         , m_jobs(
               store, timers, keys::jobs(m_share), {}, [this](const StoreItem &item) { jobChanged(item); },
               [this] { jobsRefreshed(); })
-        , m_alive(std::make_shared<bool>(true))
     {
         m_scheduler.confirmed(provenAt);
     }
-    ShareOwner(const ShareOwner &) = delete;
-    ShareOwner &operator=(const ShareOwner &) = delete;
-    ~ShareOwner()
-    {
-        *m_alive = false;
-    }
+    using OwnerLife::fencingToken;
 
     void start()
     {
@@ -113,10 +108,6 @@
     {
         return m_share;
     }
-    std::uint64_t fencingToken() const
-    {
-        return m_fencingToken;
-    }
 
 private:
     /// An owner that lost its share may go on until it notices; one that gave it back has stopped.
@@ -138,26 +129,6 @@
         return {ordersUntil, ordersUntil + lease + scheduler.leaseMargin};
     }
 
-    /// Wraps a completion so that it does nothing once the owner is gone.
-    template<class F>
-    auto guarded(F function)
-    {
-        return [alive = m_alive, function = std::move(function)](const auto &...arguments) mutable {
-            if (*alive) {
-                function(arguments...);
-            }
-        };
-    }
-
-    void later(Duration pause, std::function<void()> function)
-    {
-        m_timers.at(steadyNow() + pause, [alive = m_alive, function = std::move(function)] {
-            if (*alive) {
-                function();
-            }
-        });
-    }
-
     void lose(std::string_view why)
     {
         if (!std::exchange(m_lost, true)) {
@@ -231,7 +202,7 @@
     {
         const std::string id = item.key.substr(keys::jobs(m_share).size());
         if (item.key == keys::ownerMark(m_share)) {
-            if (item.revision > m_fencingToken) {
+            if (item.revision > fencingToken()) {
                 lose("another-owner");
             }
             return;
@@ -255,7 +226,7 @@
             return;
         }
         const auto progress = m_loadedProgress.find(id);
-        const bool inherited = item.created < m_fencingToken;
+        const bool inherited = item.created < fencingToken();
         m_scheduler.addJob(std::move(record.value().spec), item.revision,
                            progress == m_loadedProgress.end() ? nullptr : &progress->second, inherited, now,
                            wallNowMs());
@@ -268,7 +239,7 @@
             m_loadedProgress.clear();
             logEvent(LogLevel::Info, "share-loaded",
                      {{"share", m_share},
-                      {"token", std::to_string(m_fencingToken)},
+                      {"token", std::to_string(fencingToken())},
                       {"jobs", std::to_string(m_scheduler.openJobs())},
                       {"used_executors", std::to_string(m_used.size())}});
             recordExecutors();
@@ -338,7 +309,7 @@
             ids->insert(id);
         }
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         txn.writes.push_back({keys::usedExecutors(m_share), boost::json::serialize(rows), 0});
         const TimePoint sentAt = now;
         m_store.commit(txn, m_settings.storeTimeout, guarded([this, ids, sentAt](const StoreReply &reply) {
@@ -418,32 +389,26 @@
         }
         m_timers.cancel(m_wakeKey);
         m_wakeAt = steady;
-        m_wakeKey = m_timers.at(steady, [alive = m_alive, this] {
-            if (*alive) {
-                m_wakeKey = {};
-                pass();
-            }
-        });
+        m_wakeKey = m_timers.at(steady, guarded([this] {
+                                    m_wakeKey = {};
+                                    pass();
+                                }));
     }
 
     void send(const ExecutorOrder &order, TimePoint sentAt)
     {
-        m_hooks.send(
-            order,
-            [alive = m_alive, this, order, sentAt](OrderResult result, std::int64_t clockMs, const HoldReport *report) {
-                if (!*alive) {
-                    return;
-                }
-                const TimePoint now = bootNow();
-                if (order.kind != OrderKind::Hold) {
-                    m_scheduler.answered(order, result, clockMs, now);
-                } else if (report != nullptr) {
-                    m_scheduler.reported(order.executor, *report, sentAt, now);
-                } else {
-                    m_scheduler.holdFailed(order.executor, result, now);
-                }
-                wake();
-            });
+        m_hooks.send(order,
+                     guarded([this, order, sentAt](OrderResult result, std::int64_t clockMs, const HoldReport *report) {
+                         const TimePoint now = bootNow();
+                         if (order.kind != OrderKind::Hold) {
+                             m_scheduler.answered(order, result, clockMs, now);
+                         } else if (report != nullptr) {
+                             m_scheduler.reported(order.executor, *report, sentAt, now);
+                         } else {
+                             m_scheduler.holdFailed(order.executor, result, now);
+                         }
+                         wake();
+                     }));
     }
 
     // Store
@@ -473,7 +438,7 @@
             return;
         }
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         auto taken = std::make_shared<std::vector<JobWrite>>();
         constexpr std::size_t rowsPerJob = 3;
         while (!commit->left.empty() && txn.rows() + rowsPerJob <= StoreTxn::TxnRows) {
@@ -514,7 +479,7 @@
             for (const StoreItem &item : reply.items) {
                 current[item.key] = item.revision;
             }
-            if (current[keys::owner(m_share)] != m_fencingToken) {
+            if (current[keys::owner(m_share)] != fencingToken()) {
                 lose("precondition");
                 return;
             }
@@ -543,22 +508,19 @@
         const TimePoint sentAt = bootNow();
         m_store.read(keys::owner(m_share), m_settings.storeTimeout, guarded([this, sentAt](const StoreReply &reply) {
                          m_confirming = false;
-                         const bool done = reply.outcome == StoreOutcome::Done;
-                         if (reply.outcome == StoreOutcome::NotFound
-                             || (done && (reply.items.empty() || reply.items.front().revision != m_fencingToken))) {
+                         if (isDeposed(reply)) {
                              lose("ownership-key-gone");
                              return;
                          }
+                         const bool done = reply.outcome == StoreOutcome::Done;
                          if (done) {
                              m_scheduler.confirmed(sentAt);
                              wake();
                          }
                          const Duration pause = done ? m_settings.confirmPeriod : m_settings.retryPause;
-                         m_confirmKey = m_timers.at(steadyNow() + pause, [alive = m_alive, this] {
-                             if (*alive) {
-                                 m_confirmKey = {};
-                                 confirm();
-                             }
+                         m_confirmKey = later(pause, [this] {
+                             m_confirmKey = {};
+                             confirm();
                          });
                      }));
     }
@@ -570,14 +532,14 @@
         PoolLoad load = m_scheduler.load(now);
         constexpr int grain = 8000;  // milli-cores: smaller changes move no instance
         load.wantedMilliCores = (load.wantedMilliCores + grain - 1) / grain * grain;
-        load.longMilliCores = (load.longMilliCores + grain - 1) / grain * grain;
+
         std::string text = encodePoolLoad(load);
         if (text == m_publishedLoad && now - m_loadAt < m_settings.loadRefresh) {
             later(m_settings.loadPeriod, [this] { publishLoad(); });
             return;
         }
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         txn.writes.push_back({keys::load(m_share), text, 0});
         m_store.commit(txn, m_settings.storeTimeout,
                        guarded([this, text = std::move(text), now](const StoreReply &reply) {
@@ -612,7 +574,7 @@
             return;
         }
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         txn.writes.push_back({keys::waiting(m_share), text, 0});
         const TimePoint sentAt = bootNow();
         m_store.commit(txn, m_settings.storeTimeout,
@@ -639,7 +601,7 @@
         const ClearedNews news{m_vacatingRevision, {ids.begin(), ids.end()}};
         m_publishingCleared = true;
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         txn.writes.push_back({keys::cleared(m_share), encodeClearedNews(news), 0});
         m_store.commit(txn, m_settings.storeTimeout,
                        guarded([this, ids, revision = news.listRevision](const StoreReply &reply) {
@@ -658,7 +620,7 @@
     {
         const TimePoint now = bootNow();
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), m_fencingToken);
+        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         constexpr std::size_t rowsPerJob = 2;
         while (!m_final.empty() && now - m_final.front().first > m_settings.keepFinal
                && txn.rows() + rowsPerJob <= StoreTxn::TxnRows) {
@@ -683,12 +645,10 @@
     S &m_store;
     Timers &m_timers;
     std::string m_share;
-    std::uint64_t m_fencingToken;
     ShareOwnerSettings m_settings;
     ShareOwnerHooks m_hooks;
     Scheduler m_scheduler;
     StoreView<S> m_jobs;
-    std::shared_ptr<bool> m_alive;
     std::map<std::string, JobProgress> m_loadedProgress;
     std::vector<ExecutorRecord> m_listed;
     std::set<std::string> m_used;                       // recorded in the store
--- a/tests/core_features.cpp
+++ b/tests/core_features.cpp
@@ -10,17 +10,6 @@
 namespace
 {
 
-JobSpec job(const std::string &id, std::vector<StepSpec> steps)
-{
-    JobSpec spec;
-    spec.id = id;
-    spec.steps = std::move(steps);
-    spec.maxAttempts = 4;
-    spec.stretch = 2;
-    spec.targetLatency = 600ms;
-    return spec;
-}
-
 StepSpec step(int count, int milliCores, Duration estimate)
 {
     StepSpec spec;
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -102,6 +102,18 @@
     Removed removed;
 };
 
+/// A job of these steps with four attempts.
+inline JobSpec job(const std::string &id, std::vector<StepSpec> steps)
+{
+    JobSpec spec;
+    spec.id = id;
+    spec.steps = std::move(steps);
+    spec.maxAttempts = 4;
+    spec.stretch = 2;
+    spec.targetLatency = 600ms;
+    return spec;
+}
+
 class World
 {
 public:
