--- a/tests/chaos.cpp
+++ b/tests/chaos.cpp
@@ -593,7 +593,7 @@
     fleetOptions.bin = std::filesystem::absolute(options.bin).string();
     fleetOptions.work
         = (std::filesystem::temp_directory_path() / ("briarvane-chaos-" + std::to_string(::getpid()))).string();
-    
+
     fleetOptions.entries = options.entries;
     std::filesystem::create_directories(fleetOptions.work);
     for (const std::string pool : {"quotes", "stems", "documents"}) {
