Meet the users' protocol with a stand-in, and run jobs through three entries

Its clients in platform/ had no test with a peer, `make demo` ran no job, and no run of ours showed a refused, a failed and a late job in the logs.

Ruled out: letting the old platform stand-in speak both protocols (two protocols in one class, with one store under two sets of rules); a second model of an executor in the stand-in (it would drift from the one that the histories of core_scheduler use).

Change: tests/standin_deployment (store, executors, machines API); the executor of the model is a file of its own, driven in virtual time by the model and in real time by the stand-in; the HTTP of both stand-ins is one file. run_deployment tests the three clients and that the stand-in's judge sees what it must. job_demo runs three entries with one killed, a wave, a crash, lost answers and a store outage, and follows three jobs through the logs; it is a test, also under the address sanitizer.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 demo: build
 	@$(BUILD)/demo --bin $(BUILD)
+	@$(BUILD)/job_demo --bin $(BUILD)
 
 # Measures the slopes of docs/CAPACITY.md and draws its plot.
 capacity: build
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -4,13 +4,12 @@
 // executors with fences and leases, owners that die, freeze and are deposed. It checks the promises after each event.
 //
 // Index
-// [1] Executors
-// [2] Store
-// [3] The world
+// [1] Store
+// [2] The world
 
+#include "model_executor.h"
 #include "scheduler.h"
 
-#include <deque>
 #include <queue>
 #include <random>
 #include <set>
@@ -21,58 +20,7 @@
 
 using namespace std::chrono_literals;
 
-/// Mechanisms that can be taken away, to see that the checks notice.
-struct Removed
-{
-    bool fence = false;         // executors take orders with any token
-    bool precondition = false;  // the store takes writes of deposed owners
-    bool runNumber = false;     // executors take a run that they have stopped
-    bool storeFirst = false;    // ends are forgotten by executors as soon as they are reported
-    bool leaseBound = false;    // executors keep runs whose lease has lapsed
-};
-
-// [1] Executors -------------------------------------------------------------------------------------------------------
-
-struct ModelRun
-{
-    int run = 0;
-    Resources held;
-    TimePoint startedAt;
-    TimePoint endsAt;
-    bool fails = false;
-    bool stopping = false;
-    TimePoint stoppedAt;
-    bool saves = false;  // writes a checkpoint every second
-    int percent = 100;   // pace
-
-    std::string checkpoint(TimePoint now) const
-    {
-        const auto saved = std::chrono::floor<std::chrono::seconds>(now - startedAt).count();
-        return saves && saved > 0 ? "after " + std::to_string(saved) + " s" : std::string();
-    }
-};
-
-struct ModelExecutor
-{
-    ExecutorRecord record;
-    bool up = true;
-    bool dark = false;  // runs on, nobody reaches it
-    TimePoint bornAt;
-    double rate = 1;  // of its clock
-    std::uint64_t fence = 0;
-    std::uint64_t nextEnd = 1;
-    std::int64_t leaseMs = 0;
-    std::map<std::string, ModelRun> runs;
-    std::deque<EndReport> ended;
-    std::map<std::string, int> lowest;  // runs up to this one are not taken any more
-
-    std::int64_t clockMs(TimePoint now) const
-    {
-        return 1000 + static_cast<std::int64_t>(rate * static_cast<double>((now - bornAt).count()) / 1000);
-    }
-};
-
-// [2] Store -----------------------------------------------------------------------------------------------------------
+// [1] Store -----------------------------------------------------------------------------------------------------------
 
 struct ModelStore
 {
@@ -89,7 +37,7 @@
     bool down = false;
 };
 
-// [3] The world -------------------------------------------------------------------------------------------------------
+// [2] The world -------------------------------------------------------------------------------------------------------
 
 struct WorldSettings
 {
@@ -209,9 +157,7 @@
     {
         ModelExecutor &one = executor(index);
         note("crash of " + one.record.id);
-        one.up = false;
-        one.runs.clear();
-        one.ended.clear();
+        one.crash();
     }
     /// Under the same id, knowing nothing. A process takes some time to start.
     void rebirth(int index)
@@ -225,15 +171,7 @@
     {
         ModelExecutor &one = executor(index);
         note("rebirth of " + one.record.id);
-        one.up = true;
-        one.bornAt = m_now;
-        one.record.born = unixMs(m_now);
-        one.runs.clear();
-        one.ended.clear();
-        one.lowest.clear();
-        one.fence = 0;
-        one.nextEnd = 1;
-        one.leaseMs = 0;
+        one.bear(m_now, unixMs(m_now));
     }
     void setStoreDown(bool down)
     {
@@ -474,71 +412,25 @@
             if (!one.up) {
                 continue;
             }
-            if (!m_settings.removed.leaseBound && !one.runs.empty() && one.clockMs(m_now) > one.leaseMs) {
-                for (const auto &[task, run] : one.runs) {
-                    one.ended.push_back({one.nextEnd++, task, run.run, RunEnd::Lapsed, {}});
-                }
-                one.runs.clear();
-            }
-            for (auto run = one.runs.begin(); run != one.runs.end();) {
-                const bool stopped = run->second.stopping && m_now >= run->second.stoppedAt;
-                if (!stopped && (run->second.stopping || m_now < run->second.endsAt)) {
-                    ++run;
-                    continue;
-                }
-                const RunEnd how = stopped ? RunEnd::Stopped : run->second.fails ? RunEnd::Failed : RunEnd::Done;
-                one.ended.push_back({one.nextEnd++, run->first, run->second.run, how,
-                                     how == RunEnd::Done ? std::string() : run->second.checkpoint(m_now)});
-                note("ended " + run->first + " run " + std::to_string(run->second.run) + " on " + id + " "
+            one.advance(m_now, m_settings.removed, [&](const std::string &task, const ModelRun &run, RunEnd how) {
+                note("ended " + task + " run " + std::to_string(run.run) + " on " + id + " "
                      + std::string(toString(how)));
-                one.lowest[run->first] = std::max(one.lowest[run->first], run->second.run);
                 if (how == RunEnd::Done) {
-                    m_doneAt[run->first].insert({id, one.nextEnd - 1});
+                    m_doneAt[task].insert({id, one.nextEnd - 1});
                 }
-                run = one.runs.erase(run);
-            }
+            });
         }
     }
 
     OrderResult carryOut(const ExecutorOrder &order)
     {
         ModelExecutor &one = m_executors.at(order.executor);
-        if (order.fencingToken < one.fence && !m_settings.removed.fence) {
-            return OrderResult::Fenced;
-        }
-        one.fence = std::max(one.fence, order.fencingToken);
-        if (order.kind == OrderKind::Start) {
-            return startRun(one, order);
-        }
-        if (order.kind == OrderKind::Pace) {
-            if (const auto run = one.runs.find(order.task); run != one.runs.end() && run->second.run == order.run) {
-                run->second.percent = order.percent;
-            }
-        }
-        if (order.kind == OrderKind::Stop) {
-            one.lowest[order.task] = std::max(one.lowest[order.task], order.run);
-            const auto run = one.runs.find(order.task);
-            if (run != one.runs.end() && run->second.run <= order.run && !run->second.stopping) {
-                run->second.stopping = true;
-                run->second.stoppedAt = m_now + 200ms;
-            }
-        }
-        return OrderResult::Done;
+        return one.carryOut(order, m_now, m_settings.removed,
+                            [this, &one](const ExecutorOrder &start) { return makeRun(one, start); });
     }
 
-    OrderResult startRun(ModelExecutor &one, const ExecutorOrder &order)
+    ModelRun makeRun(const ModelExecutor &one, const ExecutorOrder &order)
     {
-        if (order.leaseUntilMs < one.clockMs(m_now)) {
-            return OrderResult::Late;
-        }
-        one.leaseMs = std::max(one.leaseMs, std::min(order.leaseUntilMs, one.clockMs(m_now) + 6000));
-        const auto known = one.runs.find(order.task);
-        if (known != one.runs.end() && known->second.run == order.run) {
-            return OrderResult::Done;
-        }
-        if (!m_settings.removed.runNumber && order.run <= one.lowest[order.task]) {
-            return OrderResult::Superseded;
-        }
         checkStart(one, order);
         const auto name = parseTaskName(order.task);
         const StepSpec &step = m_specs.at(name->job).steps[static_cast<std::size_t>(name->step)];
@@ -549,12 +441,11 @@
         run.endsAt = step.longRunning ? TimePoint::max() : m_now + step.estimate + between(0ms, 200ms);
         run.fails = chance() < m_settings.failingRuns;
         run.saves = step.checkpointing;
-        one.runs[order.task] = run;
         m_startedFrom[order.task] = order.checkpoint;
         note("started " + order.task + " run " + std::to_string(order.run) + " on " + one.record.id + " token "
              + std::to_string(order.fencingToken));
         ++m_starts;
-        return OrderResult::Done;
+        return run;
     }
 
     void checkStart(const ModelExecutor &one, const ExecutorOrder &order)
@@ -601,37 +492,10 @@
     {
         note("hold on " + one.record.id + ". token " + std::to_string(order.fencingToken) + " observed "
              + std::to_string(order.observed) + " of " + std::to_string(one.nextEnd - 1) + (m_late ? " late" : ""));
-        while (!one.ended.empty() && one.ended.front().number <= order.observed) {
-            const EndReport &end = one.ended.front();
-            if (end.how == RunEnd::Done) {
-                m_doneNoted.insert(end.task);
-                note("noted " + end.task + " on " + one.record.id + " token " + std::to_string(order.fencingToken));
-            }
-            one.ended.pop_front();
-        }
-        if (order.leaseUntilMs > 0) {
-            one.leaseMs = std::max(one.leaseMs, std::min(order.leaseUntilMs, one.clockMs(m_now) + 6000));
-        }
-        HoldReport report;
-        report.clockMs = one.clockMs(m_now);
-        report.born = one.record.born;
-        for (const auto &[task, run] : one.runs) {
-            if (!run.stopping) {
-                report.running.push_back({task, run.run, run.checkpoint(m_now),
-                                          m_now >= run.startedAt + m_startup ? 100 : 50,
-                                          run.held.milliCores > 0 ? m_tail : 0});
-            }
-        }
-        report.ended.assign(one.ended.begin(), one.ended.end());
-        if (m_settings.removed.storeFirst) {
-            for (const EndReport &end : one.ended) {
-                if (end.how == RunEnd::Done) {
-                    m_doneNoted.insert(end.task);
-                }
-            }
-            one.ended.clear();
-        }
-        return report;
+        return one.report(order, m_now, m_startup, m_tail, m_settings.removed, [&](const std::string &task) {
+            m_doneNoted.insert(task);
+            note("noted " + task + " on " + one.record.id + " token " + std::to_string(order.fencingToken));
+        });
     }
 
     // Owners
@@ -757,13 +621,11 @@
             after(order.timeout, [this, token, order] { answer(token, order, OrderResult::Unanswered, nullptr, {}); });
             return;
         }
-        if (order.fencingToken < one.fence && !m_settings.removed.fence) {
+        if (!one.admits(order, m_settings.removed)) {
             after(1ms, [this, token, order] { answer(token, order, OrderResult::Fenced, nullptr, {}); });
             return;
         }
-        one.fence = std::max(one.fence, order.fencingToken);
-        const bool news = !one.ended.empty() && one.ended.back().number > order.observed;
-        if (!news && m_now < until) {
+        if (!one.hasNews(order) && m_now < until) {
             after(10ms, [this, token, order, sentAt, until, born] { holdUntilEnd(token, order, sentAt, until, born); });
             return;
         }
--- /dev/null
+++ b/tests/job_demo.cpp
@@ -0,0 +1,505 @@
+// Jobs on the users' platform, as separate processes on loopback: stand-in of a deployment, three `briarvane serve`,
+// callers. One entry is killed, instances crash, a wave comes, the store fails for a while. Prints a table a queue,
+// follows one refused, one failed and one late job through the logs, and fails when a promise broke.
+
+#include "harness.h"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <mutex>
+#include <random>
+#include <thread>
+
+using harness::Response;
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr int Entries = 3;
+constexpr int CallMs = 3000;        // of one call
+constexpr int EndLimitMs = 60'000;  // until all accepted jobs have ended; only a job that is stuck reaches it
+
+struct Kind
+{
+    std::string queue;
+    std::string service;
+    std::string payload;
+    std::string steps;  // JSON
+    int perSecond = 0;
+    int targetMs = 600;  // latency objective, beyond the longest chain
+    double stretch = 2;
+};
+
+const Kind Kinds[] = {
+    {"rosters", "vendors", "work_ms=300 cpu=900 fails=3", R"([{"count":4,"cpu":900,"mem_mb":64,"estimate_ms":300}])",
+     5},
+    {"sugar", "supplies", "work_ms=500 cpu=1500 fails=3",
+     R"([{"count":3,"cpu":1500,"mem_mb":64,"estimate_ms":500},{"count":3,"cpu":1500,"mem_mb":64,"estimate_ms":500,)"
+     R"("after":[0]}])",
+     2},
+    // Every run fails, so that these end as failed after their attempts.
+    {"audits", "supplies", "work_ms=200 cpu=500 fails=100", R"([{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":200}])",
+     1},
+    // No objective can be met with two rounds of work where one is declared.
+    {"late", "vendors", "work_ms=1500 cpu=900", R"([{"count":1,"cpu":900,"mem_mb":64,"estimate_ms":100}])", 1, 50, 1},
+};
+
+enum class Acceptance { Accepted, Refused, Unknown };
+
+struct JobCall
+{
+    std::string id;
+    const Kind *kind = nullptr;
+    Acceptance acceptance = Acceptance::Unknown;
+    std::string state;
+};
+
+class Deployment
+{
+public:
+    Deployment(std::string bin, std::string work, unsigned seed)
+        : m_bin(std::move(bin))
+        , m_work(std::move(work))
+        , m_seed(seed)
+    {
+    }
+
+    bool start()
+    {
+        m_standIn = harness::Process({m_bin + "/standin_deployment", "--store-port", std::to_string(storePort()),
+                                      "--machines-port", std::to_string(machinesPort()), "--executor-port",
+                                      std::to_string(m_ports.first() + 40), "--pools", "vendors,supplies,spare",
+                                      "--per-pool", "4", "--spare", "spare", "--seed", std::to_string(m_seed)},
+                                     {}, m_work + "/deployment.log");
+        return waitStatus(machinesPort(), "/machines", 200);
+    }
+    void startEntry(int index)
+    {
+        const std::string ip = "127.0.0.1:";
+        const std::string number = std::to_string(index);
+        m_entries[index] = harness::Process(
+            {m_bin + "/briarvane", "serve", "--node", "e" + number, "--data-centre", "dc-" + number, "--listen",
+             ip + std::to_string(callerPort(index)), "--readiness", ip + std::to_string(readinessPort(index)),
+             "--store", ip + std::to_string(storePort()), "--machines", ip + std::to_string(machinesPort())},
+            {}, logFile(index, ++m_starts[index]));
+    }
+    bool waitReady(int index) const
+    {
+        return waitStatus(readinessPort(index), "/ready", 200);
+    }
+    harness::Process &entry(int index)
+    {
+        return m_entries[index];
+    }
+    /// Every line that the entries have written about the job, by time.
+    std::vector<std::string> linesAbout(const std::string &job) const
+    {
+        std::vector<std::string> lines;
+        for (int index = 0; index < Entries; ++index) {
+            for (int number = 1; number <= m_starts[index]; ++number) {
+                std::ifstream file(logFile(index, number));
+                for (std::string line; std::getline(file, line);) {
+                    if (line.find(job) != std::string::npos) {
+                        lines.push_back(std::move(line));
+                    }
+                }
+            }
+        }
+        std::sort(lines.begin(), lines.end());
+        return lines;
+    }
+    Response call(int entry, const std::string &method, const Kind &kind, const std::string &id,
+                  const std::string &body) const
+    {
+        return harness::request(callerPort(entry), method, "/" + kind.queue + "/" + id, {{"Host", "demo.example"}},
+                                body, CallMs);
+    }
+    Response control(const std::string &method, const std::string &target, const std::string &body = {}) const
+    {
+        return harness::request(machinesPort(), method, target, {}, body, CallMs);
+    }
+
+private:
+    std::uint16_t storePort() const
+    {
+        return m_ports.first();
+    }
+    std::uint16_t machinesPort() const
+    {
+        return static_cast<std::uint16_t>(m_ports.first() + 1);
+    }
+    std::uint16_t callerPort(int index) const
+    {
+        return static_cast<std::uint16_t>(m_ports.first() + 10 + 2 * index);
+    }
+    std::uint16_t readinessPort(int index) const
+    {
+        return static_cast<std::uint16_t>(callerPort(index) + 1);
+    }
+    std::string logFile(int index, int number) const
+    {
+        return m_work + "/entry-" + std::to_string(index) + "-" + std::to_string(number) + ".log";
+    }
+    static bool waitStatus(std::uint16_t port, const std::string &target, int status)
+    {
+        constexpr int tries = 400;
+        constexpr std::chrono::milliseconds pause{50};
+        for (int i = 0; i < tries; ++i) {
+            if (harness::request(port, "GET", target, {}, "", CallMs).status == status) {
+                return true;
+            }
+            std::this_thread::sleep_for(pause);
+        }
+        std::cerr << "port " << port << " does not answer " << target << " with " << status << '\n';
+        return false;
+    }
+
+    std::string m_bin;
+    std::string m_work;
+    unsigned m_seed = 1;
+    harness::PortBlock m_ports;
+    harness::Process m_standIn;
+    harness::Process m_entries[Entries];
+    int m_starts[Entries] = {};
+};
+
+std::string configuration()
+{
+    json::array routes;
+    for (const Kind &kind : Kinds) {
+        routes.push_back(json::object{{"name", kind.queue},
+                                      {"host", "demo.example"},
+                                      {"prefix", "/" + kind.queue + "/"},
+                                      {"service", kind.service},
+                                      {"timeout_ms", CallMs},
+                                      {"max_attempts", 4},
+                                      {"stretch", kind.stretch},
+                                      {"target_latency_ms", kind.targetMs}});
+    }
+    json::array services;
+    for (const std::string name : {"vendors", "supplies", "spare"}) {
+        services.push_back(json::object{{"name", name}, {"max_conns", 8}, {"spare", name == "spare"}});
+    }
+    return json::serialize(json::object{
+        {"version", 1}, {"routes", routes}, {"services", services}, {"limits", json::object{{"body_bytes", 65'536}}}});
+}
+
+std::string newId(std::mt19937_64 &random)
+{
+    std::ostringstream text;
+    text << std::hex << std::setw(16) << std::setfill('0') << random();
+    return text.str();
+}
+
+/// A caller that is unsure asks again with the same id, through the next entry. A refusal is not asked again, so that
+/// the run can show that a refused job never runs.
+Acceptance submit(const Deployment &deployment, const Kind &kind, const std::string &id, int entry)
+{
+    constexpr int tries = 5;
+    const std::string body = R"({"spec":")" + kind.payload + R"(","steps":)" + kind.steps + "}";
+    bool unsure = false;
+    for (int i = 0; i < tries; ++i) {
+        const Response response = deployment.call((entry + i) % Entries, "POST", kind, id, body);
+        if (response.status == 200) {
+            return Acceptance::Accepted;
+        }
+        if (response.status == 503 && !unsure) {
+            return Acceptance::Refused;
+        }
+        unsure = unsure || response.status == 504 || (response.status == 0 && response.connected);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return unsure ? Acceptance::Unknown : Acceptance::Refused;
+}
+
+struct Calls
+{
+    std::mutex mutex;
+    std::vector<JobCall> all;
+};
+
+void callerLoop(const Deployment &deployment, const Kind &kind, unsigned seed,
+                std::chrono::steady_clock::time_point end, Calls &calls)
+{
+    std::mt19937_64 random(seed);
+    std::vector<std::thread> waiting;
+    while (std::chrono::steady_clock::now() < end) {
+        const std::string id = newId(random);
+        const int entry = static_cast<int>(random() % Entries);
+        waiting.emplace_back([&deployment, &kind, &calls, id, entry] {
+            const Acceptance acceptance = submit(deployment, kind, id, entry);
+            const std::lock_guard lock(calls.mutex);
+            calls.all.push_back({id, &kind, acceptance, {}});
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(1000 / kind.perSecond));
+    }
+    for (std::thread &thread : waiting) {
+        thread.join();
+    }
+}
+
+/// Asks for the states of accepted jobs until all are final; false when some are not in time.
+bool awaitEnds(const Deployment &deployment, std::vector<JobCall> &calls)
+{
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::milliseconds(EndLimitMs);
+    while (std::chrono::steady_clock::now() < limit) {
+        int open = 0;
+        for (JobCall &call : calls) {
+            const bool ended = call.state == "completed" || call.state == "failed";
+            if (ended || call.acceptance != Acceptance::Accepted) {
+                continue;
+            }
+            const Response response = deployment.call(1, "GET", *call.kind, call.id, {});
+            boost::system::error_code error;
+            const json::value body = json::parse(response.body, error);
+            if (response.status == 200 && !error) {
+                call.state = std::string(body.at("state").as_string());
+            }
+            open += call.state == "completed" || call.state == "failed" ? 0 : 1;
+        }
+        if (open == 0) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    return false;
+}
+
+struct Row
+{
+    int accepted = 0;
+    int refused = 0;
+    int unknown = 0;
+    int completed = 0;
+    int failed = 0;
+    int inTime = 0;
+    int tasks = 0;
+    int runs = 0;
+    int mostRuns = 0;  // of one task
+};
+
+/// The promises that this run can judge, from what callers and executors saw.
+class Verdict
+{
+public:
+    void require(bool held, const std::string &what)
+    {
+        if (!held) {
+            std::cout << "BROKEN: " << what << '\n';
+            m_held = false;
+        }
+    }
+    bool held() const
+    {
+        return m_held;
+    }
+
+private:
+    bool m_held = true;
+};
+
+Row judge(const Deployment &deployment, const std::vector<JobCall> &calls, const Kind &kind, const json::object &tasks,
+          Verdict &verdict)
+{
+    Row row;
+    for (const JobCall &call : calls) {
+        if (call.kind != &kind) {
+            continue;
+        }
+        row.accepted += call.acceptance == Acceptance::Accepted ? 1 : 0;
+        row.refused += call.acceptance == Acceptance::Refused ? 1 : 0;
+        row.unknown += call.acceptance == Acceptance::Unknown ? 1 : 0;
+        row.completed += call.state == "completed" ? 1 : 0;
+        row.failed += call.state == "failed" ? 1 : 0;
+        int declared = 0;
+        const json::value steps = json::parse(kind.steps);
+        for (const json::value &step : steps.as_array()) {
+            declared += static_cast<int>(step.at("count").as_int64());
+        }
+        int done = 0;
+        int seen = 0;
+        for (auto it = tasks.begin(); it != tasks.end(); ++it) {
+            if (!std::string_view(it->key()).starts_with(call.id)) {
+                continue;
+            }
+            const int starts = static_cast<int>(it->value().at("starts").as_int64());
+            ++seen;
+            done += it->value().at("done").as_bool() ? 1 : 0;
+            row.runs += starts;
+            row.mostRuns = std::max(row.mostRuns, starts);
+        }
+        row.tasks += seen;
+        verdict.require(call.acceptance != Acceptance::Refused || seen == 0, "job " + call.id + " ran though refused");
+        verdict.require(call.state != "completed" || done == declared,
+                        "job " + call.id + " is shown as completed with " + std::to_string(done) + " of "
+                            + std::to_string(declared) + " tasks done");
+        if (!call.state.empty()) {
+            for (const std::string &line : deployment.linesAbout(call.id)) {
+                if (line.find("event=job-ended") != std::string::npos
+                    && line.find("in_time=yes") != std::string::npos) {
+                    ++row.inTime;
+                    break;
+                }
+            }
+        }
+    }
+    return row;
+}
+
+void printTable(const std::vector<std::pair<std::string, Row>> &rows)
+{
+    constexpr int nameWidth = 10;
+    constexpr int width = 11;
+    std::cout << '\n' << std::left << std::setw(nameWidth) << "queue" << std::right;
+    for (const char *column :
+         {"accepted", "refused", "unknown", "completed", "failed", "in time", "tasks", "runs", "most runs"}) {
+        std::cout << std::setw(width) << column;
+    }
+    std::cout << '\n';
+    for (const auto &[name, row] : rows) {
+        std::cout << std::left << std::setw(nameWidth) << name << std::right;
+        for (const int value : {row.accepted, row.refused, row.unknown, row.completed, row.failed, row.inTime,
+                                row.tasks, row.runs, row.mostRuns}) {
+            std::cout << std::setw(width) << value;
+        }
+        std::cout << '\n';
+    }
+    std::cout << '\n';
+}
+
+/// What the logs say about the first such job; `mark` must stand in one of its lines.
+template<class F>
+void follow(const Deployment &deployment, const std::vector<JobCall> &calls, const std::string &title,
+            const std::string &mark, Verdict &verdict, F matches)
+{
+    for (const JobCall &call : calls) {
+        if (!matches(call)) {
+            continue;
+        }
+        const std::vector<std::string> lines = deployment.linesAbout(call.id);
+        const bool told = std::any_of(lines.begin(), lines.end(), [&mark](const std::string &line) {
+            return line.find(mark) != std::string::npos;
+        });
+        if (!told && title == "late") {
+            continue;  // this one came in time
+        }
+        std::cout << "a " << title << " job, $ grep " << call.id << " logs | sort\n";
+        for (const std::string &line : lines) {
+            std::cout << "    " << line << '\n';
+        }
+        verdict.require(told, "no log line says why job " + call.id + " was " + title);
+        return;
+    }
+    verdict.require(false, "this run has no " + title + " job");
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    std::string bin = "build/release";
+    int seconds = 12;
+    unsigned seed = 20261204;
+    CLI::App app("Jobs through three entries, one of them killed");
+    app.add_option("--bin", bin, "folder of the programs")->capture_default_str();
+    app.add_option("--seconds", seconds, "how long jobs come in")->check(CLI::Range(8, 3600))->capture_default_str();
+    app.add_option("--seed", seed, "seed of ids, entries and durations")->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+
+    const std::string work
+        = (std::filesystem::temp_directory_path() / ("briarvane-jobs-" + std::to_string(::getpid()))).string();
+    std::filesystem::create_directories(work);
+    std::cout << "three entries, 12 instances in 3 pools; logs in " << work << std::endl;
+    Deployment deployment(std::filesystem::absolute(bin).string(), work, seed);
+    if (!deployment.start()) {
+        return 1;
+    }
+    Verdict verdict;
+    verdict.require(deployment.control("PUT", "/test/put?key=op/config", configuration()).status == 200,
+                    "the configuration was not stored");
+    for (int index = 0; index < Entries; ++index) {
+        deployment.startEntry(index);
+    }
+    for (int index = 0; index < Entries; ++index) {
+        verdict.require(deployment.waitReady(index), "entry " + std::to_string(index) + " did not become ready");
+    }
+
+    Calls calls;
+    const auto begun = std::chrono::steady_clock::now();
+    const auto at = [begun, seconds](double share) {
+        std::this_thread::sleep_until(begun + std::chrono::milliseconds(static_cast<int>(share * 1000 * seconds)));
+    };
+    std::vector<std::thread> callers;
+    for (const Kind &kind : Kinds) {
+        callers.emplace_back(
+            [&deployment, &kind, &calls, callerSeed = ++seed, end = begun + std::chrono::seconds(seconds)] {
+                callerLoop(deployment, kind, callerSeed, end, calls);
+            });
+    }
+    at(0.2);
+    std::cout << "entry 0 is killed" << std::endl;
+    deployment.entry(0).signal(SIGKILL);
+    at(0.35);
+    std::cout << "a wave over two instances comes, a third instance crashes" << std::endl;
+    const std::string wave = R"({"wave":1,"machines":["vendors-0","supplies-1"],"within_s":30,"cap":1})";
+    verdict.require(deployment.control("PUT", "/test/put?key=op/wave/1", wave).status == 200,
+                    "the wave was not stored");
+    deployment.control("POST", "/test/crash?instance=vendors-2");
+    at(0.5);
+    deployment.startEntry(0);
+    at(0.6);
+    std::cout << "the store loses the answers of five writes, then fails for 1.5 s" << std::endl;
+    deployment.control("POST", "/test/store?lose_answers=5");
+    at(0.7);
+    deployment.control("POST", "/test/store?down=1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    deployment.control("POST", "/test/store?down=0&compact=1");
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    verdict.require(awaitEnds(deployment, calls.all), "accepted jobs did not end");
+    for (int index = 0; index < Entries; ++index) {
+        verdict.require(deployment.entry(index).wait(0) == std::nullopt,
+                        "entry " + std::to_string(index) + " ended by itself");
+    }
+    constexpr int waveTries = 100;
+    std::string waveState;
+    for (int i = 0; i < waveTries && waveState.find("completed") == std::string::npos; ++i) {
+        waveState = deployment.control("GET", "/test/value?key=status/wave/1").body;
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    verdict.require(waveState.find("completed") != std::string::npos, "the wave was not completed: " + waveState);
+
+    boost::system::error_code error;
+    const json::value record = json::parse(deployment.control("GET", "/test/record").body, error);
+    if (error) {
+        std::cerr << "the stand-in gave no record of runs\n";
+        return 1;
+    }
+    for (const json::value &broken : record.at("broken").as_array()) {
+        verdict.require(false, std::string(broken.as_string()));
+    }
+    std::vector<std::pair<std::string, Row>> rows;
+    for (const Kind &kind : Kinds) {
+        rows.emplace_back(kind.queue, judge(deployment, calls.all, kind, record.at("tasks").as_object(), verdict));
+        verdict.require(rows.back().second.accepted > 0, "no job of " + kind.queue + " was accepted");
+    }
+    printTable(rows);
+    std::cout << "instances moved: " << record.at("moves") << ", maintained: " << record.at("maintained")
+              << ", promises broken at executors: " << record.at("broken").as_array().size() << "\n\n";
+    follow(deployment, calls.all, "refused", "outcome=refused", verdict,
+           [](const JobCall &call) { return call.acceptance == Acceptance::Refused; });
+    follow(deployment, calls.all, "failed", "event=task-failed", verdict,
+           [](const JobCall &call) { return call.state == "failed"; });
+    follow(deployment, calls.all, "late", "in_time=no", verdict,
+           [](const JobCall &call) { return call.state == "completed"; });
+    std::cout << (verdict.held() ? "every promise checked in this run held\n" : "") << std::flush;
+    return verdict.held() ? 0 : 1;
+}
--- /dev/null
+++ b/tests/model_executor.h
@@ -0,0 +1,212 @@
+#pragma once
+
+// One executor as the users' pages describe it: fencing tokens, run numbers, leases on its own clock, numbered ends.
+// The model of the fleet drives it in virtual time, the stand-in of a deployment in real time.
+
+#include "executor.h"
+
+#include <chrono>
+#include <deque>
+#include <map>
+
+namespace briarvane::model
+{
+
+/// Mechanisms that can be taken away, to see that the checks notice.
+struct Removed
+{
+    bool fence = false;         // executors take orders with any token
+    bool precondition = false;  // the store takes writes of deposed owners
+    bool runNumber = false;     // executors take a run that they have stopped
+    bool storeFirst = false;    // ends are forgotten by executors as soon as they are reported
+    bool leaseBound = false;    // executors keep runs whose lease has lapsed
+};
+
+struct ModelRun
+{
+    int run = 0;
+    Resources held;
+    TimePoint startedAt;
+    TimePoint endsAt;
+    bool fails = false;
+    bool stopping = false;
+    TimePoint stoppedAt;
+    bool saves = false;  // writes a checkpoint every second
+    int percent = 100;   // pace
+
+    std::string checkpoint(TimePoint now) const
+    {
+        const auto saved = std::chrono::floor<std::chrono::seconds>(now - startedAt).count();
+        return saves && saved > 0 ? "after " + std::to_string(saved) + " s" : std::string();
+    }
+};
+
+struct ModelExecutor
+{
+    static constexpr std::int64_t LongestLeaseMs = 6000;  // as the shorter one of the users' two sites
+    static constexpr Duration StopTime{200'000};          // from the order to the end
+
+    ExecutorRecord record;
+    bool up = true;
+    bool dark = false;  // runs on, nobody reaches it
+    TimePoint bornAt;
+    double rate = 1;  // of its clock
+    std::uint64_t fence = 0;
+    std::uint64_t nextEnd = 1;
+    std::int64_t leaseMs = 0;
+    std::map<std::string, ModelRun> runs;
+    std::deque<EndReport> ended;
+    std::map<std::string, int> lowest;  // runs up to this one are not taken any more
+
+    std::int64_t clockMs(TimePoint now) const
+    {
+        return 1000 + static_cast<std::int64_t>(rate * static_cast<double>((now - bornAt).count()) / 1000);
+    }
+
+    void crash()
+    {
+        up = false;
+        runs.clear();
+        ended.clear();
+    }
+
+    /// A new incarnation, which knows nothing.
+    void bear(TimePoint now, std::int64_t unixMs)
+    {
+        up = true;
+        bornAt = now;
+        record.born = unixMs;
+        runs.clear();
+        ended.clear();
+        lowest.clear();
+        fence = 0;
+        nextEnd = 1;
+        leaseMs = 0;
+    }
+
+    /// Ends what is over by now; calls `ended(task, run, how)` for what came to an end other than by its lease.
+    template<class F>
+    void advance(TimePoint now, const Removed &removed, F noteEnd)
+    {
+        if (!removed.leaseBound && !runs.empty() && clockMs(now) > leaseMs) {
+            for (const auto &[task, run] : runs) {
+                ended.push_back({nextEnd++, task, run.run, RunEnd::Lapsed, {}});
+            }
+            runs.clear();
+        }
+        for (auto run = runs.begin(); run != runs.end();) {
+            const bool stopped = run->second.stopping && now >= run->second.stoppedAt;
+            if (!stopped && (run->second.stopping || now < run->second.endsAt)) {
+                ++run;
+                continue;
+            }
+            const RunEnd how = stopped ? RunEnd::Stopped : run->second.fails ? RunEnd::Failed : RunEnd::Done;
+            ended.push_back({nextEnd++, run->first, run->second.run, how,
+                             how == RunEnd::Done ? std::string() : run->second.checkpoint(now)});
+            lowest[run->first] = std::max(lowest[run->first], run->second.run);
+            noteEnd(run->first, run->second, how);
+            run = runs.erase(run);
+        }
+    }
+
+    /// A start, a stop or a pace. `makeRun(order)` gives what a start that is taken runs.
+    template<class F>
+    OrderResult carryOut(const ExecutorOrder &order, TimePoint now, const Removed &removed, F makeRun)
+    {
+        if (!admits(order, removed)) {
+            return OrderResult::Fenced;
+        }
+        if (order.kind == OrderKind::Start) {
+            return start(order, now, removed, makeRun);
+        }
+        const auto run = runs.find(order.task);
+        if (order.kind == OrderKind::Pace && run != runs.end() && run->second.run == order.run) {
+            run->second.percent = order.percent;
+        }
+        if (order.kind == OrderKind::Stop) {
+            lowest[order.task] = std::max(lowest[order.task], order.run);
+            if (run != runs.end() && run->second.run <= order.run && !run->second.stopping) {
+                run->second.stopping = true;
+                run->second.stoppedAt = now + StopTime;
+            }
+        }
+        return OrderResult::Done;
+    }
+
+    /// Whether the order's fencing token is not below the highest one seen, which it becomes.
+    bool admits(const ExecutorOrder &order, const Removed &removed)
+    {
+        if (order.fencingToken < fence && !removed.fence) {
+            return false;
+        }
+        fence = std::max(fence, order.fencingToken);
+        return true;
+    }
+
+    bool hasNews(const ExecutorOrder &hold) const
+    {
+        return !ended.empty() && ended.back().number > hold.observed;
+    }
+
+    /// The answer to a hold. `startup` and `tail` are of long-running tasks; `forget(task)` is told of each end with
+    /// success that is not reported again.
+    template<class F>
+    HoldReport report(const ExecutorOrder &hold, TimePoint now, Duration startup, double tail, const Removed &removed,
+                      F forget)
+    {
+        while (!ended.empty() && ended.front().number <= hold.observed) {
+            if (ended.front().how == RunEnd::Done) {
+                forget(ended.front().task);
+            }
+            ended.pop_front();
+        }
+        extendLease(hold, now);
+        HoldReport report;
+        report.clockMs = clockMs(now);
+        report.born = record.born;
+        for (const auto &[task, run] : runs) {
+            if (!run.stopping) {
+                report.running.push_back({task, run.run, run.checkpoint(now), now >= run.startedAt + startup ? 100 : 50,
+                                          run.held.milliCores > 0 ? tail : 0});
+            }
+        }
+        report.ended.assign(ended.begin(), ended.end());
+        if (removed.storeFirst) {
+            for (const EndReport &end : ended) {
+                if (end.how == RunEnd::Done) {
+                    forget(end.task);
+                }
+            }
+            ended.clear();
+        }
+        return report;
+    }
+
+private:
+    void extendLease(const ExecutorOrder &order, TimePoint now)
+    {
+        if (order.leaseUntilMs > 0) {
+            leaseMs = std::max(leaseMs, std::min(order.leaseUntilMs, clockMs(now) + LongestLeaseMs));
+        }
+    }
+
+    template<class F>
+    OrderResult start(const ExecutorOrder &order, TimePoint now, const Removed &removed, F makeRun)
+    {
+        if (order.leaseUntilMs < clockMs(now)) {
+            return OrderResult::Late;
+        }
+        extendLease(order, now);
+        if (!removed.runNumber && order.run <= lowest[order.task]) {
+            return OrderResult::Superseded;  // also while the run that was stopped is not yet over
+        }
+        const auto known = runs.find(order.task);
+        if (known != runs.end() && known->second.run == order.run) {
+            return OrderResult::Done;
+        }
+        runs[order.task] = makeRun(order);
+        return OrderResult::Done;
+    }
+};
+
+}
--- /dev/null
+++ b/tests/standin_store.h
@@ -0,0 +1,309 @@
+#pragma once
+
+// Stand-in of the users' key-value store, in memory, over their published protocol. One thread.
+
+#include "standin_http.h"
+#include "wire.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace briarvane::standin
+{
+
+class StoreStandIn
+{
+public:
+    static constexpr std::size_t PageItems = 500;         // of a range, as the users' store gives them
+    static constexpr std::size_t HistoryEvents = 20'000;  // a watch that is further behind lists again
+
+    struct Faults
+    {
+        bool down = false;
+        int failWrites = 0;   // the next writes are answered 503 and not done
+        int loseAnswers = 0;  // the next writes are done, and their connection closes without an answer
+    };
+    Faults faults;
+
+    /// What operators and executors write; no fault applies.
+    void put(const std::string &key, const std::string &value)
+    {
+        ++m_revision;
+        write({key, value, 0});
+        wakeWatches();
+    }
+    void remove(const std::string &key)
+    {
+        ++m_revision;
+        erase(key);
+        wakeWatches();
+    }
+    const std::string *value(const std::string &key) const
+    {
+        const auto found = m_items.find(key);
+        return found == m_items.end() ? nullptr : &found->second.value;
+    }
+    /// Forgets what watches would need to continue.
+    void compact()
+    {
+        m_oldest = m_revision;
+        m_events.clear();
+        wakeWatches();
+    }
+
+    void handle(const Request &request, const Reply &reply)
+    {
+        const Target target = parseTarget({request.target().data(), request.target().size()});
+        const bool write = target.path == "/kv-txn";
+        if (faults.down || (write && faults.failWrites > 0)) {
+            faults.failWrites -= !faults.down ? 1 : 0;
+            reply(errorAnswer(503, "the store is down"));
+            return;
+        }
+        if (target.path == "/kv-watch") {
+            m_watches.push_back({target.text("prefix"), target.number("after"),
+                                 steadyNow() + std::chrono::milliseconds(target.number("wait_ms")), reply});
+            wakeWatches();
+            return;
+        }
+        const Answer answer = call(request, target);
+        if (write && faults.loseAnswers > 0) {
+            --faults.loseAnswers;
+            reply(std::nullopt);
+        } else {
+            reply(answer);
+        }
+        wakeWatches();
+    }
+
+    /// Leases that are over, watches that have waited long enough. While the store is down leases pause.
+    void tick()
+    {
+        const TimePoint now = steadyNow();
+        const Duration passed = now - m_tickedAt;
+        m_tickedAt = now;
+        for (auto it = m_leases.begin(); it != m_leases.end();) {
+            Lease &lease = it->second;
+            lease.until += faults.down ? passed : Duration{0};
+            const std::uint64_t id = it->first;
+            if (lease.until > now) {
+                ++it;
+                continue;
+            }
+            it = m_leases.erase(it);
+            eraseLeased(id);
+        }
+        wakeWatches();
+    }
+
+private:
+    struct Item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+    struct Event
+    {
+        std::string key;
+        Item item;
+        bool removed = false;
+    };
+    struct Lease
+    {
+        Duration ttl{0};
+        TimePoint until;
+    };
+    struct Watch
+    {
+        std::string prefix;
+        std::uint64_t after = 0;
+        TimePoint until;
+        Reply reply;
+    };
+
+    Answer call(const Request &request, const Target &target)
+    {
+        if (target.path == "/kv-key") {
+            const auto found = m_items.find(target.text("key"));
+            json::object body = found == m_items.end() ? json::object{} : toJson(found->first, found->second);
+            body["store_revision"] = m_revision;
+            return {found == m_items.end() ? 404U : 200U, std::move(body)};
+        }
+        if (target.path == "/kv-range") {
+            return range(target.text("prefix"), target.text("after"));
+        }
+        boost::system::error_code error;
+        const json::value body = request.body().empty() ? json::object{} : json::parse(request.body(), error);
+        if (error || !body.is_object()) {
+            return errorAnswer(400, "the body is not a JSON object");
+        }
+        if (target.path == "/kv-txn") {
+            return transaction(body.get_object());
+        }
+        if (target.path == "/kv-lease") {
+            const Duration ttl = std::chrono::milliseconds(body.at("ttl_ms").to_number<std::int64_t>());
+            m_leases[++m_lastLease] = {ttl, steadyNow() + ttl};
+            return {200, json::object{{"lease", m_lastLease}, {"ttl_ms", ttl.count() / 1000}}};
+        }
+        const std::size_t slash = target.path.rfind('/');
+        const std::uint64_t id = std::strtoull(target.path.substr(slash + 1).c_str(), nullptr, 10);
+        const auto lease = m_leases.find(id);
+        if (lease == m_leases.end()) {
+            return errorAnswer(404, "no such lease");
+        }
+        if (target.path.starts_with("/kv-keep/")) {
+            lease->second.until = steadyNow() + lease->second.ttl;
+            return {200, json::object{{"lease", id}, {"ttl_ms", lease->second.ttl.count() / 1000}}};
+        }
+        if (target.path.starts_with("/kv-lease-end/")) {
+            m_leases.erase(lease);
+            eraseLeased(id);
+            return {200, json::object{}};
+        }
+        return errorAnswer(400, "no such call");
+    }
+
+    Answer range(const std::string &prefix, const std::string &after) const
+    {
+        json::array items;
+        auto it = after < prefix ? m_items.lower_bound(prefix) : m_items.upper_bound(after);
+        for (; it != m_items.end() && it->first.starts_with(prefix) && items.size() < PageItems; ++it) {
+            items.push_back(toJson(it->first, it->second));
+        }
+        const bool truncated = it != m_items.end() && it->first.starts_with(prefix);
+        return {200,
+                json::object{{"items", std::move(items)}, {"truncated", truncated}, {"store_revision", m_revision}}};
+    }
+
+    Answer transaction(const json::object &body)
+    {
+        const json::array &expected = body.at("precondition").as_array();
+        const json::array &writes = body.at("writes").as_array();
+        const json::array &removed = body.at("remove").as_array();
+        if (expected.size() + writes.size() + removed.size() > StoreTxn::TxnRows) {
+            return errorAnswer(400, "more than 32 rows");
+        }
+        bool holds = true;
+        json::array present;
+        for (const json::value &row : expected) {
+            const std::string key(row.at("key").as_string());
+            const auto found = m_items.find(key);
+            const Item item = found == m_items.end() ? Item{} : found->second;
+            holds = holds && item.revision == row.at("revision").to_number<std::uint64_t>();
+            present.push_back(toJson(key, item));
+        }
+        if (!holds) {
+            return {412, json::object{{"items", std::move(present)}}};
+        }
+        std::vector<StoreWrite> rows;
+        for (const json::value &row : writes) {
+            const json::value *lease = row.as_object().if_contains("lease");
+            rows.push_back({std::string(row.at("key").as_string()), platform::decodeBase64(row.at("value").as_string()),
+                            lease == nullptr ? 0 : lease->to_number<std::uint64_t>()});
+            if (rows.back().key.starts_with(platform::OperatorPrefix)
+                || rows.back().key.starts_with(platform::ExecutorPrefix)) {
+                return errorAnswer(403, "this key belongs to others");
+            }
+            if (rows.back().lease != 0 && !m_leases.contains(rows.back().lease)) {
+                return errorAnswer(404, "no such lease");
+            }
+        }
+        ++m_revision;
+        for (const StoreWrite &row : rows) {
+            write(row);
+        }
+        for (const json::value &key : removed) {
+            erase(std::string(key.as_string()));
+        }
+        return {200, json::object{{"revision", m_revision}}};
+    }
+
+    /// Every row of a transaction has the revision of the transaction.
+    void write(const StoreWrite &row)
+    {
+        Item &item = m_items[row.key];
+        item = {row.value, m_revision, item.created == 0 ? m_revision : item.created, row.lease};
+        note({row.key, item, false});
+    }
+    void erase(const std::string &key)
+    {
+        if (m_items.erase(key) != 0) {
+            note({key, {{}, m_revision, 0, 0}, true});
+        }
+    }
+    void eraseLeased(std::uint64_t lease)
+    {
+        std::vector<std::string> keys;
+        for (const auto &[key, item] : m_items) {
+            if (item.lease == lease) {
+                keys.push_back(key);
+            }
+        }
+        ++m_revision;
+        for (const std::string &key : keys) {
+            erase(key);
+        }
+    }
+    void note(Event event)
+    {
+        m_events.push_back(std::move(event));
+        if (m_events.size() > HistoryEvents) {
+            m_oldest = m_events.front().item.revision;
+            m_events.pop_front();
+        }
+    }
+
+    static json::object toJson(const std::string &key, const Item &item)
+    {
+        return {{"key", key},
+                {"value", platform::encodeBase64(item.value)},
+                {"revision", item.revision},
+                {"created", item.created},
+                {"lease", item.lease}};
+    }
+
+    void wakeWatches()
+    {
+        const TimePoint now = steadyNow();
+        std::vector<Watch> waiting;
+        waiting.swap(m_watches);
+        for (Watch &watch : waiting) {
+            json::array events;
+            const auto first = std::upper_bound(
+                m_events.begin(), m_events.end(), watch.after,
+                [](std::uint64_t revision, const Event &event) { return revision < event.item.revision; });
+            for (auto it = first; it != m_events.end(); ++it) {
+                const Event &event = *it;
+                if (!event.key.starts_with(watch.prefix)) {
+                    continue;
+                }
+                events.push_back(
+                    event.removed
+                        ? json::object{{"key", event.key}, {"revision", event.item.revision}, {"tombstone", true}}
+                        : toJson(event.key, event.item));
+            }
+            if (faults.down) {
+                watch.reply(std::nullopt);
+            } else if (watch.after < m_oldest) {
+                watch.reply(errorAnswer(410, "this history is gone"));
+            } else if (!events.empty() || watch.until <= now) {
+                watch.reply(Answer{200, json::object{{"events", std::move(events)}, {"store_revision", m_revision}}});
+            } else {
+                m_watches.push_back(std::move(watch));
+            }
+        }
+    }
+
+    std::map<std::string, Item> m_items;
+    std::deque<Event> m_events;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_oldest = 0;  // events up to this revision are gone
+    std::map<std::uint64_t, Lease> m_leases;
+    std::uint64_t m_lastLease = 0;
+    std::vector<Watch> m_watches;
+    TimePoint m_tickedAt = steadyNow();
+};
+
+}
