Give the availability of a pooled instance a type name of its own

Cause: src/plan.h and src/fleet.h both declared briarvane::InstanceState, two different enums under one name; no file includes both yet, so nothing complained, but it breaks the rule of one definition.

Ruled out: a namespace of its own for one of them; the names say different things (availability at the platform, state in briarvane's own fleet).

Change: that of plan.h is InstanceAvailability.

Conclusion: one name, one type.

--- a/src/plan.h
+++ b/src/plan.h
@@ -55,13 +55,13 @@
 
 // [2] Instances and waves ---------------------------------------------------------------------------------------------
 
-enum class InstanceState { Up, Moving, Upkeep, Down };
+enum class InstanceAvailability { Up, Moving, Upkeep, Down };
 
 struct PooledInstance
 {
     std::string id;
     std::string pool;
-    InstanceState state = InstanceState::Down;
+    InstanceAvailability state = InstanceAvailability::Down;
     std::string dataCentre;
     std::vector<std::string> labels;
     Resources capacity;
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -77,7 +77,7 @@
         if (present == m_instances.end()) {
             return true;
         }
-        const bool arrived = present->second.pool == move.pool && present->second.state == InstanceState::Up;
+        const bool arrived = present->second.pool == move.pool && present->second.state == InstanceAvailability::Up;
         return arrived || (move.accepted && now - move.orderedAt > m_settings.arrivalLimit);
     });
 }
@@ -159,7 +159,7 @@
     for (const auto &[id, one] : m_instances) {
         const auto move = m_moves.find(id);
         const std::string &at = move == m_moves.end() ? one.pool : move->second.pool;
-        count += at == pool && one.state != InstanceState::Down ? 1 : 0;
+        count += at == pool && one.state != InstanceAvailability::Down ? 1 : 0;
     }
     return count;
 }
@@ -239,7 +239,7 @@
                 if (surplus <= 0) {
                     break;
                 }
-                if (one.pool != pool || one.state != InstanceState::Up || m_moves.contains(id)
+                if (one.pool != pool || one.state != InstanceAvailability::Up || m_moves.contains(id)
                     || m_reserved.contains(id) || !executors->contains(one.executor)) {
                     continue;
                 }
@@ -283,7 +283,8 @@
             if (m_sparePools.contains(move->second.pool) && !isSent(move->second)) {
                 leaving.push_back(id);
             }
-        } else if (m_sparePools.contains(one.pool) && one.state == InstanceState::Up && !m_reserved.contains(id)) {
+        } else if (m_sparePools.contains(one.pool) && one.state == InstanceAvailability::Up
+                   && !m_reserved.contains(id)) {
             free.push_back(id);
         }
     }
@@ -312,7 +313,7 @@
     for (auto &[id, move] : m_moves) {
         const auto present = m_instances.find(id);
         const bool due = !move.accepted && now - move.orderedAt > m_settings.orderRepeat;
-        if (due && isEmpty(move) && present != m_instances.end() && present->second.state == InstanceState::Up) {
+        if (due && isEmpty(move) && present != m_instances.end() && present->second.state == InstanceAvailability::Up) {
             move.orderedAt = now;
             orders.push_back({id, move.pool});
         }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -461,10 +461,10 @@
     }
     std::set<std::string> present;
     for (const PooledInstance &one : instances) {
-        if (one.executor.empty() && one.state == InstanceState::Down) {
+        if (one.executor.empty() && one.state == InstanceAvailability::Down) {
             return;  // it may be cut off with the executor that is looked for; spare instances are up and off
         }
-        if (one.state != InstanceState::Moving && one.state != InstanceState::Upkeep) {
+        if (one.state != InstanceAvailability::Moving && one.state != InstanceAvailability::Upkeep) {
             present.insert(one.executor);
         }
     }
--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -41,7 +41,7 @@
             if (present == nullptr) {
                 member.step = WaveStep::Back;  // taken away
             } else if (member.step == WaveStep::Away) {
-                const bool isUp = present->state == InstanceState::Up
+                const bool isUp = present->state == InstanceAvailability::Up
                     && (present->executor != member.executor || m_sparePools.contains(present->pool));
                 const bool tooLong = now - member.since > m_settings.returnLimit;
                 member.step = isUp || tooLong ? WaveStep::Back : WaveStep::Away;
@@ -128,7 +128,8 @@
             if (present == nullptr) {
                 continue;
             }
-            if (member.step == WaveStep::Waiting && present->state == InstanceState::Up && !m_reserved.contains(id)) {
+            if (member.step == WaveStep::Waiting && present->state == InstanceAvailability::Up
+                && !m_reserved.contains(id)) {
                 const bool spare = m_sparePools.contains(present->pool);
                 const int bound = std::max(1, m_poolSizes[present->pool] / m_settings.poolShare);
                 if (emptying + down < state.wave.atOnce + m_settings.emptyAhead
@@ -142,7 +143,7 @@
             }
             const bool repeat = member.step == WaveStep::Ordered && now - member.orderedAt > 3 * m_settings.orderRepeat;
             const bool due = member.step == WaveStep::Emptying && now - member.orderedAt > m_settings.orderRepeat
-                && present->state == InstanceState::Up && isEmpty(*present) && down < state.wave.atOnce;
+                && present->state == InstanceAvailability::Up && isEmpty(*present) && down < state.wave.atOnce;
             if (repeat || due) {
                 down += due ? 1 : 0;
                 member.executor = present->executor;
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -18,7 +18,7 @@
     PooledInstance one;
     one.id = id;
     one.pool = pool;
-    one.state = InstanceState::Up;
+    one.state = InstanceAvailability::Up;
     one.executor = "i-" + id;
     one.capacity = {16'000, 32'768, 0};
     return one;
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -529,10 +529,16 @@
         owner.scheduler.setExecutors(records, m_now);
         owner.scheduler.setVacating(m_vacating, m_now);
         if (m_settings.instancesListed && owner.scheduler.wantsInstances(m_now)) {
-            std::vector<PooledInstance> instances{{"m-spare", "spare", InstanceState::Up, {}, {}, {}, {}}};  // off
+            std::vector<PooledInstance> instances{
+                {"m-spare", "spare", InstanceAvailability::Up, {}, {}, {}, {}}};  // off
             for (const auto &[id, one] : m_executors) {
-                instances.push_back(
-                    {"m-" + id, "orders", one.up ? InstanceState::Up : InstanceState::Moving, {}, {}, {}, id});
+                instances.push_back({"m-" + id,
+                                     "orders",
+                                     one.up ? InstanceAvailability::Up : InstanceAvailability::Moving,
+                                     {},
+                                     {},
+                                     {},
+                                     id});
             }
             after(between(5ms, 300ms), [this, token = owner.token, askedAt = m_now, instances] {
                 if (Scheduler *scheduler = current(token)) {
--- a/tests/run_deployment.cpp
+++ b/tests/run_deployment.cpp
@@ -318,13 +318,13 @@
         CHECK(instances.front().executor == "x-vendors-0-1");
         CHECK(instances.back().pool == "spare");
         CHECK(instances.back().executor.empty());
-        CHECK(instances.back().state == InstanceState::Up);
+        CHECK(instances.back().state == InstanceAvailability::Up);
     }
     SECTION("a move ends what runs there, shows as moving, and brings a new executor to the pool")
     {
         CHECK(served.move("supplies-1", "spare", 7) == platform::InstanceOrderResult::Done);
         CHECK(served.store.value("servers/x-supplies-1-1") == nullptr);
-        CHECK(served.list().at(6).state == InstanceState::Moving);
+        CHECK(served.list().at(6).state == InstanceAvailability::Moving);
         CHECK(served.move("supplies-1", "spare", 7) == platform::InstanceOrderResult::Done);
         CHECK(served.move("supplies-1", "vendors", 7) == platform::InstanceOrderResult::Busy);
         CHECK(served.move("supplies-1", "vendors", 6) == platform::InstanceOrderResult::Fenced);
@@ -335,7 +335,7 @@
         CHECK(served.wait<platform::InstanceOrderResult>([&](auto done) {
             served.machines.maintain("vendors-1", 3, 1, done);
         }) == platform::InstanceOrderResult::Done);
-        CHECK(served.list().at(1).state == InstanceState::Upkeep);
+        CHECK(served.list().at(1).state == InstanceAvailability::Upkeep);
         served.until([&] { return served.store.value("servers/x-vendors-1-2") != nullptr; });
         CHECK(served.list().at(1).pool == "vendors");
     }
--- a/tests/run_platform_wire.cpp
+++ b/tests/run_platform_wire.cpp
@@ -130,7 +130,7 @@
     const auto page = decodeInstances(R"({"machines":[{"machine":"m-1","pool":"s1","state":"upkeep","zone":"z",
         "labels":["a","r1"],"capacity":{"cpu":16000},"id":"i-1"}],"next_token":"n"})");
     REQUIRE(page);
-    CHECK(page.value().instances[0].state == InstanceState::Upkeep);
+    CHECK(page.value().instances[0].state == InstanceAvailability::Upkeep);
     CHECK(page.value().next == "n");
     CHECK(decodeInstanceAnswer(409, true, R"({"reason":"wave"})") == InstanceOrderResult::WrongWave);
     CHECK(decodeInstanceAnswer(409, true, R"({"reason":"busy"})") == InstanceOrderResult::Busy);
--- a/tests/standin_workers.h
+++ b/tests/standin_workers.h
@@ -35,7 +35,7 @@
     std::string pool;
     std::string rack;
     std::string dataCentre;
-    InstanceState state = InstanceState::Up;
+    InstanceAvailability state = InstanceAvailability::Up;
     TimePoint backAt;         // of a move, maintenance or crash
     int lives = 0;            // executors so far; part of the executor's id
     std::uint64_t fence = 0;  // of orders for the instance
@@ -81,8 +81,8 @@
     {
         const TimePoint now = steadyNow();
         for (Worker &worker : m_workers) {
-            if (worker.state != InstanceState::Up && worker.backAt <= now) {
-                worker.state = InstanceState::Up;
+            if (worker.state != InstanceAvailability::Up && worker.backAt <= now) {
+                worker.state = InstanceAvailability::Up;
                 join(worker);
             }
             worker.executor.advance(now, {}, [&](const std::string &task, const model::ModelRun &, RunEnd how) {
@@ -196,7 +196,7 @@
                                          {"born", executor.record.born}}));
     }
 
-    void leave(Worker &worker, InstanceState state, Duration time)
+    void leave(Worker &worker, InstanceAvailability state, Duration time)
     {
         worker.executor.crash();
         m_store.remove(std::string(platform::ExecutorPrefix) + worker.executor.record.id);
@@ -323,10 +323,10 @@
         std::size_t next = from;
         for (; next < m_workers.size() && rows.size() < PageInstances; ++next) {
             const Worker &worker = m_workers[next];
-            const std::string_view state = worker.state == InstanceState::Up ? "up"
-                : worker.state == InstanceState::Moving                      ? "moving"
-                : worker.state == InstanceState::Upkeep                      ? "upkeep"
-                                                                             : "down";
+            const std::string_view state = worker.state == InstanceAvailability::Up ? "up"
+                : worker.state == InstanceAvailability::Moving                      ? "moving"
+                : worker.state == InstanceAvailability::Upkeep                      ? "upkeep"
+                                                                                    : "down";
             rows.push_back(json::object{{"machine", worker.instance},
                                         {"pool", worker.pool},
                                         {"state", state},
@@ -358,10 +358,11 @@
         if (move && worker->pool == pool) {
             return {};  // already done
         }
-        if (worker->state != InstanceState::Up) {
+        if (worker->state != InstanceAvailability::Up) {
             return {409, json::object{{"reason", "busy"}}};
         }
-        leave(*worker, move ? InstanceState::Moving : InstanceState::Upkeep, move ? MoveTime : MaintenanceTime);
+        leave(*worker, move ? InstanceAvailability::Moving : InstanceAvailability::Upkeep,
+              move ? MoveTime : MaintenanceTime);
         worker->pool = pool;
         ++(move ? m_moves : m_maintained);
         return {};
@@ -389,10 +390,10 @@
         }
         if (target.path == "/test/crash") {
             Worker *worker = find(target.text("instance"));
-            if (worker == nullptr || worker->state != InstanceState::Up) {
+            if (worker == nullptr || worker->state != InstanceAvailability::Up) {
                 return errorAnswer(400, "no such instance, or it is not up");
             }
-            leave(*worker, InstanceState::Down, CrashTime);
+            leave(*worker, InstanceAvailability::Down, CrashTime);
             return {};
         }
         if (target.path == "/test/store") {
