Never wait for the reader of the log, and notice a changed settings file

Cause: a log line was written to standard output by the event loop, so an entry whose output nobody read stood still; nothing bounded or counted the lines. A settings file that changed without a signal was not noticed, and SIGHUP was logged as a change also when nothing had changed.

Ruled out: log4cplus' AsyncAppender (version 2.0.8 waits when its queue is full, and costs a thread); a non-blocking standard output (the flag belongs to the open file, also for the shell that started the entry). For the settings file: parsing it for what could be applied while running; its values come by flags, and none of them is needed before the next start.

Change: standard output is polled before a line; what it does not take is dropped and counted, as are lines beyond 400 a second below the level warn; lines are shorter than PIPE_BUF, so none is torn. Both counters are metrics and stand in entry-state. The content of BRIARVANE_SETTINGS is compared at SIGHUP and every 2 s; a change is logged with applied=no.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -622,6 +622,10 @@
     text("store", arguments.store, "IPv4 address and port of the key-value store")->required();
     text("machines", arguments.machines, "IPv4 address and port of the machines API")->required();
     text("orders", arguments.orders, "how executors take orders: invocation");
+    serve
+        ->add_option("--settings-file", arguments.settings.settingsFile,
+                     "settings file of the platform; a change is logged, since the values come by flags")
+        ->envname("BRIARVANE_SETTINGS");
     text("log-level", arguments.settings.logLevel, "debug, info, warn or error")
         ->check(CLI::IsMember({"debug", "info", "warn", "error"}));
     const auto milliseconds = [serve](const std::string &name, int &value, const std::string &help) {
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -46,6 +46,7 @@
     , m_readiness(io, serverSettings(settings.readiness, 64),
                   [this](const auto &exchange) { handleReadiness(exchange); })
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
+    , m_settingsFile(settings.settingsFile)
 {
     if (settings.metrics) {
         m_metricsServer.emplace(io, serverSettings(*settings.metrics, 16),
@@ -72,6 +73,7 @@
     assign();
     listExecutors({});
     summarize();
+    watchSettings();
     logEvent(LogLevel::Info, "entry-started",
              {{"entry", m_settings.name}, {"start_id", m_startId}, {"listen", formatEndpoint(m_settings.listen)}});
     m_io.run();
@@ -311,6 +313,11 @@
     m_metrics.set("briarvane_store_refused_total", {}, static_cast<double>(calls.refused));
     m_metrics.set("briarvane_store_unanswered_total", {}, static_cast<double>(calls.unanswered));
     m_metrics.set("briarvane_config_version", {}, static_cast<double>(m_plan.version));
+    const LogDrops drops = logDrops();
+    m_metrics.set("briarvane_log_lines_dropped_total", {{"reason", "over-budget"}},
+                  static_cast<double>(drops.overBudget));
+    m_metrics.set("briarvane_log_lines_dropped_total", {{"reason", "reader-busy"}},
+                  static_cast<double>(drops.readerBusy));
     for (const auto &[share, owner] : m_shares) {
         const SchedulerCounts &counts = owner->scheduler().counts();
         const MetricLabels labels{{"share", share}};
@@ -328,6 +335,7 @@
 void JobEntry::summarize()
 {
     const platform::StoreCounts &calls = m_store.counts();
+    const LogDrops drops = logDrops();
     logEvent(LogLevel::Info, "entry-state",
              {{"reads", std::to_string(calls.reads)},
               {"ranges", std::to_string(calls.ranges)},
@@ -337,6 +345,7 @@
               {"refused", std::to_string(calls.refused)},
               {"unanswered", std::to_string(calls.unanswered)},
               {"shares", std::to_string(ownedCount())},
+              {"log_dropped", std::to_string(drops.overBudget + drops.readerBusy)},
               {"connections", std::to_string(m_callers.load().connections)}});
     later(StatePeriod, [this] { summarize(); });
 }
@@ -350,8 +359,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            logEvent(LogLevel::Warn, "settings-changed",
-                     {{"applied", "no"}, {"why", "settings are read at the start"}});
+            checkSettings("signal");
         } else if (!m_stopping) {
             beginStop();
         }
@@ -359,6 +367,26 @@
     });
 }
 
+void JobEntry::watchSettings()
+{
+    later(SettingsPeriod, [this] {
+        checkSettings("period");
+        watchSettings();
+    });
+}
+
+void JobEntry::checkSettings(std::string_view cause)
+{
+    if (m_settingsFile.changed()) {
+        logEvent(LogLevel::Warn, "settings-changed",
+                 {{"cause", std::string(cause)},
+                  {"applied", "no"},
+                  {"why", "settings come by flags; they are in force after the next start"}});
+    } else if (cause == "signal") {
+        logEvent(LogLevel::Info, "settings-unchanged", {{"cause", std::string(cause)}});
+    }
+}
+
 /// Not ready at once; ownership goes to other entries; callers on open connections are served until the end.
 void JobEntry::beginStop()
 {
--- a/src/job_entry.h
+++ b/src/job_entry.h
@@ -22,6 +22,7 @@
     Duration holderTurn{3'000'000};   // two holders' orders for one instance are this far apart
     Duration grace{6'000'000};        // between SIGTERM and SIGKILL
     Duration keepFinal{180'000'000};  // final states stay readable this long
+    std::string settingsFile;         // of the platform; its changes are logged
     std::string logLevel = "info";
 };
 
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -13,6 +13,7 @@
 #include "http.h"
 #include "job_front.h"
 #include "metrics.h"
+#include "settings_file.h"
 #include "share_owner.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -33,12 +34,13 @@
 constexpr double SmallestCpuShare = 0.01;
 constexpr std::string_view ServingState = "serving ";  // followed by the entry's processor share
 constexpr Duration StoreTimeout{700'000};
-constexpr Duration NewsPause{120'000};      // joins the news of several shares into one call
-constexpr Duration StatePeriod{5'000'000};  // of the line with the counters of the store
-constexpr Duration PlanWatch{1'500'000};    // a silent connection is noticed before a change must be in force
-constexpr int ExecutorConnections = 3;      // one waits for ends, two carry starts and stops
-constexpr Duration StopLead{2'600'000};     // the balancer needs two looks, a second apart, to turn away
-constexpr Duration StopSlack{700'000};      // the process is gone this long before it would be killed
+constexpr Duration NewsPause{120'000};         // joins the news of several shares into one call
+constexpr Duration StatePeriod{5'000'000};     // of the line with the counters of the store
+constexpr Duration SettingsPeriod{2'000'000};  // of looking at the settings file, which may change without a signal
+constexpr Duration PlanWatch{1'500'000};       // a silent connection is noticed before a change must be in force
+constexpr int ExecutorConnections = 3;         // one waits for ends, two carry starts and stops
+constexpr Duration StopLead{2'600'000};        // the balancer needs two looks, a second apart, to turn away
+constexpr Duration StopSlack{700'000};         // the process is gone this long before it would be killed
 
 // [2] The daemon ------------------------------------------------------------------------------------------------------
 
@@ -108,6 +110,8 @@
 
     // Stop
     void waitSignal();
+    void watchSettings();
+    void checkSettings(std::string_view cause);
     void beginStop();
 
     void later(Duration pause, std::function<void()> function)
@@ -131,6 +135,7 @@
     HttpServer m_readiness;
     std::optional<HttpServer> m_metricsServer;
     boost::asio::signal_set m_signals;
+    SettingsFile m_settingsFile;
     Metrics m_metrics;
 
     Plan m_plan;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -6,7 +6,12 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <mutex>
@@ -18,6 +23,44 @@
 {
 
 constexpr std::chrono::seconds RepeatPeriod{1};
+constexpr std::size_t LongestLine
+    = 3900;  // bytes; with its head below PIPE_BUF, which a pipe takes whole or not at all
+
+std::atomic<std::uint64_t> overBudget{0};
+std::atomic<std::uint64_t> readerBusy{0};
+
+/// Drops lines rather than wait for whoever reads them.
+class DroppingAppender : public log4cplus::ConsoleAppender
+{
+public:
+    DroppingAppender()
+        : log4cplus::ConsoleAppender(false, true)
+    {
+    }
+    ~DroppingAppender() override
+    {
+        destructorImpl();
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (event.getLogLevel() < log4cplus::WARN_LOG_LEVEL && !m_budget.take(now)) {
+            ++overBudget;
+            return;
+        }
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&output, 1, 0) == 0) {
+            ++readerBusy;
+            return;
+        }
+        log4cplus::ConsoleAppender::append(event);
+    }
+
+private:
+    LogBudget m_budget;  // calls are serialized by the base class
+};
 
 log4cplus::LogLevel nativeLevel(LogLevel level)
 {
@@ -64,7 +107,7 @@
 {
     static log4cplus::Initializer initializer;
     auto layout = std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %m%n"));
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
+    log4cplus::SharedAppenderPtr appender(new DroppingAppender);
     appender->setLayout(std::move(layout));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
@@ -87,9 +130,27 @@
     for (const LogField &field : fields) {
         appendField(line, field);
     }
+    if (line.size() > LongestLine) {
+        line.resize(LongestLine);
+        line += " cut=yes";
+    }
     target.forcedLog(nativeLevel(level), line);
 }
 
+bool LogBudget::take(std::chrono::steady_clock::time_point now)
+{
+    if (now - m_begun >= std::chrono::seconds(1)) {
+        m_begun = now;
+        m_used = 0;
+    }
+    return ++m_used <= LinesPerSecond;
+}
+
+LogDrops logDrops()
+{
+    return {overBudget, readerBusy};
+}
+
 void logRepeated(LogLevel level, std::string_view event, std::string_view subject,
                  std::initializer_list<LogField> fields)
 {
--- a/tests/run_settings.cpp
+++ b/tests/run_settings.cpp
@@ -1,9 +1,13 @@
 #include "config.h"
 #include "operator_api.h"
 #include "settings.h"
+#include "settings_file.h"
 
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -126,3 +130,37 @@
         CHECK_FALSE(parseConfig("["));
     }
 }
+
+TEST_CASE("A change of the platform's settings file is noticed once", "[settings]")
+{
+    const auto path = std::filesystem::temp_directory_path() / ("briarvane-settings-" + std::to_string(::getpid()));
+    const auto write = [&path](const std::string &text) { std::ofstream(path) << text; };
+    write("node_name: e1\n");
+    SettingsFile file(path.string());
+    CHECK_FALSE(file.changed());
+
+    SECTION("without a signal, by its content")
+    {
+        write("node_name: e2\n");
+        CHECK(file.changed());
+        CHECK_FALSE(file.changed());
+    }
+    SECTION("the same content written again is no change")
+    {
+        write("node_name: e1\n");
+        CHECK_FALSE(file.changed());
+    }
+    SECTION("a file that is gone for a moment while it is replaced is noticed when it is back")
+    {
+        std::filesystem::remove(path);
+        CHECK_FALSE(file.changed());
+        write("node_name: e2\n");
+        CHECK(file.changed());
+    }
+    SECTION("without a file nothing changes")
+    {
+        SettingsFile none({});
+        CHECK_FALSE(none.changed());
+    }
+    std::filesystem::remove(path);
+}
