Mend what the linter finds in the model of the fleet

The header had not been linted with the tests that include it.

Ruled out: nothing; the tests that include the header are linted now.

Change: the executor is named by a reference, the line is built in steps.

Conclusion: no behaviour changes.

--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -408,15 +408,18 @@
 
     void advanceExecutors()
     {
-        for (auto &[id, one] : m_executors) {
+        for (auto &entry : m_executors) {
+            ModelExecutor &one = entry.second;
             if (!one.up) {
                 continue;
             }
             one.advance(m_now, m_settings.removed, [&](const std::string &task, const ModelRun &run, RunEnd how) {
-                note("ended " + task + " run " + std::to_string(run.run) + " on " + id + " "
-                     + std::string(toString(how)));
+                std::string what = "ended " + task;
+                what += " run " + std::to_string(run.run);
+                what += " on " + one.record.id;
+                note(what + ' ' + std::string(toString(how)));
                 if (how == RunEnd::Done) {
-                    m_doneAt[task].insert({id, one.nextEnd - 1});
+                    m_doneAt[task].insert({one.record.id, one.nextEnd - 1});
                 }
             });
         }
