--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -60,16 +60,21 @@
     World world(settings);
     std::mt19937 random(seed * 7919U + 1U);
     const auto draw = [&random](int most) { return std::uniform_int_distribution<int>(0, most - 1)(random); };
+    // Draws as arguments of one call come in another order on another processor.
+    const auto drawStep = [&draw](int mostTasks) {
+        const Duration estimate = std::chrono::milliseconds(200 + draw(900));
+        return step(1 + draw(mostTasks), estimate);
+    };
     world.takeOver(true);
     int number = 0;
     std::vector<std::string> ids;
     for (int round = 0; round < 120; ++round) {
         if (draw(3) == 0) {
-            StepSpec second = step(1 + draw(4), std::chrono::milliseconds(200 + draw(900)));
+            StepSpec second = drawStep(4);
             second.after = {0};
             second.perExecutorLimit = draw(4) == 0 ? 1 : 0;
             ids.push_back("job" + std::to_string(number++));
-            world.submit(job(ids.back(), {step(1 + draw(5), std::chrono::milliseconds(200 + draw(900))), second}));
+            world.submit(job(ids.back(), {drawStep(5), second}));
         }
         switch (draw(24)) {
         case 0:
