Let no job hold up those behind it, and give pools the kinds of instance that jobs require

Cause: a placement pass ended after 24 jobs that found no room. Jobs that require a label which no executor of the pool has wait for good, and 27 of them kept all later jobs from starting. Change: a pass remembers the demands that found no room and skips only what asks for at least as much; a job that no executor could take even when empty is logged once (job-fits-nowhere). Pools tell how many cores their jobs require by label; the pool planner keeps one instance of each kind in a pool and fetches instances with a label that is short, from the spare pool or from a pool that does not require it. Conclusion: fixed; instances that hold long-running tasks still never leave, so a kind that only such instances have is not fetched.

--- a/src/job.cpp
+++ b/src/job.cpp
@@ -31,6 +31,15 @@
     return milliCores <= room.milliCores && memoryMb <= room.memoryMb && gpus <= room.gpus;
 }
 
+Resources wantedBy(const StepSpec &step)
+{
+    Resources wanted = step.each;
+    if (step.fills) {
+        wanted.milliCores = 0;
+    }
+    return wanted;
+}
+
 Duration longestChain(const std::vector<StepSpec> &steps)
 {
     std::vector<Duration> ends;
--- a/src/job.h
+++ b/src/job.h
@@ -49,6 +49,9 @@
     int mayMiss = 0;            // long-running tasks that may be away because of us at the same time
 };
 
+/// What one task counts against its executor.
+Resources wantedBy(const StepSpec &step);
+
 struct JobSpec
 {
     std::string id;
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -24,6 +24,7 @@
 std::string encodePoolLoad(const PoolLoad &load)
 {
     return json::serialize(json::object{{"wanted", load.wantedMilliCores},
+                                        {"labels", json::value_from(load.wantedWithLabel)},
                                         {"widest", load.widestStep},
                                         {"idle", json::value_from(load.idle)},
                                         {"light", json::value_from(load.light)}});
@@ -47,6 +48,11 @@
         }
         *field = static_cast<int>(number->get_int64());
     }
+    if (const json::value *labels = object.if_contains("labels"); labels != nullptr && labels->is_object()) {
+        for (const auto &[label, cores] : labels->get_object()) {
+            load.wantedWithLabel[label] = cores.is_int64() ? static_cast<int>(cores.get_int64()) : 0;
+        }
+    }
     for (const auto &[name, field] : {std::pair{"idle", &load.idle}, std::pair{"light", &load.light}}) {
         const auto ids = parseIds(object.if_contains(name));
         if (!ids) {
@@ -153,17 +159,44 @@
     return found == m_sparePools.end() ? std::nullopt : std::optional(*found);
 }
 
+const std::string &PoolPlanner::poolOf(const PooledInstance &one) const
+{
+    const auto move = m_moves.find(one.id);
+    return move == m_moves.end() ? one.pool : move->second.pool;
+}
+
 int PoolPlanner::instancesOf(const std::string &pool) const
 {
     int count = 0;
     for (const auto &[id, one] : m_instances) {
-        const auto move = m_moves.find(id);
-        const std::string &at = move == m_moves.end() ? one.pool : move->second.pool;
-        count += at == pool && one.state != InstanceAvailability::Down ? 1 : 0;
+        count += poolOf(one) == pool && one.state != InstanceAvailability::Down ? 1 : 0;
     }
     return count;
 }
 
+bool PoolPlanner::wouldMiss(const std::string &pool, const PooledInstance &one) const
+{
+    const auto load = m_loads.find(pool);
+    std::map<std::string, int> cores;  // of the other instances, by label
+    bool sameKind = false;
+    for (const auto &[id, other] : m_instances) {
+        if (id == one.id || poolOf(other) != pool || other.state == InstanceAvailability::Down) {
+            continue;
+        }
+        sameKind = sameKind || kindOf(other) == kindOf(one);
+        for (const std::string &label : other.labels) {
+            cores[label] += other.capacity.milliCores;
+        }
+    }
+    const bool lacksLabel
+        = load != m_loads.end() && std::any_of(one.labels.begin(), one.labels.end(), [&](const std::string &label) {
+              const auto wanted = load->second.wantedWithLabel.find(label);
+              return wanted != load->second.wantedWithLabel.end()
+                  && cores[label] < wanted->second * m_settings.headroom;
+          });
+    return lacksLabel || (!sameKind && !one.labels.empty());
+}
+
 std::optional<int> PoolPlanner::neededFor(const std::string &pool, int milliCores, TimePoint now) const
 {
     const auto load = m_loads.find(pool);
@@ -240,7 +273,7 @@
                     break;
                 }
                 if (one.pool != pool || one.state != InstanceAvailability::Up || m_moves.contains(id)
-                    || m_reserved.contains(id) || !executors->contains(one.executor)) {
+                    || m_reserved.contains(id) || !executors->contains(one.executor) || wouldMiss(pool, one)) {
                     continue;
                 }
                 if (const std::optional<std::string> spare = sparePoolFor(one, now)) {
@@ -263,6 +296,47 @@
     });
 }
 
+/// Instances for pools whose jobs require a label that too few of their instances have.
+void PoolPlanner::planLabels(std::vector<std::string> &free, TimePoint now)
+{
+    for (const auto &[pool, load] : m_loads) {
+        if (m_sparePools.contains(pool) || now - load.learned > m_settings.loadAge) {
+            continue;
+        }
+        for (const auto &[label, wanted] : load.wantedWithLabel) {
+            const auto has = [&label = label](const PooledInstance &one) {
+                return std::find(one.labels.begin(), one.labels.end(), label) != one.labels.end();
+            };
+            int cores = 0;
+            for (const auto &[id, one] : m_instances) {
+                const bool counts = poolOf(one) == pool && one.state != InstanceAvailability::Down && has(one);
+                cores += counts ? one.capacity.milliCores : 0;
+            }
+            for (auto id = free.rbegin(); id != free.rend() && cores < wanted;) {
+                const PooledInstance &one = m_instances[*id];
+                if (!has(one) || !mayMove(one, pool, now) || one.pool == pool) {
+                    ++id;
+                    continue;
+                }
+                m_moves.try_emplace(one.id, Move{pool, one.pool, {}}).first->second.pool = pool;
+                cores += one.capacity.milliCores;
+                id = std::make_reverse_iterator(free.erase(std::next(id).base()));
+            }
+            for (const auto &[id, one] : m_instances) {  // others give up what another kind can do for them as well
+                const auto other = m_loads.find(one.pool);
+                const bool light = other != m_loads.end()
+                    && (other->second.idle.contains(one.executor) || other->second.light.contains(one.executor));
+                if (cores < wanted && one.pool != pool && light && one.state == InstanceAvailability::Up && has(one)
+                    && !m_moves.contains(id) && !m_reserved.contains(id) && mayMove(one, pool, now)
+                    && !wouldMiss(one.pool, one)) {
+                    m_moves[id] = {pool, one.pool, one.executor};
+                    cores += one.capacity.milliCores;
+                }
+            }
+        }
+    }
+}
+
 /// Instances for pools that need more than they have: spare ones, then those that are leaving other pools.
 void PoolPlanner::planArrivals(TimePoint now)
 {
@@ -289,6 +363,7 @@
         }
     }
     free.insert(free.begin(), leaving.begin(), leaving.end());
+    planLabels(free, now);
     for (; !free.empty() && !wants.empty(); free.pop_back()) {
         std::sort(wants.rbegin(), wants.rend());
         const PooledInstance &one = m_instances[free.back()];
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -38,10 +38,10 @@
 /// What the owner of a share tells about its pool.
 struct PoolLoad
 {
-    int wantedMilliCores = 0;  // running, waiting and soon ready
-
-    int widestStep = 0;           // executors that a long-running step needs at least
-    std::set<std::string> idle;   // executors without runs
+    int wantedMilliCores = 0;                    // running, waiting and soon ready
+    std::map<std::string, int> wantedWithLabel;  // the part of them that requires a label, milli-cores by label
+    int widestStep = 0;                          // executors that a long-running step needs at least
+    std::set<std::string> idle;                  // executors without runs
     std::set<std::string> light;  // the others without long-running tasks
     TimePoint learned;
 };
@@ -86,13 +86,15 @@
         std::string pool;  // goal
         std::string from;
         std::string executor;  // before the move; empty when it is spare
-
         TimePoint orderedAt;
         bool accepted = false;
         std::uint64_t vacateRevision = 0;  // of the first stored list that names the executor; 0: none yet
     };
 
     int instancesOf(const std::string &pool) const;  // present and arriving
+    const std::string &poolOf(const PooledInstance &one) const;  // once the moves that are planned have ended
+    /// Whether the pool would lack executors of a kind or with a label that its jobs require.
+    bool wouldMiss(const std::string &pool, const PooledInstance &one) const;
     /// Instances that a pool needs for so many cores; none when its load is not known.
     std::optional<int> neededFor(const std::string &pool, int milliCores, TimePoint now) const;
     /// Cores that a pool is expected to want when an instance that is ordered now has come up.
@@ -104,6 +106,7 @@
     bool isSent(const Move &move) const;
     void planParking(TimePoint now);
     void planArrivals(TimePoint now);
+    void planLabels(std::vector<std::string> &free, TimePoint now);
     void keep(const std::string &pool, int &missing);
 
     PoolPlannerSettings m_settings;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -570,10 +570,7 @@
     bool wanted = task != nullptr && !isFinal(job->state) && !task->done && task->executor.empty();
     if (job != nullptr) {
         const StepSpec &step = job->spec.steps[static_cast<std::size_t>(run.task.step)];
-        run.held = step.each;
-        if (step.fills) {
-            run.held.milliCores = 0;
-        }
+        run.held = wantedBy(step);
         ++job->runs;
     } else {
         run.sizeUnknown = true;
@@ -633,7 +630,9 @@
     if (isNew) {
         decide("executor-adopted", {},
                "executor=" + id + " running=" + std::to_string(report.running.size())
-                   + " ended=" + std::to_string(report.ended.size()) + " clock_ms=" + std::to_string(report.clockMs));
+                   + " ended=" + std::to_string(report.ended.size()) + " clock_ms=" + std::to_string(report.clockMs)
+                   + " kind=" + (executor.record.labels.empty() ? std::string() : executor.record.labels.front())
+                   + " cores=" + std::to_string(executor.record.capacity.milliCores) + "m");
     }
     std::unordered_set<std::string_view> listed;
     for (const RunningReport &row : report.running) {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -110,6 +110,7 @@
     TimePoint learned;
     TimePoint objective;  // an end after this is late
     Duration chain{0};
+    bool toldUnfit = false;  // the log says that no executor is large enough or has the label
 };
 
 struct Executor
@@ -315,6 +316,8 @@
     int awayInStep(const Job &job, const TaskName &name, TimePoint now) const;
     void place(TimePoint now);
     bool placeStep(Job &job, int occurrence, int step, TimePoint now);
+    bool knownToLackRoom(const StepSpec &step) const;
+    void noteLackOfRoom(Job &job, const StepSpec &step);
     bool stepReady(const Job &job, const Occurrence &occurrence, int step) const;
     bool takesWork(const Executor &executor, TimePoint now) const;
     std::map<std::string_view, int> roomPerRack(const StepSpec &spec, TimePoint now) const;
@@ -349,6 +352,15 @@
     std::vector<Finished> m_finished;
     SchedulerCounts m_counts;
     std::map<std::string, QueueWork> m_queueWork;
+
+    /// A demand that found no room in the present pass.
+    struct LackOfRoom
+    {
+        std::string label;  // of the executors that were looked at; empty: all
+        Resources each;
+        int together = 1;  // tasks that start as a whole
+    };
+    std::vector<LackOfRoom> m_noRoomFor;
 };
 
 }
--- a/src/scheduler_orders.cpp
+++ b/src/scheduler_orders.cpp
@@ -410,12 +410,16 @@
         }
         for (const auto &[number, occurrence] : job->occurrences) {
             int widest = 0;  // steps of a job mostly follow each other, so the widest open one counts
+            std::map<std::string, int> widestWithLabel;
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
                 const StepSpec &spec = job->spec.steps[step];
                 const int open = spec.count - occurrence.done[step];
-                const int cores = spec.fills ? 0 : open * spec.each.milliCores;
+                const int cores = open * wantedBy(spec).milliCores;
+                if (!spec.requiredLabel.empty()) {
+                    int &labelled = widestWithLabel[spec.requiredLabel];
+                    labelled = std::max(labelled, cores);
+                }
                 if (spec.longRunning) {
-
                     load.wantedMilliCores += cores;
                     const int limit = std::max(1, spec.perExecutorLimit);
                     load.widestStep = std::max(load.widestStep, (spec.count + limit - 1) / limit);
@@ -424,6 +428,9 @@
                 }
             }
             load.wantedMilliCores += widest;
+            for (const auto &[label, cores] : widestWithLabel) {
+                load.wantedWithLabel[label] += cores;
+            }
         }
     }
     for (const auto &[id, executor] : m_executors) {
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-constexpr std::size_t BlockedLimit = 24;  // jobs that found no room before a pass ends; keeps a pass short in a backlog
-
 Duration remainingChain(const Job &job)
 {
     Duration longest{0};
@@ -30,6 +28,11 @@
     return longest;
 }
 
+bool hasLabel(const ExecutorRecord &record, const std::string &label)
+{
+    return label.empty() || std::find(record.labels.begin(), record.labels.end(), label) != record.labels.end();
+}
+
 /// How much a job can still earn; a late one earns little, and nothing after three times its objective.
 enum class Prospect { LongRunning, InTime, Late, Lost };
 
@@ -106,24 +109,46 @@
         return std::tuple(left.prospect, left.job->spec.priority, left.cost, left.job->spec.id)
             < std::tuple(right.prospect, right.job->spec.priority, right.cost, right.job->spec.id);
     });
-    std::size_t blocked = 0;
+    m_noRoomFor.clear();
     for (const Candidate &candidate : candidates) {
-        bool allPlaced = true;
         for (auto &[number, occurrence] : candidate.job->occurrences) {
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
                 if (occurrence.done[static_cast<std::size_t>(step)]
                         < candidate.job->spec.steps[static_cast<std::size_t>(step)].count
-                    && stepReady(*candidate.job, occurrence, step)) {
-                    allPlaced = placeStep(*candidate.job, number, step, now) && allPlaced;
+                    && stepReady(*candidate.job, occurrence, step)
+                    && !placeStep(*candidate.job, number, step, now)) {
+                    m_placeAgainAt = now + m_settings.placePeriod;
                 }
             }
         }
-        if (!allPlaced) {
-            m_placeAgainAt = now + m_settings.placePeriod;
-            if (++blocked >= BlockedLimit) {
-                break;
-            }
-        }
+    }
+}
+
+/// Room only shrinks during a pass, so what asks for at least as much as a step that found none is not tried. Keeps a
+/// pass short in a backlog, and lets the jobs behind ones that wait for a rare kind of executor go on.
+bool Scheduler::knownToLackRoom(const StepSpec &step) const
+{
+    const int together = step.gang ? step.count : 1;
+    return std::any_of(m_noRoomFor.begin(), m_noRoomFor.end(), [&](const LackOfRoom &lack) {
+        return (lack.label.empty() || lack.label == step.requiredLabel) && together >= lack.together
+            && lack.each.fitsInto(wantedBy(step));
+    });
+}
+
+void Scheduler::noteLackOfRoom(Job &job, const StepSpec &step)
+{
+    if (step.perExecutorLimit == 0) {  // else other tasks of the step stood in the way, not others' use of room
+        m_noRoomFor.push_back({step.requiredLabel, wantedBy(step), step.gang ? step.count : 1});
+    }
+    const bool fitsSomewhere = std::any_of(m_executors.begin(), m_executors.end(), [&](const auto &entry) {
+        const ExecutorRecord &record = entry.second.record;
+        return entry.second.listed && step.each.fitsInto(record.capacity) && hasLabel(record, step.requiredLabel);
+    });
+    if (!fitsSomewhere && !std::exchange(job.toldUnfit, true)) {
+        decide("job-fits-nowhere", job.spec.id,
+               "queue=" + job.spec.queue + " label=" + step.requiredLabel
+                   + " cores=" + std::to_string(step.each.milliCores) + "m memory_mb="
+                   + std::to_string(step.each.memoryMb) + " gpus=" + std::to_string(step.each.gpus));
     }
 }
 
@@ -146,10 +171,14 @@
     if (retryLater) {
         m_placeAgainAt = now + m_settings.placePeriod;
     }
+    if (!waiting.empty() && knownToLackRoom(spec)) {
+        return false;
+    }
     if (!spec.gang) {
         for (const int index : waiting) {
             Executor *executor = pickExecutor(job, number, step, now);
             if (executor == nullptr) {
+                noteLackOfRoom(job, spec);
                 return false;
             }
             if (executor->runs.contains(formatTaskName({job.spec.id, number, step, index}))) {
@@ -178,6 +207,7 @@
         tasks[static_cast<std::size_t>(waiting[i])].executor.clear();
     }
     if (chosen.size() < waiting.size()) {
+        noteLackOfRoom(job, spec);
         return false;
     }
     int run = 0;
@@ -248,10 +278,7 @@
             }
         }
     }
-    Resources wanted = spec.each;
-    if (spec.fills) {
-        wanted.milliCores = 0;
-    }
+    const Resources wanted = wantedBy(spec);
     std::map<std::string_view, int> rackRoom;
     if (spec.sameRack) {
         rackRoom = roomPerRack(spec, now);
@@ -265,9 +292,7 @@
             || (spec.perExecutorLimit > 0 && here[id] >= spec.perExecutorLimit)) {
             continue;
         }
-        const auto &labels = executor.record.labels;
-        if (!spec.requiredLabel.empty()
-            && std::find(labels.begin(), labels.end(), spec.requiredLabel) == labels.end()) {
+        if (!hasLabel(executor.record, spec.requiredLabel)) {
             continue;
         }
         const double capacity = std::max(1.0, static_cast<double>(executor.record.capacity.milliCores));
@@ -314,10 +339,7 @@
     Run run;
     run.run = task->run;
     run.task = name;
-    run.held = step.each;
-    if (step.fills) {
-        run.held.milliCores = 0;
-    }
+    run.held = wantedBy(step);
     executor.used += run.held;
     ++job.runs;
     if (job.state == JobState::Pending) {
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -531,8 +531,11 @@
         const TimePoint now = bootNow();
         PoolLoad load = m_scheduler.load(now);
         constexpr int grain = 8000;  // milli-cores: smaller changes move no instance
-        load.wantedMilliCores = (load.wantedMilliCores + grain - 1) / grain * grain;
-
+        const auto coarse = [](int cores) { return (cores + grain - 1) / grain * grain; };
+        load.wantedMilliCores = coarse(load.wantedMilliCores);
+        for (auto &[label, cores] : load.wantedWithLabel) {
+            cores = coarse(cores);
+        }
         std::string text = encodePoolLoad(load);
         if (text == m_publishedLoad && now - m_loadAt < m_settings.loadRefresh) {
             later(m_settings.loadPeriod, [this] { publishLoad(); });
--- a/tests/core_features.cpp
+++ b/tests/core_features.cpp
@@ -125,6 +125,24 @@
         CHECK(world.state("a") == JobState::Completed);
         CHECK(world.placesOf("n.").empty());
     }
+    SECTION("nor do many jobs that find no executor, each for a reason of its own")
+    {
+        // A pass over the queue once ended after 24 jobs without room, so these kept all later ones from starting.
+        for (int i = 0; i < 40; ++i) {
+            StepSpec nowhere = step(1, 100, 100ms);
+            nowhere.requiredLabel = i % 4 == 0 ? "none" : "";
+            nowhere.each.memoryMb = i % 4 == 1 ? 17'000 : 1000;
+            nowhere.each.gpus = i % 4 == 2 ? 1 : 0;
+            nowhere.gang = i % 4 == 3;
+            nowhere.count = i % 4 == 3 ? 300 : 1;
+            world.submit(job("n" + std::to_string(i), {nowhere}));
+        }
+        world.run(200ms);
+        world.submit(job("z", {step(4, 3000, 500ms)}));
+        world.run(200ms);
+        CHECK(world.placesOf("z.").size() == 4);
+        CHECK(world.placesOf("n").empty());
+    }
 }
 
 TEST_CASE("A scheduled job runs at its times")
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -306,15 +306,81 @@
     }
 }
 
+TEST_CASE("Pools have the kinds of instance that their jobs require")
+{
+    TimePoint now{10s};
+    PoolPlanner planner({});
+    const auto ofKind = [](PooledInstance one, const std::string &kind) {
+        one.labels = {kind, "r1"};
+        return one;
+    };
+    std::vector<PooledInstance> all;
+    for (int i = 0; i < 4; ++i) {
+        all.push_back(ofKind(instance("o" + std::to_string(i), "orders"), "small"));
+        all.push_back(ofKind(instance("p" + std::to_string(i), "stems"), i < 2 ? "large" : "small"));
+    }
+    PoolLoad wants = load(40, now);
+    wants.wantedWithLabel["large"] = 16'000;
+
+    SECTION("a spare one of the kind comes, though the pool has cores enough")
+    {
+        all.push_back(ofKind(instance("s0", "spare"), "small"));
+        all.push_back(ofKind(instance("s1", "spare"), "large"));
+        all.push_back(ofKind(instance("s2", "spare"), "small"));
+        planner.setInstances(all, Spare, now);
+        planner.setLoad("orders", wants);
+        const std::vector<MoveOrder> orders = planner.tick(now);
+        const auto large = std::find_if(orders.begin(), orders.end(),
+                                        [](const MoveOrder &order) { return order.instance == "s1"; });
+        REQUIRE(large != orders.end());
+        CHECK(large->pool == "orders");
+    }
+    SECTION("no spare one has it: a pool that does not require the kind gives one up, once it is empty")
+    {
+        planner.setInstances(all, Spare, now);
+        planner.setLoad("orders", wants);
+        planner.setLoad("stems", load(40, now, {"i-p1", "i-p2"}));
+        CHECK(planner.tick(now).empty());
+        CHECK(planner.vacating() == std::set<std::string>{"i-p1"});
+    }
+    SECTION("a pool whose own jobs require the kind keeps it")
+    {
+        PoolLoad stems = load(40, now, {"i-p1", "i-p2"});
+        stems.wantedWithLabel["large"] = 24'000;
+        planner.setInstances(all, Spare, now);
+        planner.setLoad("orders", wants);
+        planner.setLoad("stems", stems);
+        planner.tick(now);
+        CHECK(planner.vacating().empty());
+    }
+    SECTION("an idle pool keeps one of each kind")
+    {
+        all.push_back(ofKind(instance("s0", "spare"), "small"));
+        planner.setInstances(all, Spare, now);
+        PoolPlannerSettings few;
+        few.floorShare = 0.1;
+        PoolPlanner small(few);
+        small.setInstances(all, Spare, now);
+        small.setLoad("stems", load(0, now, {"i-p0", "i-p1", "i-p2", "i-p3"}));
+        small.tick(now);
+        const std::set<std::string> leaving = small.vacating();
+        CHECK(leaving.size() == 2);
+        CHECK(leaving.contains("i-p0") != leaving.contains("i-p1"));
+        CHECK(leaving.contains("i-p2") != leaving.contains("i-p3"));
+    }
+}
+
 TEST_CASE("A pool's load survives the store")
 {
     PoolLoad before = load(33, TimePoint{1s}, {"i-1", "i-2"});
     before.light = {"i-3"};
+    before.wantedWithLabel = {{"large", 8000}};
     const auto after = parsePoolLoad(encodePoolLoad(before), TimePoint{2s});
     REQUIRE(after);
     CHECK(after.value().wantedMilliCores == 33'000);
     CHECK(after.value().idle == before.idle);
     CHECK(after.value().light == before.light);
+    CHECK(after.value().wantedWithLabel == before.wantedWithLabel);
     CHECK(after.value().learned == TimePoint{2s});
     CHECK_FALSE(parsePoolLoad("[]", TimePoint{2s}));
     CHECK_FALSE(parsePoolLoad("{\"wanted\":\"x\"}", TimePoint{2s}));
