Ask for advice, carry its tickets, and pass the calls through all entries

Causes: starts on such queues carried no ticket, so executors refused all of them; and a job counted as running once a start was sent, so callers were told that nothing waits. Ruled out for the first fix: one owner making its own calls. Change: JobSpec keeps its queue's policy; the scheduler asks about executors with room, as many as cost little beside the call, keeps the answers for the step, renews lapsed tickets by name; AdviceRoutes spreads the calls over all serving entries (two each), which pass them on through the port for metrics; a refused ticket also teaches that a queue needs advice. A job has begun when an executor took a task. The stand-in of a deployment and the model of the fleet have an advice service; the demo has a queue with advice and a scheduled one. Tests: core_advice (model), run_platform_wire, run_deployment, job_demo.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -559,6 +559,7 @@
     std::string metrics;
     std::string store;
     std::string machines;
+    std::string advice;
     std::string orders = "invocation";
     int longestLeaseMs = 6000;
     int stopMs = 400;
@@ -583,6 +584,9 @@
     settings.readiness = endpoint("readiness", arguments.readiness);
     settings.store = endpoint("store", arguments.store);
     settings.machines = endpoint("machines", arguments.machines);
+    if (!arguments.advice.empty()) {
+        settings.advice = endpoint("advice", arguments.advice);
+    }
     if (!arguments.metrics.empty()) {
         settings.metrics = endpoint("metrics", arguments.metrics);
     }
@@ -621,6 +625,7 @@
     text("metrics", arguments.metrics, "IPv4 address and port for metrics alone");
     text("store", arguments.store, "IPv4 address and port of the key-value store")->required();
     text("machines", arguments.machines, "IPv4 address and port of the machines API")->required();
+    text("advice", arguments.advice, "IPv4 address and port of the advice service, where queues need one");
     text("orders", arguments.orders, "how executors take orders: invocation");
     serve
         ->add_option("--settings-file", arguments.settings.settingsFile,
--- a/src/executor.h
+++ b/src/executor.h
@@ -6,9 +6,12 @@
 // [1] Records
 // [2] Reports
 // [3] Orders
+// [4] Advice
 
 #include "job.h"
 
+#include <algorithm>
+
 namespace briarvane
 {
 
@@ -27,6 +30,12 @@
     Resources capacity;
     bool draining = false;
     std::int64_t born = 0;  // Unix ms of the start; changes when the id comes back with nothing known
+
+    /// An empty label asks for nothing.
+    bool hasLabel(const std::string &label) const
+    {
+        return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+    }
 };
 
 // [2] Reports ---------------------------------------------------------------------------------------------------------
@@ -114,6 +123,7 @@
     int run = 0;                    // Start, Stop, Pace
     std::string payload;            // Start
     std::string checkpoint;         // Start; empty: from the beginning
+    std::string ticket;             // Start; of the advice that allows it; empty: the queue needs none
     std::int64_t leaseUntilMs = 0;  // Start, Hold; on the executor's clock; 0: not extended
     std::uint64_t observed = 0;     // Hold: ends up to this one are durable here
     Duration wait{0};               // Hold: the answer waits this long for an end
@@ -121,4 +131,25 @@
     Duration timeout{0};
 };
 
+// [4] Advice ----------------------------------------------------------------------------------------------------------
+
+/// Asks which of these executors may run a step.
+struct AdviceRequest
+{
+    static constexpr std::size_t MostExecutors = 100;  // limit of the service
+
+    std::string job;
+    int occurrence = 0;
+    int step = 0;
+    std::vector<std::string> executors;
+    Duration timeout{0};
+};
+
+/// The executors that may, each with the ticket that a start must carry.
+struct Advice
+{
+    std::map<std::string, std::string> tickets;  // by executor
+    Duration valid{0};                           // of the tickets, from the answer on; 0: not told
+};
+
 }
--- a/src/job.cpp
+++ b/src/job.cpp
@@ -40,16 +40,22 @@
     return wanted;
 }
 
-Duration longestChain(const std::vector<StepSpec> &steps)
+Duration adviceTime(const AdvicePolicy &policy)
+{
+    constexpr int executors = 30;  // the users' objective counts one call for so many
+    return policy.required ? policy.decide + executors * policy.perExecutor : Duration{0};
+}
+
+Duration longestChain(const JobSpec &spec)
 {
     std::vector<Duration> ends;
     Duration longest{0};
-    for (const StepSpec &step : steps) {
+    for (const StepSpec &step : spec.steps) {
         Duration begin{0};
         for (const int earlier : step.after) {
             begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
         }
-        ends.push_back(begin + step.estimate);
+        ends.push_back(begin + adviceTime(spec.advice) + step.estimate);
         longest = std::max(longest, ends.back());
     }
     return longest;
@@ -184,6 +190,10 @@
         object["due"] = spec.firstDueMs;
         object["interval"] = spec.intervalMs;
     }
+    if (spec.advice.required) {
+        const AdvicePolicy &advice = spec.advice;
+        object["advice_us"] = json::array{advice.decide.count(), advice.perExecutor.count(), advice.valid.count()};
+    }
     return json::serialize(object);
 }
 
@@ -218,6 +228,15 @@
     spec.occurrences = fieldOr(object, "occurrences", 0);
     spec.firstDueMs = fieldOr(object, "due", std::int64_t{0});
     spec.intervalMs = fieldOr(object, "interval", std::int64_t{0});
+    constexpr std::size_t adviceColumns = 3;
+    if (const json::value *advice = object.if_contains("advice_us"); advice != nullptr) {
+        if (!advice->is_array() || advice->get_array().size() != adviceColumns) {
+            return unreadable("a job's advice");
+        }
+        const auto time
+            = [advice](std::size_t column) { return Duration(advice->get_array()[column].to_number<std::int64_t>()); };
+        spec.advice = {true, time(0), time(1), time(2)};
+    }
     const json::value *steps = object.if_contains("steps");
     if (steps == nullptr || !steps->is_array()) {
         return unreadable("a job's steps");
--- a/src/job.h
+++ b/src/job.h
@@ -52,6 +52,15 @@
 /// What one task counts against its executor.
 Resources wantedBy(const StepSpec &step);
 
+/// Only some executors may run the steps of such a queue's jobs, and only a service outside knows which.
+struct AdvicePolicy
+{
+    bool required = false;
+    Duration decide{0};       // of one call to the service
+    Duration perExecutor{0};  // and for each executor that the call names
+    Duration valid{0};        // of a ticket; what an answer says goes first
+};
+
 struct JobSpec
 {
     std::string id;
@@ -67,11 +76,13 @@
     double stretch = 1;           // objective: stretch x longest chain + targetLatency
     Duration targetLatency{0};    // see stretch
     std::int64_t acceptedMs = 0;  // Unix time at the accepting entry; orders jobs, never decides safety
+    AdvicePolicy advice;
     bool operator==(const JobSpec &) const = delete;
 };
 
-/// Longest chain of declared work.
-Duration longestChain(const std::vector<StepSpec> &steps);
+/// Longest chain of declared work, with the time for advice that the users' objective grants each step.
+Duration longestChain(const JobSpec &spec);
+Duration adviceTime(const AdvicePolicy &policy);  // for one step
 
 // [2] Names of tasks --------------------------------------------------------------------------------------------------
 
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -48,9 +48,12 @@
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
     , m_settingsFile(settings.settingsFile)
 {
+    if (settings.advice) {
+        m_advice.emplace(io, settings.advice->address, settings.advice->port);
+    }
     if (settings.metrics) {
-        m_metricsServer.emplace(io, serverSettings(*settings.metrics, 16),
-                                [this](const auto &exchange) { handleReadiness(exchange); });
+        m_metricsServer.emplace(io, serverSettings(*settings.metrics, EntryConnections),
+                                [this](const auto &exchange) { handleEntries(exchange); });
     }
 }
 
@@ -302,6 +305,23 @@
     exchange->respond(ready ? 200 : 503, "application/json", ready ? "{}" : platform::encodeError("not ready"));
 }
 
+/// The port for metrics also takes other entries' calls for the advice service.
+void JobEntry::handleEntries(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const HttpRequest &request = exchange->request();
+    if (request.method != "POST" || request.path() != platform::AdviceClient::Target) {
+        handleReadiness(exchange);
+        return;
+    }
+    if (!m_advice || m_stopping) {
+        exchange->respond(503, "application/json", platform::encodeError("this entry passes no calls on"));
+        return;
+    }
+    m_advice->forward(request.body, [exchange](int status, const std::string &body) {
+        exchange->respond(status == 0 ? 504 : status, "application/json", body);
+    });
+}
+
 std::string JobEntry::exposition()
 {
     const platform::StoreCounts &calls = m_store.counts();
--- a/src/job_entry.h
+++ b/src/job_entry.h
@@ -16,6 +16,7 @@
     std::optional<Endpoint> metrics;
     Endpoint store;
     Endpoint machines;
+    std::optional<Endpoint> advice;   // the service that knows which executors may run a queue's steps
     double cpuShare = 1;              // of a core; stronger entries own more shares
     Duration runLease{6'000'000};     // of runs on executors; at most what executors allow
     Duration stopTime{400'000};       // an executor takes this long to stop a task
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -25,9 +25,7 @@
 void JobEntry::enterMembership()
 {
     StoreTxn txn;
-    txn.writes.push_back({keys::entry(m_settings.name),
-                          m_stopping ? "stopping" : std::string(ServingState) + std::to_string(m_settings.cpuShare),
-                          m_lease});
+    txn.writes.push_back({keys::entry(m_settings.name), m_stopping ? "stopping" : servingState(), m_lease});
     m_store.commit(txn, StoreTimeout, [this](const StoreReply &entered) {
         m_front.note(entered);
         if (entered.outcome == StoreOutcome::NotFound) {  // the lease lapsed meanwhile
@@ -47,6 +45,16 @@
     });
 }
 
+/// The processor share, and where other entries reach this one.
+std::string JobEntry::servingState() const
+{
+    std::string state = std::string(ServingState) + std::to_string(m_settings.cpuShare);
+    if (m_settings.metrics && m_advice) {
+        state += ' ' + formatEndpoint(*m_settings.metrics);
+    }
+    return state;
+}
+
 void JobEntry::renew()
 {
     m_store.renewLease(m_lease, [this](const StoreReply &renewed) {
@@ -70,6 +78,7 @@
         } else {
             m_entries[name] = item.value;
         }
+        updateAdviceRoutes();
         return;
     }
     if (!item.key.starts_with(keys::Owners)) {
@@ -82,6 +91,48 @@
     mark.vacantSince = item.removed ? steadyNow() : TimePoint{};
 }
 
+/// Serving entries that pass calls to the advice service, this one included.
+void JobEntry::updateAdviceRoutes()
+{
+    if (!m_advice) {
+        return;
+    }
+    std::set<std::string> names{m_settings.name};
+    for (const auto &[name, state] : m_entries) {
+        const auto endpoint = parseEndpoint(state.substr(state.rfind(' ') + 1));
+        if (name != m_settings.name && state.starts_with(ServingState) && endpoint) {
+            names.insert(name);
+            m_advice->setEntry(name, endpoint->address, endpoint->port);
+        }
+    }
+    m_adviceRoutes.setEntries(names);
+    for (const auto &[share, owner] : m_shares) {
+        owner->setMostAdviceCalls(m_adviceRoutes.room());
+    }
+}
+
+void JobEntry::askAdvice(const AdviceRequest &request, ShareOwnerHooks::Advised done)
+{
+    if (!m_advice) {
+        logRepeated(LogLevel::Error, "advice-service-unknown", request.job, {{"set", "--advice"}});
+        later(AdvicePause, [done = std::move(done)] { done(nullptr); });
+        return;
+    }
+    const std::optional<std::string> entry = m_adviceRoutes.pick(steadyNow());
+    if (!entry) {
+        later(AdvicePause, [done = std::move(done)] { done(nullptr); });
+        return;
+    }
+    m_advice->ask(request, *entry == m_settings.name ? std::string() : *entry,
+                  [this, entry = *entry, done = std::move(done)](const Advice *advice) {
+                      m_adviceRoutes.ended(entry, advice != nullptr, steadyNow());
+                      if (advice == nullptr) {
+                          logRepeated(LogLevel::Warn, "advice-call-failed", entry, {{"through", entry}});
+                      }
+                      done(advice);
+                  });
+}
+
 std::vector<std::string> JobEntry::neededShares() const
 {
     std::vector<std::string> shares{keys::FleetShare};
@@ -250,6 +301,7 @@
     if (m_haveExecutors) {
         owner->setExecutors(m_executorList);
     }
+    owner->setMostAdviceCalls(m_adviceRoutes.room());
     owner->start();
     m_shares[share] = std::move(owner);
 }
@@ -471,6 +523,8 @@
     hooks.send = [this](const ExecutorOrder &order, ShareOwnerHooks::Ordered done) {
         m_executors.send(order, std::move(done));
     };
+    hooks.advise
+        = [this](const AdviceRequest &request, ShareOwnerHooks::Advised done) { askAdvice(request, std::move(done)); };
     hooks.know = [this](const ExecutorRecord &record) {
         m_known.insert(record.id);
         m_executors.setExecutor(record.id, record.address, record.port, ExecutorConnections);
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -8,6 +8,7 @@
 
 #include "job_entry.h"
 
+#include "advice_routes.h"
 #include "clients.h"
 #include "fleet_owner.h"
 #include "http.h"
@@ -32,12 +33,14 @@
 constexpr Duration RebalancePause{4'000'000};  // between two shares that are handed over
 constexpr double RebalanceGain = 1.5;          // a handover costs a fraction of a second of starts
 constexpr double SmallestCpuShare = 0.01;
-constexpr std::string_view ServingState = "serving ";  // followed by the entry's processor share
+constexpr std::string_view ServingState = "serving ";  // followed by the processor share and the port for entries
 constexpr Duration StoreTimeout{700'000};
 constexpr Duration NewsPause{120'000};         // joins the news of several shares into one call
+constexpr Duration AdvicePause{300'000};       // when no entry can pass a call to the advice service
 constexpr Duration StatePeriod{5'000'000};     // of the line with the counters of the store
 constexpr Duration SettingsPeriod{2'000'000};  // of looking at the settings file, which may change without a signal
 constexpr Duration PlanWatch{1'500'000};       // a silent connection is noticed before a change must be in force
+constexpr std::size_t EntryConnections = 256;  // of other entries and of readers of the metrics
 constexpr int ExecutorConnections = 3;         // one waits for ends, two carry starts and stops
 constexpr Duration StopLead{2'600'000};        // the balancer needs two looks, a second apart, to turn away
 constexpr Duration StopSlack{700'000};         // the process is gone this long before it would be killed
@@ -70,6 +73,9 @@
     void renew();
     void grant();
     void enterMembership();
+    std::string servingState() const;
+    void updateAdviceRoutes();
+    void askAdvice(const AdviceRequest &request, ShareOwnerHooks::Advised done);
     void memberItem(const StoreItem &item);
     std::vector<std::string> neededShares() const;
     struct Candidate
@@ -105,6 +111,7 @@
     void reply(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &body);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const FrontReply &result);
     void handleReadiness(const std::shared_ptr<HttpExchange> &exchange);
+    void handleEntries(const std::shared_ptr<HttpExchange> &exchange);
     std::string exposition();
     void summarize();
 
@@ -126,6 +133,8 @@
     Client m_store;
     platform::ExecutorClient m_executors;
     platform::MachineClient m_machines;
+    std::optional<platform::AdviceClient> m_advice;
+    AdviceRoutes m_adviceRoutes;
     JobFront<Client> m_front;
     StoreView<Client> m_operator;
     StoreView<Client> m_membership;
--- a/src/plan.h
+++ b/src/plan.h
@@ -29,6 +29,7 @@
     int maxAttempts = 1;
     double stretch = 1;
     Duration targetLatency{0};
+    AdvicePolicy advice;
 };
 
 struct PooledService
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -42,7 +42,7 @@
     std::map<std::string, int> wantedWithLabel;  // the part of them that requires a label, milli-cores by label
     int widestStep = 0;                          // executors that a long-running step needs at least
     std::set<std::string> idle;                  // executors without runs
-    std::set<std::string> light;  // the others without long-running tasks
+    std::set<std::string> light;                 // the others without long-running tasks
     TimePoint learned;
 };
 
@@ -91,7 +91,7 @@
         std::uint64_t vacateRevision = 0;  // of the first stored list that names the executor; 0: none yet
     };
 
-    int instancesOf(const std::string &pool) const;  // present and arriving
+    int instancesOf(const std::string &pool) const;              // present and arriving
     const std::string &poolOf(const PooledInstance &one) const;  // once the moves that are planned have ended
     /// Whether the pool would lack executors of a kind or with a label that its jobs require.
     bool wouldMiss(const std::string &pool, const PooledInstance &one) const;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -42,6 +42,7 @@
         occurrence.steps.emplace_back(static_cast<std::size_t>(step.count));
     }
     occurrence.done.assign(job.spec.steps.size(), 0);
+    occurrence.advice.resize(job.spec.steps.size());
 }
 
 void Scheduler::addJob(JobSpec spec, std::uint64_t revision, const JobProgress *progress, bool inherited, TimePoint now,
@@ -55,7 +56,7 @@
     job->spec = std::move(spec);
     job->revision = revision;
     job->inherited = inherited;
-    job->chain = longestChain(job->spec.steps);
+    job->chain = longestChain(job->spec);
     const auto age = std::chrono::milliseconds(std::clamp<std::int64_t>(wallMs - job->spec.acceptedMs, 0, 60'000));
     job->learned = now - age;
     job->objective = job->learned + job->spec.targetLatency
@@ -163,6 +164,16 @@
     return name.index < static_cast<int>(tasks.size()) ? &tasks[static_cast<std::size_t>(name.index)] : nullptr;
 }
 
+/// A job waits until an executor has taken one of its tasks: a start that is refused leaves it waiting.
+void Scheduler::noteBegun(Job &job, TimePoint now)
+{
+    if (job.state == JobState::Pending) {
+        job.state = JobState::Running;
+        decide("job-started", job.spec.id,
+               "queue=" + job.spec.queue + " wait_ms=" + std::to_string((now - job.learned).count() / 1000));
+    }
+}
+
 void Scheduler::finishJob(Job &job, JobState state, TimePoint now)
 {
     job.state = state;
@@ -237,6 +248,7 @@
     }
     task->touched = true;
     m_dirty.insert(job->spec.id);
+    noteBegun(*job, now);
     if (end.how == RunEnd::Done && !step.longRunning) {
         noteOutcome(executor, true, now);
         taskDone(*job, *name, *task, now);
@@ -581,7 +593,7 @@
         task->executor = executor.record.id;
         task->run = std::max(task->run, row.run);
         task->touched = true;
-        job->state = JobState::Running;
+        noteBegun(*job, now);
     }
     run.orphan = !wanted;
     Run &added = executor.runs.emplace(row.task, std::move(run)).first->second;
@@ -655,6 +667,9 @@
         if (run.state == RunState::Unsettled || run.state == RunState::Starting) {
             run.state = RunState::Running;
             run.confirmedAt = now;
+            if (const auto job = m_jobs.find(run.task.job); job != m_jobs.end()) {
+                noteBegun(*job->second, now);
+            }
         }
     }
     std::vector<std::string> gone;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -40,6 +40,9 @@
     Duration commitPause{40'000};          // joins the progress of several jobs into one write
     double clockSlowdown = 0.02;           // executors' clocks may run this much slow
     Duration leaseMargin{300'000};         // added to each bound after which a lease is surely over
+    Duration adviceTimeout{1'000'000};     // beyond the time that the service takes for the call
+    Duration adviceRetry{200'000};         // after a call that was refused or not answered
+    Duration ticketMargin{250'000};        // a start travels and waits this long; a lapsed ticket is refused
 };
 
 // [2] State of tasks and executors ------------------------------------------------------------------------------------
@@ -83,10 +86,27 @@
     TimePoint retryAt;
 };
 
+/// What the advice service has said of an executor for one step. Whether it may run the step never changes.
+struct Permission
+{
+    bool allowed = false;
+    std::string ticket;
+    std::int64_t born = 0;  // incarnation that the ticket is for
+    TimePoint validUntil;
+};
+
+struct StepAdvice
+{
+    std::map<std::string, Permission> executors;
+    bool asking = false;
+    TimePoint askAgainAt;
+};
+
 struct Occurrence
 {
     std::vector<std::vector<Task>> steps;
-    std::vector<int> done;  // per step
+    std::vector<int> done;           // per step
+    std::vector<StepAdvice> advice;  // per step
     int stepsDone = 0;
 
     bool complete() const
@@ -239,11 +259,18 @@
     void holdFailed(const std::string &executor, OrderResult result, TimePoint now);
     void answered(const ExecutorOrder &order, OrderResult result, std::int64_t clockMs, TimePoint now);
     void committed(std::uint64_t generation, TimePoint now);
+    /// Null: the call was refused or not answered.
+    void advised(const AdviceRequest &request, const Advice *advice, TimePoint sentAt, TimePoint now);
     void confirmed(TimePoint provenAt);  // ownership was proven by a call that was sent at this time
 
     // Decisions
     void tick(TimePoint now, std::int64_t wallMs);
     std::vector<ExecutorOrder> takeOrders();
+    std::vector<AdviceRequest> takeAdviceRequests();
+    void setMostAdviceCalls(int calls)
+    {
+        m_mostAdviceCalls = std::max(1, calls);
+    }
     std::vector<Decision> takeDecisions();
     std::optional<CommitBatch> takeCommit(TimePoint now, std::int64_t wallMs);
     std::optional<TimePoint> nextWake(TimePoint now) const;
@@ -299,10 +326,12 @@
     void handleEnd(Executor &executor, const EndReport &end, TimePoint now);
     void taskDone(Job &job, const TaskName &name, Task &task, TimePoint now);
     void stopOthers(Job &job, const TaskName &name, TimePoint now);
+    void noteBegun(Job &job, TimePoint now);
     void finishJob(Job &job, JobState state, TimePoint now);
     void stopRun(Executor &executor, const std::string &name, Run &run, TimePoint now, std::string_view why);
     void stopAllRuns(Job &job, TimePoint now, std::string_view why);
     void forgetIfGone(const std::string &id);
+    void loseTicket(const TaskName &name, const std::string &executor);
     void loseRuns(Executor &executor, TimePoint now, std::string_view why, bool restarted = false);
     void noteOutcome(Executor &executor, bool good, TimePoint now);
     void adopt(Executor &executor, const RunningReport &row, TimePoint now);
@@ -317,7 +346,11 @@
     void place(TimePoint now);
     bool placeStep(Job &job, int occurrence, int step, TimePoint now);
     bool knownToLackRoom(const StepSpec &step) const;
-    void noteLackOfRoom(Job &job, const StepSpec &step);
+    void foundNone(Job &job, int occurrence, int step, TimePoint now);
+    static StepAdvice &adviceOf(Job &job, int occurrence, int step);
+    const std::string &ticketFor(const Job &job, int occurrence, int step, const Executor &executor,
+                                 TimePoint now) const;
+    void askAdvice(Job &job, int occurrence, int step, TimePoint now);
     bool stepReady(const Job &job, const Occurrence &occurrence, int step) const;
     bool takesWork(const Executor &executor, TimePoint now) const;
     std::map<std::string_view, int> roomPerRack(const StepSpec &spec, TimePoint now) const;
@@ -348,6 +381,10 @@
     std::vector<std::pair<std::string, std::string>> m_reserved;  // executor and task that the next commit records
     std::vector<std::pair<std::string, std::string>> m_commitReserved;
     std::vector<ExecutorOrder> m_orders;
+    std::vector<AdviceRequest> m_adviceRequests;
+    int m_adviceCalls = 0;        // under way
+    int m_mostAdviceCalls = 2;    // one is handled by the service while the next one waits
+    double m_allowedShare = 0.5;  // of the executors that were asked about, lately; nothing is known at first
     std::vector<Decision> m_decisions;
     std::vector<Finished> m_finished;
     SchedulerCounts m_counts;
--- a/src/scheduler_orders.cpp
+++ b/src/scheduler_orders.cpp
@@ -52,6 +52,9 @@
     case OrderResult::Done:
         run.state = RunState::Running;
         run.confirmedAt = now;
+        if (const auto job = m_jobs.find(name.job); job != m_jobs.end()) {
+            noteBegun(*job->second, now);
+        }
         return;
     case OrderResult::Unanswered:
         run.state = RunState::Unsettled;
@@ -75,6 +78,9 @@
     case OrderResult::Replaced:
         executor.ejectedUntil = std::max(executor.ejectedUntil, now + m_settings.ejection);
         break;
+    case OrderResult::NoTicket:
+        loseTicket(name, order.executor);
+        break;
     default:
         break;
     }
@@ -267,6 +273,11 @@
     return std::exchange(m_orders, {});
 }
 
+std::vector<AdviceRequest> Scheduler::takeAdviceRequests()
+{
+    return std::exchange(m_adviceRequests, {});
+}
+
 std::vector<Decision> Scheduler::takeDecisions()
 {
     return std::exchange(m_decisions, {});
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -21,18 +21,13 @@
                 begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
             }
             const bool done = occurrence.done[step] == job.spec.steps[step].count;
-            ends.push_back(begin + (done ? Duration{0} : job.spec.steps[step].estimate));
+            ends.push_back(begin + (done ? Duration{0} : adviceTime(job.spec.advice) + job.spec.steps[step].estimate));
             longest = std::max(longest, ends.back());
         }
     }
     return longest;
 }
 
-bool hasLabel(const ExecutorRecord &record, const std::string &label)
-{
-    return label.empty() || std::find(record.labels.begin(), record.labels.end(), label) != record.labels.end();
-}
-
 /// How much a job can still earn; a late one earns little, and nothing after three times its objective.
 enum class Prospect { LongRunning, InTime, Late, Lost };
 
@@ -115,8 +110,7 @@
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
                 if (occurrence.done[static_cast<std::size_t>(step)]
                         < candidate.job->spec.steps[static_cast<std::size_t>(step)].count
-                    && stepReady(*candidate.job, occurrence, step)
-                    && !placeStep(*candidate.job, number, step, now)) {
+                    && stepReady(*candidate.job, occurrence, step) && !placeStep(*candidate.job, number, step, now)) {
                     m_placeAgainAt = now + m_settings.placePeriod;
                 }
             }
@@ -135,20 +129,24 @@
     });
 }
 
-void Scheduler::noteLackOfRoom(Job &job, const StepSpec &step)
+/// What follows when no executor can take the next task of a step.
+void Scheduler::foundNone(Job &job, int number, int stepNumber, TimePoint now)
 {
-    if (step.perExecutorLimit == 0) {  // else other tasks of the step stood in the way, not others' use of room
+    const StepSpec &step = job.spec.steps[static_cast<std::size_t>(stepNumber)];
+    if (job.spec.advice.required) {
+        askAdvice(job, number, stepNumber, now);
+    } else if (step.perExecutorLimit == 0) {  // else tasks of the step itself may stand in the way
         m_noRoomFor.push_back({step.requiredLabel, wantedBy(step), step.gang ? step.count : 1});
     }
     const bool fitsSomewhere = std::any_of(m_executors.begin(), m_executors.end(), [&](const auto &entry) {
         const ExecutorRecord &record = entry.second.record;
-        return entry.second.listed && step.each.fitsInto(record.capacity) && hasLabel(record, step.requiredLabel);
+        return entry.second.listed && step.each.fitsInto(record.capacity) && record.hasLabel(step.requiredLabel);
     });
     if (!fitsSomewhere && !std::exchange(job.toldUnfit, true)) {
         decide("job-fits-nowhere", job.spec.id,
                "queue=" + job.spec.queue + " label=" + step.requiredLabel
-                   + " cores=" + std::to_string(step.each.milliCores) + "m memory_mb="
-                   + std::to_string(step.each.memoryMb) + " gpus=" + std::to_string(step.each.gpus));
+                   + " cores=" + std::to_string(step.each.milliCores)
+                   + "m memory_mb=" + std::to_string(step.each.memoryMb) + " gpus=" + std::to_string(step.each.gpus));
     }
 }
 
@@ -178,7 +176,7 @@
         for (const int index : waiting) {
             Executor *executor = pickExecutor(job, number, step, now);
             if (executor == nullptr) {
-                noteLackOfRoom(job, spec);
+                foundNone(job, number, step, now);
                 return false;
             }
             if (executor->runs.contains(formatTaskName({job.spec.id, number, step, index}))) {
@@ -207,7 +205,7 @@
         tasks[static_cast<std::size_t>(waiting[i])].executor.clear();
     }
     if (chosen.size() < waiting.size()) {
-        noteLackOfRoom(job, spec);
+        foundNone(job, number, step, now);
         return false;
     }
     int run = 0;
@@ -292,7 +290,8 @@
             || (spec.perExecutorLimit > 0 && here[id] >= spec.perExecutorLimit)) {
             continue;
         }
-        if (!hasLabel(executor.record, spec.requiredLabel)) {
+        if (!executor.record.hasLabel(spec.requiredLabel)
+            || (job.spec.advice.required && ticketFor(job, number, step, executor, now).empty())) {
             continue;
         }
         const double capacity = std::max(1.0, static_cast<double>(executor.record.capacity.milliCores));
@@ -342,11 +341,6 @@
     run.held = wantedBy(step);
     executor.used += run.held;
     ++job.runs;
-    if (job.state == JobState::Pending) {
-        job.state = JobState::Running;
-        decide("job-started", job.spec.id,
-               "queue=" + job.spec.queue + " wait_ms=" + std::to_string((now - job.learned).count() / 1000));
-    }
     const std::string text = formatTaskName(name);
     Run &added = executor.runs.insert_or_assign(text, std::move(run)).first->second;
     if (step.longRunning) {
@@ -367,6 +361,9 @@
     ExecutorOrder order = orderOn(executor, OrderKind::Start, name, run.run);
     order.payload = job.spec.payload;
     order.checkpoint = step.checkpointing ? task->checkpoint : std::string();
+    if (job.spec.advice.required) {
+        order.ticket = ticketFor(job, run.task.occurrence, run.task.step, executor, now);
+    }
     order.leaseUntilMs = leaseUntil(executor, now);
     extendLease(executor, order.leaseUntilMs);
     if (executor.runs.size() == 1) {
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -46,7 +46,9 @@
 struct ShareOwnerHooks
 {
     using Ordered = std::function<void(OrderResult, std::int64_t clockMs, const HoldReport *report)>;
+    using Advised = std::function<void(const Advice *)>;  // null: refused or not answered
     std::function<void(const ExecutorOrder &, Ordered)> send;
+    std::function<void(const AdviceRequest &, Advised)> advise;
     std::function<void(const ExecutorRecord &)> know;  // before the first order to an executor
     std::function<void(std::function<void(const Result<std::vector<PooledInstance>> &)>)> instances;  // lists all
     std::function<void(const Scheduler::Finished &)> finished;
@@ -100,6 +102,11 @@
         wake();
     }
 
+    void setMostAdviceCalls(int calls)
+    {
+        m_scheduler.setMostAdviceCalls(calls);
+    }
+
     const Scheduler &scheduler() const
     {
         return m_scheduler;
@@ -363,6 +370,9 @@
         for (const ExecutorOrder &order : m_scheduler.takeOrders()) {
             send(order, now);
         }
+        for (AdviceRequest &request : m_scheduler.takeAdviceRequests()) {
+            ask(std::move(request), now);
+        }
         for (const Decision &decision : m_scheduler.takeDecisions()) {
             logEvent(LogLevel::Info, decision.event,
                      {{"job", decision.job}, {"share", m_share}, {"inputs", decision.detail}});
@@ -411,6 +421,14 @@
                      }));
     }
 
+    void ask(AdviceRequest request, TimePoint sentAt)
+    {
+        m_hooks.advise(request, guarded([this, request, sentAt](const Advice *advice) {
+                           m_scheduler.advised(request, advice, sentAt, bootNow());
+                           wake();
+                       }));
+    }
+
     // Store
 
     struct Commit
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -330,8 +330,8 @@
         planner.setInstances(all, Spare, now);
         planner.setLoad("orders", wants);
         const std::vector<MoveOrder> orders = planner.tick(now);
-        const auto large = std::find_if(orders.begin(), orders.end(),
-                                        [](const MoveOrder &order) { return order.instance == "s1"; });
+        const auto large
+            = std::find_if(orders.begin(), orders.end(), [](const MoveOrder &order) { return order.instance == "s1"; });
         REQUIRE(large != orders.end());
         CHECK(large->pool == "orders");
     }
--- a/tests/core_jobs.cpp
+++ b/tests/core_jobs.cpp
@@ -122,8 +122,12 @@
     second.after = {0};
     StepSpec beside;
     beside.estimate = 400ms;
-    CHECK(longestChain({first, second, beside}) == 500ms);
-    CHECK(longestChain({}) == 0ms);
+    JobSpec spec;
+    CHECK(longestChain(spec) == 0ms);
+    spec.steps = {first, second, beside};
+    CHECK(longestChain(spec) == 500ms);
+    spec.advice = {true, 20ms, 1ms, 3s};
+    CHECK(longestChain(spec) == 600ms);  // a call on 30 executors before each of two steps
 }
 
 TEST_CASE("Host and the longest prefix select the queue")
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -312,6 +312,34 @@
         }
         return all;
     }
+    /// Executors refuse starts without a ticket for its steps, whatever the job says of it.
+    void requireTickets(const std::string &job, Duration valid = 3s)
+    {
+        m_ticketed[job] = valid;
+    }
+    void setAdviceDown(bool down)
+    {
+        m_adviceDown = down;
+    }
+    /// Steps and the executors that the calls for advice named, in their order.
+    const std::vector<std::pair<std::string, std::vector<std::string>>> &adviceCalls() const
+    {
+        return m_adviceCalls;
+    }
+    int mostAdviceCallsAtOnce() const
+    {
+        return m_mostAdviceOpen;
+    }
+    int refusedTickets() const
+    {
+        return m_refusedTickets;
+    }
+    /// A third of the executors may run a step, at least one.
+    static bool adviceAllows(const std::string &step, const std::string &executor)
+    {
+        const std::size_t third = std::hash<std::string>{}(step) % 3;
+        return static_cast<std::size_t>(std::stoi(executor.substr(2))) % 3 == third;
+    }
     /// Long-running tasks come to work this long after their start.
     void setStartup(Duration time)
     {
@@ -428,10 +456,72 @@
     OrderResult carryOut(const ExecutorOrder &order)
     {
         ModelExecutor &one = m_executors.at(order.executor);
+        if (order.kind == OrderKind::Start && !hasTicket(one, order)) {
+            ++m_refusedTickets;
+            return OrderResult::NoTicket;
+        }
         return one.carryOut(order, m_now, m_settings.removed,
                             [this, &one](const ExecutorOrder &start) { return makeRun(one, start); });
     }
 
+    // Advice
+
+    static std::string stepOf(const std::string &task)
+    {
+        return task.substr(0, task.rfind('.'));
+    }
+    static std::string ticketOf(const ModelExecutor &one, const std::string &step, TimePoint until)
+    {
+        return step + '/' + one.record.id + '/' + std::to_string(one.record.born) + '/'
+            + std::to_string(until.time_since_epoch().count());
+    }
+    bool hasTicket(const ModelExecutor &one, const ExecutorOrder &start) const
+    {
+        const std::string step = stepOf(start.task);
+        if (!m_ticketed.contains(parseTaskName(start.task)->job)) {
+            return true;
+        }
+        const std::size_t slash = start.ticket.rfind('/');
+        if (slash == std::string::npos) {
+            return false;
+        }
+        const TimePoint until{Duration{std::stoll(start.ticket.substr(slash + 1))}};
+        return start.ticket == ticketOf(one, step, until) && m_now < until;
+    }
+    void ask(std::uint64_t token, const AdviceRequest &request)
+    {
+        const TimePoint sentAt = m_now;
+        const std::string step
+            = request.job + '.' + std::to_string(request.occurrence) + '.' + std::to_string(request.step);
+        m_adviceCalls.emplace_back(step, request.executors);
+        m_mostAdviceOpen = std::max(m_mostAdviceOpen, ++m_adviceOpen);
+        if (m_adviceDown) {
+            after(request.timeout, [this, token, request, sentAt] {
+                --m_adviceOpen;
+                if (Scheduler *scheduler = current(token)) {
+                    scheduler->advised(request, nullptr, sentAt, m_now);
+                }
+            });
+            return;
+        }
+        constexpr Duration decide = 100ms;
+        constexpr Duration perExecutor = 2ms;
+        after(decide + static_cast<int>(request.executors.size()) * perExecutor, [this, token, request, step, sentAt] {
+            --m_adviceOpen;
+            Advice advice;
+            const auto valid = m_ticketed.find(request.job);
+            advice.valid = valid == m_ticketed.end() ? Duration{3s} : valid->second;
+            for (const std::string &id : request.executors) {
+                if (adviceAllows(step, id)) {
+                    advice.tickets[id] = ticketOf(m_executors.at(id), step, m_now + advice.valid);
+                }
+            }
+            if (Scheduler *scheduler = current(token)) {
+                scheduler->advised(request, &advice, sentAt, m_now);
+            }
+        });
+    }
+
     ModelRun makeRun(const ModelExecutor &one, const ExecutorOrder &order)
     {
         checkStart(one, order);
@@ -564,6 +654,9 @@
         for (const ExecutorOrder &order : scheduler.takeOrders()) {
             send(owner, order);
         }
+        for (const AdviceRequest &request : scheduler.takeAdviceRequests()) {
+            ask(owner.token, request);
+        }
         for (const Decision &decision : scheduler.takeDecisions()) {
             note("token " + std::to_string(owner.token) + " decides: " + decision.event + ' ' + decision.job + ". "
                  + decision.detail);
@@ -741,6 +834,12 @@
     std::map<std::string, std::string> m_startedFrom;
     std::vector<std::string> m_violations;
     std::vector<std::string> m_trace;
+    std::map<std::string, Duration> m_ticketed;  // jobs whose starts need tickets, with the time these are valid
+    std::vector<std::pair<std::string, std::vector<std::string>>> m_adviceCalls;
+    int m_adviceOpen = 0;
+    int m_mostAdviceOpen = 0;
+    int m_refusedTickets = 0;
+    bool m_adviceDown = false;
     int m_starts = 0;
     bool m_late = false;  // an order that was lost is being carried out
 };
--- a/tests/job_demo.cpp
+++ b/tests/job_demo.cpp
@@ -35,8 +35,13 @@
     int perSecond = 0;
     int targetMs = 600;  // latency objective, beyond the longest chain
     double stretch = 2;
+    bool advised = false;  // only executors that the advice service names may run it
+    int times = 0;         // of a scheduled job; 0: once, at once
 };
 
+constexpr int ReportTimes = 2;
+constexpr int ReportIntervalMs = 1000;
+
 const Kind Kinds[] = {
     {"rosters", "vendors", "work_ms=300 cpu=900 fails=3", R"([{"count":4,"cpu":900,"mem_mb":64,"estimate_ms":300}])",
      5},
@@ -49,6 +54,12 @@
      1},
     // The work takes fifteen times what is declared, and the objective rests on what is declared: always late.
     {"late", "vendors", "work_ms=1500 cpu=900", R"([{"count":1,"cpu":900,"mem_mb":64,"estimate_ms":100}])", 1, 50, 1},
+    {"permits", "vendors", "work_ms=300 cpu=500 ticket=1",
+     R"([{"count":2,"cpu":500,"mem_mb":64,"estimate_ms":300},{"count":2,"cpu":500,"mem_mb":64,"estimate_ms":300,)"
+     R"("after":[0]}])",
+     1, 600, 2, true},
+    {"reports", "supplies", "work_ms=200 cpu=500", R"([{"count":2,"cpu":500,"mem_mb":64,"estimate_ms":200}])", 1, 600,
+     2, false, ReportTimes},
 };
 
 enum class Acceptance { Accepted, Refused, Unknown };
@@ -92,7 +103,8 @@
         m_entries[index] = harness::Process(
             {m_bin + "/briarvane", "serve", "--node", "e" + number, "--data-centre", "dc-" + number, "--listen",
              ip + std::to_string(callerPort(index)), "--readiness", ip + std::to_string(readinessPort(index)),
-             "--store", ip + std::to_string(storePort()), "--machines", ip + std::to_string(machinesPort())},
+             "--store", ip + std::to_string(storePort()), "--machines", ip + std::to_string(machinesPort()), "--advice",
+             ip + std::to_string(machinesPort()), "--metrics", ip + std::to_string(metricsPort(index))},
             {}, logFile(index, ++m_starts[index]));
     }
     bool waitReady(int index) const
@@ -148,6 +160,10 @@
     {
         return static_cast<std::uint16_t>(callerPort(index) + 1);
     }
+    std::uint16_t metricsPort(int index) const
+    {
+        return static_cast<std::uint16_t>(m_ports.first() + 10 + 2 * Entries + index);
+    }
     std::string logFile(int index, int number) const
     {
         return m_work + "/entry-" + std::to_string(index) + "-" + std::to_string(number) + ".log";
@@ -179,14 +195,18 @@
 {
     json::array routes;
     for (const Kind &kind : Kinds) {
-        routes.push_back(json::object{{"name", kind.queue},
-                                      {"host", "demo.example"},
-                                      {"prefix", "/" + kind.queue + "/"},
-                                      {"service", kind.service},
-                                      {"timeout_ms", CallMs},
-                                      {"max_attempts", 4},
-                                      {"stretch", kind.stretch},
-                                      {"target_latency_ms", kind.targetMs}});
+        json::object route{{"name", kind.queue},
+                           {"host", "demo.example"},
+                           {"prefix", "/" + kind.queue + "/"},
+                           {"service", kind.service},
+                           {"timeout_ms", CallMs},
+                           {"max_attempts", 4},
+                           {"stretch", kind.stretch},
+                           {"target_latency_ms", kind.targetMs}};
+        if (kind.advised) {
+            route["advice"] = json::object{{"decide_ms", 40}, {"period_ms", 2}, {"valid_ms", 3000}};
+        }
+        routes.push_back(std::move(route));
     }
     json::array services;
     for (const std::string name : {"vendors", "supplies", "spare"}) {
@@ -208,7 +228,14 @@
 Acceptance submit(const Deployment &deployment, const Kind &kind, const std::string &id, int entry)
 {
     constexpr int tries = 5;
-    const std::string body = R"({"spec":")" + kind.payload + R"(","steps":)" + kind.steps + "}";
+    std::string body = R"({"spec":")" + kind.payload + R"(","steps":)" + kind.steps;
+    if (kind.times > 0) {
+        const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+        body += R"(,"times":)" + std::to_string(kind.times) + R"(,"start_at_ms":)" + std::to_string(now.count())
+            + R"(,"interval_ms":)" + std::to_string(ReportIntervalMs);
+    }
+    body += "}";
     bool unsure = false;
     for (int i = 0; i < tries; ++i) {
         const Response response = deployment.call((entry + i) % Entries, "POST", kind, id, body);
@@ -331,7 +358,7 @@
         int declared = 0;
         const json::value steps = json::parse(kind.steps);
         for (const json::value &step : steps.as_array()) {
-            declared += static_cast<int>(step.at("count").as_int64());
+            declared += std::max(1, kind.times) * static_cast<int>(step.at("count").as_int64());
         }
         int done = 0;
         int seen = 0;
--- a/tests/run_deployment.cpp
+++ b/tests/run_deployment.cpp
@@ -36,6 +36,7 @@
         , client(io, "127.0.0.1", portOf(storeAcceptor))
         , executors(io)
         , machines(io, "127.0.0.1", portOf(machinesAcceptor), "e1")
+        , advice(io, "127.0.0.1", portOf(machinesAcceptor))
     {
         standin::accept(storeAcceptor, store);
         standin::accept(machinesAcceptor, workers);
@@ -130,6 +131,7 @@
     platform::StoreClient client;
     platform::ExecutorClient executors;
     platform::MachineClient machines;
+    platform::AdviceClient advice;
 };
 
 }
@@ -340,3 +342,58 @@
         CHECK(served.list().at(1).pool == "vendors");
     }
 }
+
+TEST_CASE("The advice client", "[deployment]")
+{
+    Served served;
+    AdviceRequest request{"00000000000000aa", 0, 0, {}, CallTimeout};
+    for (int i = 1; i < 9; ++i) {
+        request.executors.push_back("x-vendors-0-" + std::to_string(i));
+    }
+    const auto ask = [&](const AdviceRequest &call, const std::string &entry) {
+        return served.wait<std::optional<Advice>>([&](auto done) {
+            served.advice.ask(call, entry, [done](const Advice *advice) {
+                done(advice == nullptr ? std::nullopt : std::optional(*advice));
+            });
+        });
+    };
+
+    SECTION("the tickets are those that executors take, and a start without one is told apart")
+    {
+        const auto advice = ask(request, {});
+        REQUIRE(advice);
+        CHECK(advice->valid == 3s);
+        ExecutorOrder start = Served::order(OrderKind::Start, 5, 2);
+        start.payload = "work_ms=20 cpu=500 ticket=1";
+        CHECK(served.send(start).result == OrderResult::NoTicket);
+        const bool allowed = advice->tickets.contains(Served::FirstExecutor);
+        CHECK(ask(request, {})->tickets.contains(Served::FirstExecutor) == allowed);
+        start.ticket = allowed ? advice->tickets.at(Served::FirstExecutor) : "of another executor";
+        CHECK(served.send(start).result == (allowed ? OrderResult::Done : OrderResult::NoTicket));
+    }
+    SECTION("another entry passes a call on as it came")
+    {
+        served.advice.setEntry("e2", "127.0.0.1", Served::portOf(served.machinesAcceptor));
+        const auto through = ask(request, "e2");
+        REQUIRE(through);
+        CHECK(through->tickets.size() == ask(request, {})->tickets.size());
+        std::optional<int> status;
+        served.advice.forward("not a call", [&](int code, const std::string &) { status = code; });
+        served.until([&] { return status.has_value(); });
+        CHECK(*status == 400);
+    }
+    SECTION("calls beyond those that wait are refused, and an entry that is gone answers nothing")
+    {
+        int answered = 0;
+        int refused = 0;
+        for (std::size_t i = 0; i < standin::WorkersStandIn::WaitingAdvice + 8; ++i) {
+            AdviceRequest call = request;
+            call.timeout = 20s;
+            served.advice.ask(call, {}, [&](const Advice *advice) { ++(advice == nullptr ? refused : answered); });
+        }
+        served.until([&] { return answered + refused == standin::WorkersStandIn::WaitingAdvice + 8; });
+        CHECK(answered > 0);
+        served.advice.setEntry("gone", "127.0.0.1", 9);
+        CHECK_FALSE(ask(request, "gone"));
+    }
+}
--- a/tests/run_platform_wire.cpp
+++ b/tests/run_platform_wire.cpp
@@ -22,6 +22,7 @@
     CHECK(plan.value().services[0].guardsCapacity);
     CHECK(plan.value().services[1].spare);
     CHECK(plan.value().bodyLimit == 1000);
+    CHECK_FALSE(plan.value().queues[0].advice.required);
     CHECK_FALSE(decodePlan("{}"));
     CHECK_FALSE(decodePlan("not json"));
 }
@@ -76,6 +77,48 @@
     CHECK(decodeOrderAnswer(500, true, "", clock) == OrderResult::Unanswered);
 }
 
+TEST_CASE("Advice names executors and brings tickets")
+{
+    const auto plan = decodePlan(R"({"version":7,"routes":[{"name":"r-1","host":"h","prefix":"/k/","service":"s1",
+        "advice":{"decide_ms":300,"period_ms":0.5,"valid_ms":3000}}],"services":[]})");
+    REQUIRE(plan);
+    const AdvicePolicy &policy = plan.value().queues[0].advice;
+    CHECK(policy.required);
+    CHECK(policy.decide == 300ms);
+    CHECK(policy.perExecutor == 500us);
+    CHECK(policy.valid == 3s);
+    SECTION("a job keeps what its queue's policy says, also in the store")
+    {
+        JobRecord record;
+        record.spec = decodeJob("5c0e7a21d94b36f8", plan.value().queues[0], R"({"steps":[{"count":1}]})", 17).value();
+        const auto kept = parseJobRecord("5c0e7a21d94b36f8", encodeJobRecord(record));
+        REQUIRE(kept);
+        CHECK(kept.value().spec.advice.required);
+        CHECK(kept.value().spec.advice.perExecutor == 500us);
+        CHECK(kept.value().spec.advice.valid == 3s);
+    }
+    SECTION("a call names the step and the executors; a start carries the ticket")
+    {
+        CHECK(encodeAdviceRequest({"5c0e7a21d94b36f8", 0, 1, {"i-1", "i-2"}, 1s})
+              == R"({"step":"5c0e7a21d94b36f8.0.1","workers":["i-1","i-2"]})");
+        ExecutorOrder start;
+        start.kind = OrderKind::Start;
+        CHECK(encodeOrder(start).find("ticket") == std::string::npos);
+        start.ticket = "c81e";
+        CHECK(encodeOrder(start).find(R"("ticket":"c81e")") != std::string::npos);
+    }
+    SECTION("an answer that cannot be read gives no tickets")
+    {
+        const auto advice = decodeAdvice(R"({"good":[["i-1","c81e"]],"valid_ms":2000})");
+        REQUIRE(advice);
+        CHECK(advice.value().tickets.at("i-1") == "c81e");
+        CHECK(advice.value().valid == 2s);
+        CHECK_FALSE(decodeAdvice(R"({"good":[["i-1"]]})"));
+        CHECK_FALSE(decodeAdvice(R"({"valid_ms":2000})"));
+        CHECK_FALSE(decodeAdvice("nothing"));
+    }
+}
+
 TEST_CASE("A transaction carries bytes as base64 and reads them back")
 {
     StoreTxn txn;
--- a/tests/standin_workers.h
+++ b/tests/standin_workers.h
@@ -1,12 +1,14 @@
 #pragma once
 
-// Stand-in of the users' instances: one executor a port, and the machines API, over their published protocol. What a
-// task does stands in the job's payload, "work_ms=300 cpu=900 fails=100 lasts=1". It judges each start as it comes.
+// Stand-in of the users' instances: one executor a port, the machines API and the advice service, over their published
+// protocol. What a task does stands in the job's payload, "work_ms=300 cpu=900 fails=100 lasts=1 ticket=1". It judges
+// each start as it comes.
 //
 // Index
 // [1] Workers
 // [2] The executors' interface
 // [3] The machines API
+// [4] The advice service
 
 #include "model_executor.h"
 #include "standin_store.h"
@@ -49,6 +51,10 @@
     static constexpr Duration MaintenanceTime{2'000'000};
     static constexpr Duration CrashTime{3'000'000};
     static constexpr std::size_t PageInstances = 8;
+    static constexpr std::size_t WaitingAdvice = 32;  // calls beyond these are refused
+    static constexpr Duration AdviceDecide{40'000};
+    static constexpr Duration AdvicePerExecutor{2'000};
+    static constexpr Duration TicketValid{3'000'000};
 
     WorkersStandIn(StoreStandIn &store, const WorkerOptions &options)
         : m_store(store)
@@ -89,6 +95,12 @@
                 m_tasks[task].done = m_tasks[task].done || how == RunEnd::Done;
             });
         }
+        while (!m_advice.empty() && m_advice.front().dueAt <= now) {
+            const Answer answer = advise(m_advice.front());
+            const Reply reply = std::move(m_advice.front().reply);
+            m_advice.pop_front();
+            reply(answer);
+        }
         std::vector<Hold> waiting;
         waiting.swap(m_holds);
         for (Hold &hold : waiting) {
@@ -124,6 +136,10 @@
             answerHold({index, executor.record.born, order, steadyNow() + wait, reply});
             return;
         }
+        if (order.kind == OrderKind::Start && !hasTicket(executor, order)) {
+            reply(Answer{409, json::object{{"clock_ms", executor.clockMs(steadyNow())}, {"reason", "ticket"}}});
+            return;
+        }
         const OrderResult result
             = executor.carryOut(order, steadyNow(), {}, [&](const ExecutorOrder &start) { return run(worker, start); });
         json::object answer{{"clock_ms", executor.clockMs(steadyNow())}};
@@ -142,6 +158,10 @@
             reply(page(target.number("page_token")));
             return;
         }
+        if (target.path == "/advise") {
+            queueAdvice(request, reply);
+            return;
+        }
         // Not of the users' protocol: what a driver of tests asks for.
         if (target.path.starts_with("/test/")) {
             reply(control(request, target));
@@ -165,6 +185,13 @@
         bool done = false;       // an end with success came
         bool forgotten = false;  // that end was noted by the owner
     };
+    struct AdviceCall
+    {
+        std::string step;
+        std::vector<std::string> executors;
+        TimePoint dueAt;
+        Reply reply;
+    };
     struct Hold
     {
         std::size_t worker = 0;
@@ -230,6 +257,7 @@
         order.run = static_cast<int>(number("run"));
         order.payload = text("spec");
         order.checkpoint = text("checkpoint");
+        order.ticket = text("ticket");
         order.leaseUntilMs = number("until_ms");
         order.observed = static_cast<std::uint64_t>(number("observed"));
         order.wait = std::chrono::milliseconds(number("wait_ms"));
@@ -249,6 +277,57 @@
         return 0;
     }
 
+    // [4] The advice service: all calls on loopback come from one address, so one is handled at a time.
+
+    void queueAdvice(const Request &request, const Reply &reply)
+    {
+        boost::system::error_code error;
+        const json::value body = json::parse(request.body(), error);
+        const json::object *call = error ? nullptr : body.if_object();
+        const json::value *step = call == nullptr ? nullptr : call->if_contains("step");
+        const json::value *named = call == nullptr ? nullptr : call->if_contains("workers");
+        if (step == nullptr || !step->is_string() || named == nullptr || !named->is_array()
+            || named->get_array().size() > AdviceRequest::MostExecutors) {
+            reply(errorAnswer(400, "no step, or no list of executors"));
+            return;
+        }
+        if (m_advice.size() >= WaitingAdvice) {
+            reply(errorAnswer(429, "too many calls wait"));
+            return;
+        }
+        AdviceCall made{std::string(step->get_string()), {}, {}, reply};
+        for (const json::value &id : named->get_array()) {
+            made.executors.emplace_back(id.as_string());
+        }
+        made.dueAt = (m_advice.empty() ? steadyNow() : m_advice.back().dueAt) + AdviceDecide
+            + static_cast<int>(made.executors.size()) * AdvicePerExecutor;
+        m_advice.push_back(std::move(made));
+    }
+
+    /// Half of the executors may run a step.
+    static Answer advise(const AdviceCall &call)
+    {
+        json::array good;
+        const std::string until = std::to_string((steadyNow() + TicketValid).time_since_epoch().count());
+        for (const std::string &id : call.executors) {
+            if (std::hash<std::string>{}(call.step + id) % 2 == 0) {
+                good.push_back(json::array{id, call.step + '/' + id + '/' + until});
+            }
+        }
+        return {200, json::object{{"good", std::move(good)}, {"valid_ms", TicketValid.count() / 1000}}};
+    }
+
+    static bool hasTicket(const model::ModelExecutor &executor, const ExecutorOrder &start)
+    {
+        if (setting(start.payload, "ticket") == 0) {
+            return true;
+        }
+        const std::string step = start.task.substr(0, start.task.rfind('.'));
+        const std::string wanted = step + '/' + executor.record.id + '/';
+        return start.ticket.starts_with(wanted)
+            && steadyNow().time_since_epoch().count() < std::stoll(start.ticket.substr(wanted.size()));
+    }
+
     /// What the start runs. A start that breaks a promise is noted and runs all the same.
     model::ModelRun run(const Worker &worker, const ExecutorOrder &start)
     {
@@ -438,6 +517,7 @@
     std::mt19937 m_random;
     std::vector<Worker> m_workers;
     std::vector<Hold> m_holds;
+    std::deque<AdviceCall> m_advice;  // the first one is being handled
     std::map<std::string, TaskRecord> m_tasks;
     std::vector<std::string> m_broken;
     int m_moves = 0;
