Name executors without room in calls for advice, and judge scheduled runs from their due time

Cause: a call named only executors that had room at that moment. Beside it: the objective of a scheduled job counted from its acceptance, so all its later runs were taken as lost and placed last. It counts from the due time of the earliest open run. Test: core_advice, core_features (its in_time failed before).

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -56,11 +56,11 @@
     job->spec = std::move(spec);
     job->revision = revision;
     job->inherited = inherited;
-    job->chain = longestChain(job->spec);
     const auto age = std::chrono::milliseconds(std::clamp<std::int64_t>(wallMs - job->spec.acceptedMs, 0, 60'000));
     job->learned = now - age;
-    job->objective = job->learned + job->spec.targetLatency
-        + Duration(static_cast<std::int64_t>(job->spec.stretch * static_cast<double>(job->chain.count())));
+    job->firstDue = now + std::chrono::milliseconds(job->spec.firstDueMs - wallMs);
+    job->allowance = job->spec.targetLatency
+        + Duration(static_cast<std::int64_t>(job->spec.stretch * static_cast<double>(longestChain(job->spec).count())));
     if (progress != nullptr) {
         for (const auto &[key, saved] : *progress) {
             const auto &[number, step, index] = key;
@@ -129,6 +129,18 @@
     m_changed = true;
 }
 
+/// Of a scheduled job: the objective of its earliest run that is not complete, else of its last one.
+TimePoint Scheduler::objectiveOf(const Job &job)
+{
+    if (job.spec.occurrences == 0) {
+        return job.learned + job.allowance;
+    }
+    const auto open = std::find_if(job.occurrences.begin(), job.occurrences.end(),
+                                   [](const auto &entry) { return !entry.second.complete(); });
+    const int number = open == job.occurrences.end() ? job.spec.occurrences - 1 : open->first;
+    return job.firstDue + number * std::chrono::milliseconds(job.spec.intervalMs) + job.allowance;
+}
+
 bool Scheduler::knows(const std::string &id) const
 {
     return m_jobs.contains(id);
@@ -179,7 +191,7 @@
     job.state = state;
     job.committing = true;
     m_dirty.insert(job.spec.id);
-    const bool inTime = now <= job.objective;
+    const bool inTime = now <= objectiveOf(job);
     ++(state == JobState::Completed ? m_counts.completed : m_counts.failed);
     m_counts.late += inTime ? 0 : 1;
     m_finished.push_back({job.spec.queue, now - job.learned, inTime});
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -42,7 +42,8 @@
     Duration leaseMargin{300'000};         // added to each bound after which a lease is surely over
     Duration adviceTimeout{1'000'000};     // beyond the time that the service takes for the call
     Duration adviceRetry{200'000};         // after a call that was refused or not answered
-    Duration ticketMargin{250'000};        // a start travels and waits this long; a lapsed ticket is refused
+    Duration adviceRepeat{1'000'000};  // before asking about executors that have come since: a call for each is dear
+    Duration ticketMargin{250'000};    // a start travels and waits this long; a lapsed ticket is refused
 };
 
 // [2] State of tasks and executors ------------------------------------------------------------------------------------
@@ -99,7 +100,8 @@
 {
     std::map<std::string, Permission> executors;
     bool asking = false;
-    TimePoint askAgainAt;
+    TimePoint askAgainAt;   // after a call that failed
+    TimePoint askOthersAt;  // executors that have come since
 };
 
 struct Occurrence
@@ -128,8 +130,8 @@
     bool committing = false;  // its final state is on the way to the store
     int runs = 0;             // on executors, stopping ones included
     TimePoint learned;
-    TimePoint objective;  // an end after this is late
-    Duration chain{0};
+    TimePoint firstDue;      // of a scheduled job
+    Duration allowance{0};   // from the acceptance, or from the due time of a scheduled run; an end after it is late
     bool toldUnfit = false;  // the log says that no executor is large enough or has the label
 };
 
@@ -319,6 +321,7 @@
     Task *findTask(const TaskName &name, Job **job = nullptr);
     const StepSpec *findStep(const TaskName &name) const;  // null when the job is gone
     ExecutorOrder orderOn(const Executor &executor, OrderKind kind, const std::string &task, int run) const;
+    static TimePoint objectiveOf(const Job &job);
     void makeOccurrence(Job &job, int number);
     void openDueOccurrences(Job &job, TimePoint now, std::int64_t wallMs);
     void requeue(const TaskName &name, TimePoint retryAt);
--- a/src/scheduler_advice.cpp
+++ b/src/scheduler_advice.cpp
@@ -50,7 +50,8 @@
     return valid ? found->second.ticket : none;
 }
 
-/// Asks about executors that have room for a task of the step: first those whose tickets have lapsed.
+/// Asks about executors that may take tasks of the step: first those whose tickets have lapsed, then those with the
+/// most room. Those without room now are named too, since naming one costs far less than a second call.
 void Scheduler::askAdvice(Job &job, int number, int step, TimePoint now)
 {
     StepAdvice &advice = adviceOf(job, number, step);
@@ -66,10 +67,12 @@
         std::string id;
     };
     std::vector<Named> named;
+    bool worthCall = false;  // an executor that has room now may turn out to be allowed
     for (const auto &[id, executor] : m_executors) {
         const auto known = advice.executors.find(id);
         const bool isNew = known == advice.executors.end();
         if (!takesWork(executor, now) || !executor.record.hasLabel(spec.requiredLabel)
+            || !wanted.fitsInto(executor.record.capacity) || (isNew && now < advice.askOthersAt)
             || (!isNew && (!known->second.allowed || !ticketFor(job, number, step, executor, now).empty()))) {
             continue;
         }
@@ -80,11 +83,10 @@
         for (; one.room < most && after.fitsInto(executor.record.capacity); after += wanted) {
             ++one.room;
         }
-        if (one.room > 0) {
-            named.push_back(std::move(one));
-        }
+        worthCall = worthCall || one.room > 0;
+        named.push_back(std::move(one));
     }
-    if (named.empty()) {
+    if (!worthCall) {
         return;
     }
     std::sort(named.begin(), named.end(), [](const Named &left, const Named &right) {
@@ -131,6 +133,7 @@
         decide("advice-missing", request.job, inputs + took);
         return;
     }
+    step.askOthersAt = now + m_settings.adviceRepeat;
     const Duration told = advice->valid.count() > 0 ? advice->valid : job.spec.advice.valid;
     const Duration valid = told.count() > 0 ? told : UntoldValidity;
     for (const std::string &id : request.executors) {
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -87,7 +87,7 @@
         if (!waiting) {
             continue;
         }
-        const Duration slack = job->objective - now - remainingChain(*job);
+        const Duration slack = objectiveOf(*job) - now - remainingChain(*job);
         const bool isLong = !job->spec.steps.empty() && job->spec.steps.front().longRunning;
         const double all = declaredWork(*job, false);
         const QueueWork &queue = m_queueWork[job->spec.queue];
@@ -96,7 +96,7 @@
         const double worth = 0.3 + (mean > 0 ? 0.7 * all / mean : 0.7);
         const Prospect prospect = isLong                   ? Prospect::LongRunning
             : slack >= Duration{0}                         ? Prospect::InTime
-            : -slack < 2 * (job->objective - job->learned) ? Prospect::Late
+            : -slack < 2 * job->allowance ? Prospect::Late
                                                            : Prospect::Lost;
         candidates.push_back({job.get(), prospect, declaredWork(*job, true) / worth});
     }
--- a/tests/core_advice.cpp
+++ b/tests/core_advice.cpp
@@ -92,6 +92,17 @@
             CHECK(world.adviceCalls()[call].second.size() <= 2);
         }
     }
+    SECTION("executors without room now are named too: a second call would cost more than their names")
+    {
+        world.submit(job("b", {step(8, 1s, 2000)}));
+        world.run(100ms);
+        world.submit(advised("a", {step(12, 300ms)}));
+        world.run(4s);
+        CHECK(world.state("a") == JobState::Completed);
+        REQUIRE_FALSE(world.adviceCalls().empty());
+        CHECK(world.adviceCalls().front().second.size() == 6);
+        CHECK(world.adviceCalls().size() == 1);
+    }
     SECTION("a restarted executor needs a new ticket, which is asked for before a start")
     {
         world.submit(advised("a", {step(16, 1s)}));
--- a/tests/core_features.cpp
+++ b/tests/core_features.cpp
@@ -174,6 +174,9 @@
         CHECK(world.state("s") != JobState::Completed);
         world.run(2s);
         CHECK(world.state("s") == JobState::Completed);
+        const auto finished = world.scheduler()->takeFinished();
+        REQUIRE(finished.size() == 1);
+        CHECK(finished.front().inTime);  // its objective counts from the due time, not from the acceptance
     }
 }
 
