Let a write that is carried out late undo nothing

Tasks were started again after their ends had been noted.

Cause: the store lost the answer to a write of progress and carried it out seconds later. Its only precondition was the ownership, which still held, so the late write replaced newer progress; after the next takeover the tasks whose ends stood in the newer one were open again. Ruled out: ends acknowledged before the write (observed moved after it), the takeover itself. Change: OwnerWrites adds to each write of an owner, for each key, the revision of the owner's last write to it, and tells a conflict over such a row from the loss of the share. It carries progress, the recorded executors, counts, loads, cleared executors, and the fleet's lists. Conclusion: the same fault stood for the recorded executors, the emptied ones and the waves; one class now holds the rule. A job takes four rows of a transaction instead of three.

--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -6,6 +6,7 @@
 #include "job_keys.h"
 #include "log.h"
 #include "owner_life.h"
+#include "owner_writes.h"
 #include "pool_planner.h"
 #include "store_view.h"
 #include "wave_planner.h"
@@ -48,6 +49,7 @@
                FleetOwnerHooks hooks, TimePoint acquiredAt)
         : OwnerLife(timers, fencingToken)
         , m_store(store)
+        , m_writes(store, keys::owner(keys::FleetShare), fencingToken)
         , m_settings(settings)
         , m_hooks(std::move(hooks))
         , m_planner(settings.waves)
@@ -61,6 +63,7 @@
     {
         m_store.read(keys::FleetDone, m_settings.storeTimeout, guarded([this](const StoreReply &reply) {
                          if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                             m_writes.know(keys::FleetDone, reply.items.front().revision);
                              readDone(reply.items.front().value);
                          } else if (reply.outcome != StoreOutcome::NotFound) {
                              later(m_settings.retryPause, [this] { start(); });
@@ -255,7 +258,6 @@
         const std::vector<std::int64_t> announced = m_planner.unannouncedWaves();
         std::vector<std::int64_t> completed;
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(keys::FleetShare), fencingToken());
         if (vacateChanged) {
             txn.writes.push_back({keys::FleetVacate, vacateText, 0});
         }
@@ -274,36 +276,38 @@
             return;
         }
         m_publishing = true;
-        m_store.commit(txn, m_settings.storeTimeout,
-                       guarded([this, leaving, vacateChanged, doneText, announced, completed](const StoreReply &reply) {
-                           m_publishing = false;
-                           if (reply.outcome == StoreOutcome::Conflict) {
-                               lose("precondition");
-                               return;
-                           }
-                           if (reply.outcome != StoreOutcome::Done) {
-                               m_published.clear();  // either list may be stored
-                               m_publishedRevision = 0;
-                               later(m_settings.retryPause, [this] { act(); });
-                               return;
-                           }
-                           if (vacateChanged) {
-                               m_published = leaving;
-                               m_publishedRevision = reply.revision;
-                           }
-                           m_storedDone = doneText;
-                           for (const std::int64_t wave : announced) {
-                               m_planner.announced(wave);
-                           }
-                           for (const std::int64_t wave : completed) {
-                               m_planner.reportedCompleted(wave);
-                               logEvent(LogLevel::Info, "wave-completed", {{"wave", std::to_string(wave)}});
-                           }
-                           act();
-                       }));
+        m_writes.commit(std::move(txn), m_settings.storeTimeout,
+                        guarded([this, leaving, vacateChanged, doneText, announced, completed](const StoreReply &reply,
+                                                                                               bool deposed) {
+                            m_publishing = false;
+                            if (deposed) {
+                                lose("precondition");
+                                return;
+                            }
+                            if (reply.outcome != StoreOutcome::Done) {
+                                m_published.clear();  // either list may be stored
+                                m_publishedRevision = 0;
+                                later(m_settings.retryPause, [this] { act(); });
+                                return;
+                            }
+                            if (vacateChanged) {
+                                m_published = leaving;
+                                m_publishedRevision = reply.revision;
+                            }
+                            m_storedDone = doneText;
+                            for (const std::int64_t wave : announced) {
+                                m_planner.announced(wave);
+                            }
+                            for (const std::int64_t wave : completed) {
+                                m_planner.reportedCompleted(wave);
+                                logEvent(LogLevel::Info, "wave-completed", {{"wave", std::to_string(wave)}});
+                            }
+                            act();
+                        }));
     }
 
     S &m_store;
+    OwnerWrites<S> m_writes;
     FleetOwnerSettings m_settings;
     FleetOwnerHooks m_hooks;
     WavePlanner m_planner;
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -94,10 +94,10 @@
         const double mean = queue.jobs > 0 ? queue.work / queue.jobs : all;
         // The users value a job by its work against the mean of its queue.
         const double worth = 0.3 + (mean > 0 ? 0.7 * all / mean : 0.7);
-        const Prospect prospect = isLong                   ? Prospect::LongRunning
-            : slack >= Duration{0}                         ? Prospect::InTime
+        const Prospect prospect = isLong  ? Prospect::LongRunning
+            : slack >= Duration{0}        ? Prospect::InTime
             : -slack < 2 * job->allowance ? Prospect::Late
-                                                           : Prospect::Lost;
+                                          : Prospect::Lost;
         candidates.push_back({job.get(), prospect, declaredWork(*job, true) / worth});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -11,6 +11,7 @@
 #include "job_keys.h"
 #include "log.h"
 #include "owner_life.h"
+#include "owner_writes.h"
 #include "scheduler.h"
 #include "store_view.h"
 
@@ -65,6 +66,7 @@
                ShareOwnerSettings settings, ShareOwnerHooks hooks, TimePoint acquiredAt, TimePoint provenAt)
         : OwnerLife(timers, fencingToken)
         , m_store(store)
+        , m_writes(store, keys::owner(share), fencingToken)
         , m_timers(timers)
         , m_share(std::move(share))
         , m_settings(settings)
@@ -161,6 +163,7 @@
                                   continue;
                               }
                               m_loadedProgress[item.key.substr(prefix)] = std::move(progress.value());
+                              m_writes.know(item.key, item.revision);
                           }
                           if (reply.truncated && !reply.items.empty()) {
                               loadProgress(reply.items.back().key);
@@ -174,6 +177,7 @@
     {
         m_store.read(keys::usedExecutors(m_share), m_settings.storeTimeout, guarded([this](const StoreReply &reply) {
                          if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                             m_writes.know(reply.items.front().key, reply.items.front().revision);
                              readUsed(reply.items.front().value);
                          } else if (reply.outcome != StoreOutcome::NotFound) {
                              later(m_settings.retryPause, [this] { loadUsed(); });
@@ -316,21 +320,16 @@
             ids->insert(id);
         }
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         txn.writes.push_back({keys::usedExecutors(m_share), boost::json::serialize(rows), 0});
-        const TimePoint sentAt = now;
-        m_store.commit(txn, m_settings.storeTimeout, guarded([this, ids, sentAt](const StoreReply &reply) {
-                           m_recording = false;
-                           if (reply.outcome == StoreOutcome::Done) {
-                               m_scheduler.confirmed(sentAt);
-                               m_used = *ids;
-                               useExecutors();
-                           } else if (reply.outcome == StoreOutcome::Conflict) {
-                               lose("precondition");
-                           } else {
-                               later(m_settings.retryPause, [this] { recordExecutors(); });
-                           }
-                       }));
+        write(std::move(txn), [this, ids](const StoreReply &reply) {
+            m_recording = false;
+            if (reply.outcome == StoreOutcome::Done) {
+                m_used = *ids;
+                useExecutors();
+            } else {
+                later(m_settings.retryPause, [this] { recordExecutors(); });
+            }
+        });
     }
 
     void useExecutors()
@@ -431,6 +430,24 @@
 
     // Store
 
+    /// A write that proves the ownership. `done` is not called once another owner has the share.
+    template<class F>
+    void write(StoreTxn txn, F done)
+    {
+        const TimePoint sentAt = bootNow();
+        m_writes.commit(std::move(txn), m_settings.storeTimeout,
+                        guarded([this, sentAt, done](const StoreReply &reply, bool deposed) mutable {
+                            if (deposed) {
+                                lose("precondition");
+                                return;
+                            }
+                            if (reply.outcome == StoreOutcome::Done) {
+                                m_scheduler.confirmed(sentAt);
+                            }
+                            done(reply);
+                        }));
+    }
+
     struct Commit
     {
         std::uint64_t generation = 0;
@@ -456,31 +473,26 @@
             return;
         }
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         auto taken = std::make_shared<std::vector<JobWrite>>();
-        constexpr std::size_t rowsPerJob = 3;
-        while (!commit->left.empty() && txn.rows() + rowsPerJob <= StoreTxn::TxnRows) {
-            JobWrite write = std::move(commit->left.front());
+        constexpr std::size_t rowsPerJob = 4;  // record and progress, each with its precondition; one for the ownership
+        while (!commit->left.empty() && (taken->size() + 1) * rowsPerJob < StoreTxn::TxnRows) {
+            JobWrite next = std::move(commit->left.front());
             commit->left.pop_front();
-            if (!write.finalRecord.empty()) {
-                txn.expected.emplace_back(keys::job(m_share, write.job), write.revision);
-                txn.writes.push_back({keys::job(m_share, write.job), write.finalRecord, 0});
+            if (!next.finalRecord.empty()) {
+                txn.expected.emplace_back(keys::job(m_share, next.job), next.revision);
+                txn.writes.push_back({keys::job(m_share, next.job), next.finalRecord, 0});
             }
-            if (write.progress.empty()) {
-                txn.removed.push_back(keys::progress(m_share, write.job));
+            if (next.progress.empty()) {
+                txn.removed.push_back(keys::progress(m_share, next.job));
             } else {
-                txn.writes.push_back({keys::progress(m_share, write.job), write.progress, 0});
+                txn.writes.push_back({keys::progress(m_share, next.job), next.progress, 0});
             }
-            taken->push_back(std::move(write));
+            taken->push_back(std::move(next));
         }
-        const TimePoint sentAt = bootNow();
-        m_store.commit(txn, m_settings.storeTimeout, guarded([this, commit, taken, sentAt](const StoreReply &reply) {
-                           stored(commit, *taken, reply, sentAt);
-                       }));
+        write(std::move(txn), [this, commit, taken](const StoreReply &reply) { stored(commit, *taken, reply); });
     }
 
-    void stored(const std::shared_ptr<Commit> &commit, std::vector<JobWrite> &taken, const StoreReply &reply,
-                TimePoint sentAt)
+    void stored(const std::shared_ptr<Commit> &commit, std::vector<JobWrite> &taken, const StoreReply &reply)
     {
         const auto putBack = [&] {
             for (auto write = taken.rbegin(); write != taken.rend(); ++write) {
@@ -489,7 +501,6 @@
         };
         switch (reply.outcome) {
         case StoreOutcome::Done:
-            m_scheduler.confirmed(sentAt);
             storeNext(commit);
             return;
         case StoreOutcome::Conflict: {
@@ -497,10 +508,6 @@
             for (const StoreItem &item : reply.items) {
                 current[item.key] = item.revision;
             }
-            if (current[keys::owner(m_share)] != fencingToken()) {
-                lose("precondition");
-                return;
-            }
             // A job whose record changed was cancelled by its caller, or an earlier try of this write was done.
             std::erase_if(taken, [&](const JobWrite &write) {
                 return !write.finalRecord.empty() && current[keys::job(m_share, write.job)] != write.revision;
@@ -560,21 +567,14 @@
             return;
         }
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         txn.writes.push_back({keys::load(m_share), text, 0});
-        m_store.commit(txn, m_settings.storeTimeout,
-                       guarded([this, text = std::move(text), now](const StoreReply &reply) {
-                           if (reply.outcome == StoreOutcome::Conflict) {
-                               lose("precondition");
-                               return;
-                           }
-                           if (reply.outcome == StoreOutcome::Done) {
-                               m_publishedLoad = text;
-                               m_loadAt = now;
-                               m_scheduler.confirmed(now);
-                           }
-                           later(m_settings.loadPeriod, [this] { publishLoad(); });
-                       }));
+        write(std::move(txn), [this, text = std::move(text), now](const StoreReply &reply) {
+            if (reply.outcome == StoreOutcome::Done) {
+                m_publishedLoad = text;
+                m_loadAt = now;
+            }
+            later(m_settings.loadPeriod, [this] { publishLoad(); });
+        });
     }
 
     void summarize()
@@ -595,21 +595,14 @@
             return;
         }
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         txn.writes.push_back({keys::waiting(m_share), text, 0});
-        const TimePoint sentAt = bootNow();
-        m_store.commit(txn, m_settings.storeTimeout,
-                       guarded([this, text = std::move(text), sentAt](const StoreReply &reply) {
-                           if (reply.outcome == StoreOutcome::Conflict) {
-                               lose("precondition");
-                               return;
-                           }
-                           if (reply.outcome == StoreOutcome::Done) {
-                               m_publishedCounts = text;
-                               m_scheduler.confirmed(sentAt);
-                           }
-                           later(m_settings.countsPeriod, [this] { publishCounts(); });
-                       }));
+        write(std::move(txn), [this, text = std::move(text)](const StoreReply &reply) {
+            if (reply.outcome == StoreOutcome::Done) {
+                m_publishedCounts = text;
+            }
+            const bool again = reply.outcome == StoreOutcome::Conflict;  // the key was not known as it is
+            later(again ? m_settings.retryPause : m_settings.countsPeriod, [this] { publishCounts(); });
+        });
     }
 
     void publishCleared()
@@ -622,18 +615,14 @@
         const ClearedNews news{m_vacatingRevision, {ids.begin(), ids.end()}};
         m_publishingCleared = true;
         StoreTxn txn;
-        txn.expected.emplace_back(keys::owner(m_share), fencingToken());
         txn.writes.push_back({keys::cleared(m_share), encodeClearedNews(news), 0});
-        m_store.commit(txn, m_settings.storeTimeout,
-                       guarded([this, ids, revision = news.listRevision](const StoreReply &reply) {
-                           m_publishingCleared = false;
-                           if (reply.outcome == StoreOutcome::Conflict) {
-                               lose("precondition");
-                           } else if (reply.outcome == StoreOutcome::Done) {
-                               m_cleared = ids;
-                               m_clearedRevision = revision;
-                           }
-                       }));
+        write(std::move(txn), [this, ids, revision = news.listRevision](const StoreReply &reply) {
+            m_publishingCleared = false;
+            if (reply.outcome == StoreOutcome::Done) {
+                m_cleared = ids;
+                m_clearedRevision = revision;
+            }
+        });
     }
 
     /// Removes final states that nobody asks for any more.
@@ -664,6 +653,7 @@
     }
 
     S &m_store;
+    OwnerWrites<S> m_writes;
     Timers &m_timers;
     std::string m_share;
     ShareOwnerSettings m_settings;
