--- a/src/share_owner.h
+++ b/src/share_owner.h
@@ -369,8 +369,8 @@
         for (const ExecutorOrder &order : m_scheduler.takeOrders()) {
             send(order, now);
         }
-        for (AdviceRequest &request : m_scheduler.takeAdviceRequests()) {
-            ask(std::move(request), now);
+        for (const AdviceRequest &request : m_scheduler.takeAdviceRequests()) {
+            ask(request, now);
         }
         for (const Decision &decision : m_scheduler.takeDecisions()) {
             logEvent(LogLevel::Info, decision.event,
@@ -420,7 +420,7 @@
                      }));
     }
 
-    void ask(AdviceRequest request, TimePoint sentAt)
+    void ask(const AdviceRequest &request, TimePoint sentAt)
     {
         m_hooks.advise(request, guarded([this, request, sentAt](const Advice *advice) {
                            m_scheduler.advised(request, advice, sentAt, bootNow());
--- a/tests/standin_workers.h
+++ b/tests/standin_workers.h
@@ -311,7 +311,9 @@
         const std::string until = std::to_string((steadyNow() + TicketValid).time_since_epoch().count());
         for (const std::string &id : call.executors) {
             if (std::hash<std::string>{}(call.step + id) % 2 == 0) {
-                good.push_back(json::array{id, call.step + '/' + id + '/' + until});
+                std::string ticket = call.step;
+                ticket.append("/").append(id).append("/").append(until);
+                good.push_back(json::array{id, ticket});
             }
         }
         return {200, json::object{{"good", std::move(good)}, {"valid_ms", TicketValid.count() / 1000}}};
