Take a share only while it is vacant, and give it back only for oneself

Causes, from the logs: (1) an entry that had seen the share vacant read the mark, and then expected the revision that the ownership key had by then: that of a successor at work, whose share it took, with what the mark said before (it may say 'released'). (2) The repetition of a release named the revision that was current by then and so ended the successor's ownership. (3) An entry that had just taken a share handed one on in the same moment. Ruled out: leases that lapse (no such line), the store refusing entries. Conclusion: (1) and (2) could also break a promise, since a live owner was taken as stopped. Tests: run_share_owner, each as a story with a store that answers late.

--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -193,9 +193,7 @@
     if (m_entered && !m_stopping && m_membership.complete() && m_plan.version >= 0 && now - m_enteredAt > SettlePause) {
         for (const std::string &share : neededShares()) {
             OwnerMark &mark = m_owners[share];
-            const std::string self = m_settings.name + ' ';
-            const bool formerSelf = mark.holder.starts_with(self) && mark.holder != self + m_startId;
-            if (!mark.holder.empty() && !formerSelf) {
+            if (!vacantRevision(share)) {
                 continue;
             }
             if (mark.vacantSince == TimePoint{}) {
@@ -212,52 +210,36 @@
     later(AssignPeriod / 4, [this] { assign(); });
 }
 
-void JobEntry::acquire(const std::string &share)
+/// Revision that the ownership key must have for this entry to take the share: 0 when there is none, that of an earlier
+/// process of this entry; nothing while another entry has it.
+std::optional<std::uint64_t> JobEntry::vacantRevision(const std::string &share) const
 {
-    m_acquiring.insert(share);
-    m_store.read(keys::ownerMark(share), StoreTimeout, [this, share](const StoreReply &reply) {
-        if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::NotFound) {
-            const bool exists = reply.outcome == StoreOutcome::Done && !reply.items.empty();
-            acquireAfterMark(share,
-                             !exists                                               ? keys::Predecessor::None
-                                 : reply.items.front().value == keys::ReleasedMark ? keys::Predecessor::Released
-                                                                                   : keys::Predecessor::Lost);
-        } else {
-            m_acquiring.erase(share);
-        }
-    });
+    const auto mark = m_owners.find(share);
+    if (mark == m_owners.end() || mark->second.holder.empty()) {
+        return 0;
+    }
+    const std::string self = m_settings.name + ' ';
+    const bool formerSelf = mark->second.holder.starts_with(self) && mark->second.holder != self + m_startId;
+    return formerSelf ? std::optional(mark->second.revision) : std::nullopt;
 }
 
-void JobEntry::acquireAfterMark(const std::string &share, keys::Predecessor predecessor)
+void JobEntry::acquire(const std::string &share)
 {
-    const OwnerMark mark = m_owners[share];
-    const std::string holder = m_settings.name + ' ' + m_startId;
-    StoreTxn txn;
-    txn.expected.emplace_back(keys::owner(share), mark.holder.empty() ? 0 : mark.revision);
-    txn.writes.push_back({keys::owner(share), holder, m_lease});
-    txn.writes.push_back({keys::ownerMark(share), holder, 0});
-    const TimePoint sentAt = bootNow();
-    m_store.commit(txn, StoreTimeout, [this, share, predecessor, holder, sentAt](const StoreReply &reply) {
-        if (reply.outcome == StoreOutcome::Done) {
-            own(share, reply.revision, predecessor, sentAt);
-        } else if (reply.outcome == StoreOutcome::Unknown) {
-            m_store.read(keys::owner(share), StoreTimeout,
-                         [this, share, predecessor, holder, sentAt](const StoreReply &read) {
-                             if (read.outcome == StoreOutcome::Done && !read.items.empty()
-                                 && read.items.front().value == holder) {
-                                 own(share, read.items.front().revision, predecessor, sentAt);
-                             }
-                             m_acquiring.erase(share);
-                         });
-            return;
-        }
-        m_acquiring.erase(share);
-    });
+    m_acquiring.insert(share);
+    acquireShare(
+        m_store, share, m_settings.name + ' ' + m_startId, m_lease, [this, share] { return vacantRevision(share); },
+        [this, share](const std::optional<Acquisition> &acquired) {
+            if (acquired) {
+                own(share, acquired->fencingToken, acquired->predecessor, acquired->provenAt);
+            }
+            m_acquiring.erase(share);
+        });
 }
 
 void JobEntry::own(const std::string &share, std::uint64_t fencingToken, keys::Predecessor predecessor,
                    TimePoint provenAt)
 {
+    m_rebalancedAt = steadyNow();  // a share that has just come is not handed on, nor is another one because of it
     OwnerMark &mark = m_owners[share];
     if (mark.revision < fencingToken) {
         mark = {m_settings.name + ' ' + m_startId, fencingToken, {}};
@@ -328,7 +310,7 @@
                     const bool own = reply.items.front().value == m_settings.name + ' ' + m_startId;
                     const bool running = m_shares.contains(share) || (share == keys::FleetShare && m_fleet);
                     if (own && !running) {
-                        release(share);
+                        giveBack(m_store, m_timers, share, reply.items.front().revision);
                     } else {
                         current.holder = reply.items.front().value;
                         current.revision = reply.items.front().revision;
@@ -344,10 +326,8 @@
 /// Gives a share back, so that another entry takes it at once.
 void JobEntry::release(std::string share)
 {
-    const bool running = share == keys::FleetShare ? m_fleet != nullptr : m_shares.contains(share);
-    const std::uint64_t token = !running ? m_owners[share].revision
-        : share == keys::FleetShare      ? m_fleet->fencingToken()
-                                         : m_shares.at(share)->fencingToken();
+    const std::uint64_t token
+        = share == keys::FleetShare ? m_fleet->fencingToken() : m_shares.at(share)->fencingToken();
     if (share == keys::FleetShare) {
         m_fleet.reset();
         m_newsView.reset();
@@ -355,20 +335,7 @@
         m_shares.erase(share);
     }
     logEvent(LogLevel::Info, "share-released", {{"share", share}, {"token", std::to_string(token)}});
-    StoreTxn txn;
-    txn.expected.emplace_back(keys::owner(share), token);
-    txn.removed.push_back(keys::owner(share));
-    txn.writes.push_back({keys::ownerMark(share), keys::ReleasedMark, 0});
-    m_store.commit(txn, StoreTimeout, [this, share](const StoreReply &reply) {
-        const bool open = reply.outcome != StoreOutcome::Done && reply.outcome != StoreOutcome::Conflict;
-        if (open && !m_shares.contains(share) && !(share == keys::FleetShare && m_fleet)) {
-            later(LeaseRenewal, [this, share] {
-                if (!m_shares.contains(share) && !(share == keys::FleetShare && m_fleet)) {
-                    release(share);
-                }
-            });
-        }
-    });
+    giveBack(m_store, m_timers, share, token);
 }
 
 /// Hands a share over when another entry would carry it much more easily.
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -86,8 +86,8 @@
     std::map<std::string, Candidate> candidates() const;
     int rankFor(const std::string &share) const;
     void assign();
+    std::optional<std::uint64_t> vacantRevision(const std::string &share) const;
     void acquire(const std::string &share);
-    void acquireAfterMark(const std::string &share, keys::Predecessor predecessor);
     void own(const std::string &share, std::uint64_t fencingToken, keys::Predecessor predecessor, TimePoint provenAt);
     void dropOwner(std::string share, std::string_view why);
     void release(std::string share);
--- a/src/owner_writes.h
+++ b/src/owner_writes.h
@@ -2,16 +2,24 @@
 
 // The writes of an owner. Each proves the ownership, and changes a key only at the revision of this owner's last write
 // to it: a write without an answer may be carried out seconds later, and must not undo a newer one.
+//
+// Index
+// [1] Writes while the ownership lasts
+// [2] Taking a share
+// [3] Giving a share back
 
+#include "boot_clock.h"
+#include "http_timers.h"
+#include "job_keys.h"
 #include "store.h"
 
 #include <algorithm>
-#include <map>
-#include <memory>
 
 namespace briarvane
 {
 
+// [1] Writes while the ownership lasts --------------------------------------------------------------------------------
+
 template<Store S>
 class OwnerWrites
 {
@@ -99,4 +107,82 @@
     std::shared_ptr<Revisions> m_revisions;  // answers may outlive the owner
 };
 
+// [2] Taking a share
+// ----------------------------------------------------------------------------------------------------
+
+constexpr Duration AcquireTimeout{700'000};  // a slow store takes up to 250 ms
+
+struct Acquisition
+{
+    std::uint64_t fencingToken = 0;
+    keys::Predecessor predecessor = keys::Predecessor::Lost;
+    TimePoint provenAt;  // the write was sent then
+};
+
+/// Takes a vacant share. `vacantRevision` gives the revision that the ownership key must have, nothing while another
+/// entry has the share; it is asked after the mark was read, since another entry may have taken the share meanwhile.
+template<Store S, class V, class D>
+void acquireShare(S &store, const std::string &share, const std::string &holder, std::uint64_t lease, V vacantRevision,
+                  D done)
+{
+    store.read(keys::ownerMark(share), AcquireTimeout,
+               [&store, share, holder, lease, vacantRevision, done](const StoreReply &mark) {
+                   const std::optional<std::uint64_t> vacant = vacantRevision();
+                   const bool read = mark.outcome == StoreOutcome::Done || mark.outcome == StoreOutcome::NotFound;
+                   if (!read || !vacant) {
+                       done(std::nullopt);
+                       return;
+                   }
+                   const bool exists = mark.outcome == StoreOutcome::Done && !mark.items.empty();
+                   Acquisition made;
+                   made.predecessor = !exists                           ? keys::Predecessor::None
+                       : mark.items.front().value == keys::ReleasedMark ? keys::Predecessor::Released
+                                                                        : keys::Predecessor::Lost;
+                   made.provenAt = bootNow();
+                   StoreTxn txn;
+                   txn.expected.emplace_back(keys::owner(share), *vacant);
+                   txn.writes.push_back({keys::owner(share), holder, lease});
+                   txn.writes.push_back({keys::ownerMark(share), holder, 0});
+                   store.commit(txn, AcquireTimeout, [&store, share, holder, made, done](const StoreReply &reply) {
+                       Acquisition acquired = made;
+                       acquired.fencingToken = reply.revision;
+                       if (reply.outcome != StoreOutcome::Unknown) {
+                           done(reply.outcome == StoreOutcome::Done ? std::optional(acquired) : std::nullopt);
+                           return;
+                       }
+                       store.read(keys::owner(share), AcquireTimeout,
+                                  [holder, acquired, done](const StoreReply &owner) mutable {
+                                      const bool own = owner.outcome == StoreOutcome::Done && !owner.items.empty()
+                                          && owner.items.front().value == holder;
+                                      if (own) {
+                                          acquired.fencingToken = owner.items.front().revision;
+                                      }
+                                      done(own ? std::optional(acquired) : std::nullopt);
+                                  });
+                   });
+               });
+}
+
+// [3] Giving a share back ---------------------------------------------------------------------------------------------
+
+constexpr Duration ReleaseTimeout{700'000};  // a slow store takes up to 250 ms
+constexpr Duration ReleaseRetry{550'000};    // two tries within the lease that ends the ownership anyway
+
+/// Ends the ownership with this token, so that another entry takes the share at once. Repeated until the store has said
+/// that it is done or that somebody else has the share; a repetition never ends the ownership of a successor.
+template<Store S>
+void giveBack(S &store, Timers &timers, const std::string &share, std::uint64_t token)
+{
+    StoreTxn txn;
+    txn.expected.emplace_back(keys::owner(share), token);
+    txn.removed.push_back(keys::owner(share));
+    txn.writes.push_back({keys::ownerMark(share), keys::ReleasedMark, 0});
+    store.commit(txn, ReleaseTimeout, [&store, &timers, share, token](const StoreReply &reply) {
+        if (reply.outcome != StoreOutcome::Done && reply.outcome != StoreOutcome::Conflict) {
+            timers.at(steadyNow() + ReleaseRetry,
+                      [&store, &timers, share, token] { giveBack(store, timers, share, token); });
+        }
+    });
+}
+
 }
--- a/tests/run_share_owner.cpp
+++ b/tests/run_share_owner.cpp
@@ -292,3 +292,97 @@
         CHECK(owned.store.value(keys::progress("orders", "00000000000000aa")) == before);
     }
 }
+
+TEST_CASE("A share is given back once, by the entry that had it")
+{
+    boost::asio::io_context io;
+    Timers timers(io);
+    LateStore store(io);
+    const std::uint64_t token = store.put(keys::owner("orders"), "e1");
+    const auto runFor = [&io](Duration time) { io.run_for(std::chrono::microseconds(time.count())); };
+
+    SECTION("an answer is lost and another entry takes the share: the repetition leaves it alone")
+    {
+        // The repetition named the revision that was current by then, and so ended the successor's ownership.
+        store.loseNext(keys::jobs("orders"));
+        giveBack(store, timers, "orders", token);
+        runFor(20ms);
+        REQUIRE(store.hasLost());
+        CHECK(store.carryOutLate() == std::vector<StoreOutcome>{StoreOutcome::Done});
+        store.put(keys::owner("orders"), "e2");
+        store.put(keys::ownerMark("orders"), "e2");
+        runFor(ReleaseRetry + 200ms);
+        CHECK(store.value(keys::owner("orders")) == "e2");
+        CHECK(store.value(keys::ownerMark("orders")) == "e2");
+    }
+    SECTION("the write was not done: it is repeated until it is")
+    {
+        store.loseNext(keys::jobs("orders"));
+        giveBack(store, timers, "orders", token);
+        runFor(20ms);
+        CHECK(store.value(keys::owner("orders")) == "e1");
+        runFor(ReleaseRetry + 200ms);
+        CHECK(store.value(keys::owner("orders")).empty());
+        CHECK(store.value(keys::ownerMark("orders")) == keys::ReleasedMark);
+    }
+}
+
+TEST_CASE("A share that another entry has is not taken from it")
+{
+    boost::asio::io_context io;
+    LateStore store(io);
+    std::optional<std::uint64_t> vacant = 0;
+    std::optional<std::optional<Acquisition>> taken;
+    const auto acquire = [&] {
+        acquireShare(
+            store, "orders", "e1", 7, [&] { return vacant; },
+            [&](const std::optional<Acquisition> &acquired) { taken = acquired; });
+    };
+    const auto finish = [&] {
+        for (int turns = 0; turns < 10 && !taken; ++turns) {
+            io.restart();
+            io.run();
+        }
+        REQUIRE(taken);
+        return *taken;
+    };
+
+    SECTION("it was vacant when the mark was asked for, and taken when the answer came")
+    {
+        // The revision of the new owner's key was expected then, so its share was taken from it while it was at work.
+        store.put(keys::ownerMark("orders"), std::string(keys::ReleasedMark));
+        acquire();
+        vacant = std::nullopt;
+        store.put(keys::owner("orders"), "e2");
+        CHECK_FALSE(finish());
+        CHECK(store.value(keys::owner("orders")) == "e2");
+    }
+    SECTION("it is taken before the watch tells: the write has no effect")
+    {
+        acquire();
+        store.put(keys::owner("orders"), "e2");
+        CHECK_FALSE(finish());
+        CHECK(store.value(keys::owner("orders")) == "e2");
+    }
+    SECTION("it is vacant: the mark tells what the predecessor did")
+    {
+        acquire();
+        const auto first = finish();
+        REQUIRE(first);
+        CHECK(first->predecessor == keys::Predecessor::None);
+        vacant = first->fencingToken;
+        taken.reset();
+        acquire();
+        const auto second = finish();
+        REQUIRE(second);
+        CHECK(second->predecessor == keys::Predecessor::Lost);
+        CHECK(second->fencingToken > first->fencingToken);
+    }
+    SECTION("the answer to the write is lost: whether it was done is read")
+    {
+        store.loseNext(keys::Owners);
+        acquire();
+        CHECK_FALSE(finish());
+        CHECK(store.carryOutLate() == std::vector<StoreOutcome>{StoreOutcome::Done});
+    }
+}
