--- a/tests/core_advice.cpp
+++ b/tests/core_advice.cpp
@@ -12,15 +12,6 @@
 namespace
 {
 
-StepSpec step(int count, Duration estimate, int milliCores = 1000)
-{
-    StepSpec spec;
-    spec.count = count;
-    spec.each = {milliCores, 1000, 0};
-    spec.estimate = estimate;
-    return spec;
-}
-
 JobSpec advised(const std::string &id, std::vector<StepSpec> steps)
 {
     JobSpec spec = job(id, std::move(steps));
@@ -28,16 +19,6 @@
     return spec;
 }
 
-World calmWorld()
-{
-    WorldSettings settings;
-    settings.failingRuns = 0;
-    World world(settings);
-    world.takeOver(true);
-    world.run(200ms);
-    return world;
-}
-
 bool onlyAllowed(const World &world, const std::string &stepName)
 {
     const auto places = world.placesOf(stepName + '.');
@@ -55,9 +36,9 @@
 
     SECTION("one call a step names all executors, and no start is refused")
     {
-        StepSpec second = step(4, 300ms);
+        StepSpec second = step(4, 1000, 300ms);
         second.after = {0};
-        world.submit(advised("a", {step(4, 300ms), second}));
+        world.submit(advised("a", {step(4, 1000, 300ms), second}));
         for (int i = 0; i < 30; ++i) {
             world.run(50ms);
             CHECK(onlyAllowed(world, "a.0.0"));
@@ -72,7 +53,7 @@
     }
     SECTION("more tasks than the allowed executors hold wait for those, and never run elsewhere")
     {
-        world.submit(advised("a", {step(12, 500ms)}));
+        world.submit(advised("a", {step(12, 1000, 500ms)}));
         world.run(400ms);
         CHECK(world.placesOf("a.").size() == 8);
         CHECK(onlyAllowed(world, "a.0.0"));
@@ -83,7 +64,7 @@
     SECTION("a lapsed ticket is renewed for the executors that may run the step, not asked of the others again")
     {
         world.requireTickets("a", 600ms);
-        world.submit(advised("a", {step(24, 500ms)}));
+        world.submit(advised("a", {step(24, 1000, 500ms)}));
         world.run(4s);
         CHECK(world.state("a") == JobState::Completed);
         CHECK(world.refusedTickets() == 0);
@@ -94,9 +75,9 @@
     }
     SECTION("executors without room now are named too: a second call would cost more than their names")
     {
-        world.submit(job("b", {step(8, 1s, 2000)}));
+        world.submit(job("b", {step(8, 2000, 1s)}));
         world.run(100ms);
-        world.submit(advised("a", {step(12, 300ms)}));
+        world.submit(advised("a", {step(12, 1000, 300ms)}));
         world.run(4s);
         CHECK(world.state("a") == JobState::Completed);
         REQUIRE_FALSE(world.adviceCalls().empty());
@@ -105,7 +86,7 @@
     }
     SECTION("a restarted executor needs a new ticket, which is asked for before a start")
     {
-        world.submit(advised("a", {step(16, 1s)}));
+        world.submit(advised("a", {step(16, 1000, 1s)}));
         world.run(400ms);
         REQUIRE(world.placesOf("a.").size() == 8);
         world.rebirth(world.placesOf("a.").begin()->first);
@@ -116,7 +97,7 @@
     }
     SECTION("a gang starts as a whole on allowed executors")
     {
-        StepSpec gang = step(8, 500ms);
+        StepSpec gang = step(8, 1000, 500ms);
         gang.gang = true;
         world.submit(advised("a", {gang}));
         world.run(400ms);
@@ -133,8 +114,8 @@
     SECTION("the service does not answer: the job waits, others run, and it runs once the service is back")
     {
         world.setAdviceDown(true);
-        world.submit(advised("a", {step(4, 300ms)}));
-        world.submit(job("b", {step(4, 300ms)}));
+        world.submit(advised("a", {step(4, 1000, 300ms)}));
+        world.submit(job("b", {step(4, 1000, 300ms)}));
         world.run(2s);
         CHECK(world.state("b") == JobState::Completed);
         CHECK(world.placesOf("a.").empty());
@@ -147,7 +128,7 @@
     {
         // It counted as running once a start was sent, so callers were told that nothing waits.
         world.setAdviceDown(true);
-        world.submit(job("a", {step(4, 300ms)}));
+        world.submit(job("a", {step(4, 1000, 300ms)}));
         world.run(1s);
         CHECK(world.refusedTickets() > 0);
         CHECK(world.scheduler()->waitingPerQueue().at("queue") == 1);
@@ -163,9 +144,9 @@
         for (int i = 0; i < 40; ++i) {
             const std::string id = "a" + std::to_string(i);
             world.requireTickets(id);
-            world.submit(advised(id, {step(1, 200ms, 100)}));
+            world.submit(advised(id, {step(1, 100, 200ms)}));
         }
-        world.submit(job("b", {step(4, 300ms)}));
+        world.submit(job("b", {step(4, 1000, 300ms)}));
         world.run(1s);
         CHECK(world.state("b") == JobState::Completed);
         CHECK(world.mostAdviceCallsAtOnce() == 2);
@@ -174,7 +155,7 @@
     }
     SECTION("a new owner asks anew and breaks no promise")
     {
-        world.submit(advised("a", {step(12, 1s)}));
+        world.submit(advised("a", {step(12, 1000, 1s)}));
         world.run(600ms);
         world.depose(true);
         world.takeOver();
--- a/tests/core_features.cpp
+++ b/tests/core_features.cpp
@@ -10,25 +10,6 @@
 namespace
 {
 
-StepSpec step(int count, int milliCores, Duration estimate)
-{
-    StepSpec spec;
-    spec.count = count;
-    spec.each = {milliCores, 1000, 0};
-    spec.estimate = estimate;
-    return spec;
-}
-
-World calmWorld()
-{
-    WorldSettings settings;
-    settings.failingRuns = 0;
-    World world(settings);
-    world.takeOver(true);
-    world.run(200ms);
-    return world;
-}
-
 std::set<int> executorsOf(const World &world, const std::string &prefix)
 {
     std::set<int> ids;
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -50,6 +50,15 @@
     Removed removed;
 };
 
+inline StepSpec step(int count, int milliCores, Duration estimate)
+{
+    StepSpec spec;
+    spec.count = count;
+    spec.each = {milliCores, 1000, 0};
+    spec.estimate = estimate;
+    return spec;
+}
+
 /// A job of these steps with four attempts.
 inline JobSpec job(const std::string &id, std::vector<StepSpec> steps)
 {
@@ -844,4 +853,15 @@
     bool m_late = false;  // an order that was lost is being carried out
 };
 
+/// Six executors of 4 cores that never fail a run, with an owner that has adopted them.
+inline World calmWorld()
+{
+    WorldSettings settings;
+    settings.failingRuns = 0;
+    World world(settings);
+    world.takeOver(true);
+    world.run(200ms);
+    return world;
+}
+
 }
