--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -176,25 +176,29 @@
 
 bool PoolPlanner::wouldMiss(const std::string &pool, const PooledInstance &one) const
 {
+    static const std::map<std::string, int> nothing;
     const auto load = m_loads.find(pool);
-    std::map<std::string, int> cores;  // of the other instances, by label
-    bool sameKind = false;
+    const std::map<std::string, int> &wanted = load == m_loads.end() ? nothing : load->second.wantedWithLabel;
+    std::map<std::string, int> cores;  // of the other instances, by label that is wanted
+    bool sameKind = one.labels.empty();
     for (const auto &[id, other] : m_instances) {
-        if (id == one.id || poolOf(other) != pool || other.state == InstanceAvailability::Down) {
+        if (id == one.id || other.state == InstanceAvailability::Down || poolOf(other) != pool) {
             continue;
         }
-        sameKind = sameKind || kindOf(other) == kindOf(one);
+        sameKind = sameKind || (!other.labels.empty() && other.labels.front() == one.labels.front());
+        if (wanted.empty() && sameKind) {
+            return false;
+        }
         for (const std::string &label : other.labels) {
-            cores[label] += other.capacity.milliCores;
+            if (wanted.contains(label)) {
+                cores[label] += other.capacity.milliCores;
+            }
         }
     }
-    const bool lacksLabel
-        = load != m_loads.end() && std::any_of(one.labels.begin(), one.labels.end(), [&](const std::string &label) {
-              const auto wanted = load->second.wantedWithLabel.find(label);
-              return wanted != load->second.wantedWithLabel.end()
-                  && cores[label] < wanted->second * m_settings.headroom;
-          });
-    return lacksLabel || (!sameKind && !one.labels.empty());
+    return !sameKind || std::any_of(one.labels.begin(), one.labels.end(), [&](const std::string &label) {
+        const auto want = wanted.find(label);
+        return want != wanted.end() && cores[label] < want->second * m_settings.headroom;
+    });
 }
 
 std::optional<int> PoolPlanner::neededFor(const std::string &pool, int milliCores, TimePoint now) const
