Count the cores of a label in one place, and refuse a load whose labels cannot be read

The pool planner summed the cores with a label in two functions with three tests of a label of its own, and a label's cores that were no number became 0 without a word, unlike the other fields of a load. Ruled out: removing advice endpoints of entries that left (a few bytes each, and a name that comes back is overwritten). Change: coresWithLabel and PooledInstance::hasLabel serve both; wouldMiss takes the pool from the instance; such a load is an error, which the reader logs. An unused header is gone.

--- a/src/plan.h
+++ b/src/plan.h
@@ -10,6 +10,7 @@
 
 #include <boost/json/fwd.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace briarvane
@@ -67,6 +68,11 @@
     std::vector<std::string> labels;
     Resources capacity;
     std::string executor;  // its present incarnation; empty while there is none
+
+    bool hasLabel(const std::string &label) const
+    {
+        return std::find(labels.begin(), labels.end(), label) != labels.end();
+    }
 };
 
 /// What the owner of a share tells of the executors that must become empty.
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -48,10 +48,12 @@
         }
         *field = static_cast<int>(number->get_int64());
     }
-    if (const json::value *labels = object.if_contains("labels"); labels != nullptr && labels->is_object()) {
-        for (const auto &[label, cores] : labels->get_object()) {
-            load.wantedWithLabel[label] = cores.is_int64() ? static_cast<int>(cores.get_int64()) : 0;
+    if (const json::value *labels = object.if_contains("labels"); labels != nullptr) {
+        const auto cores = json::try_value_to<std::map<std::string, int>>(*labels);
+        if (!cores) {
+            return Error{ErrorCode::Invalid, "a pool's load cannot be read"};
         }
+        load.wantedWithLabel = *cores;
     }
     for (const auto &[name, field] : {std::pair{"idle", &load.idle}, std::pair{"light", &load.light}}) {
         const auto ids = parseIds(object.if_contains(name));
@@ -174,30 +176,33 @@
     return count;
 }
 
-bool PoolPlanner::wouldMiss(const std::string &pool, const PooledInstance &one) const
+int PoolPlanner::coresWithLabel(const std::string &pool, const std::string &label) const
 {
-    static const std::map<std::string, int> nothing;
-    const auto load = m_loads.find(pool);
-    const std::map<std::string, int> &wanted = load == m_loads.end() ? nothing : load->second.wantedWithLabel;
-    std::map<std::string, int> cores;  // of the other instances, by label that is wanted
-    bool sameKind = one.labels.empty();
-    for (const auto &[id, other] : m_instances) {
-        if (id == one.id || other.state == InstanceAvailability::Down || poolOf(other) != pool) {
-            continue;
-        }
-        sameKind = sameKind || (!other.labels.empty() && other.labels.front() == one.labels.front());
-        if (wanted.empty() && sameKind) {
-            return false;
-        }
-        for (const std::string &label : other.labels) {
-            if (wanted.contains(label)) {
-                cores[label] += other.capacity.milliCores;
-            }
-        }
+    int cores = 0;
+    for (const auto &[id, one] : m_instances) {
+        const bool counts = poolOf(one) == pool && one.state != InstanceAvailability::Down && one.hasLabel(label);
+        cores += counts ? one.capacity.milliCores : 0;
     }
-    return !sameKind || std::any_of(one.labels.begin(), one.labels.end(), [&](const std::string &label) {
-        const auto want = wanted.find(label);
-        return want != wanted.end() && cores[label] < want->second * m_settings.headroom;
+    return cores;
+}
+
+bool PoolPlanner::wouldMiss(const PooledInstance &one) const
+{
+    const bool sameKind
+        = one.labels.empty() || std::any_of(m_instances.begin(), m_instances.end(), [&](const auto &entry) {
+              const auto &[id, other] = entry;
+              return id != one.id && other.state != InstanceAvailability::Down && !other.labels.empty()
+                  && other.labels.front() == one.labels.front() && poolOf(other) == one.pool;
+          });
+    const auto load = m_loads.find(one.pool);
+    if (!sameKind || load == m_loads.end()) {
+        return !sameKind;
+    }
+    const auto &wanted = load->second.wantedWithLabel;
+    return std::any_of(wanted.begin(), wanted.end(), [&](const auto &want) {
+        const auto &[label, cores] = want;
+        return one.hasLabel(label)
+            && coresWithLabel(one.pool, label) - one.capacity.milliCores < cores * m_settings.headroom;
     });
 }
 
@@ -277,7 +282,7 @@
                     break;
                 }
                 if (one.pool != pool || one.state != InstanceAvailability::Up || m_moves.contains(id)
-                    || m_reserved.contains(id) || !executors->contains(one.executor) || wouldMiss(pool, one)) {
+                    || m_reserved.contains(id) || !executors->contains(one.executor) || wouldMiss(one)) {
                     continue;
                 }
                 if (const std::optional<std::string> spare = sparePoolFor(one, now)) {
@@ -308,17 +313,10 @@
             continue;
         }
         for (const auto &[label, wanted] : load.wantedWithLabel) {
-            const auto has = [&label = label](const PooledInstance &one) {
-                return std::find(one.labels.begin(), one.labels.end(), label) != one.labels.end();
-            };
-            int cores = 0;
-            for (const auto &[id, one] : m_instances) {
-                const bool counts = poolOf(one) == pool && one.state != InstanceAvailability::Down && has(one);
-                cores += counts ? one.capacity.milliCores : 0;
-            }
+            int cores = coresWithLabel(pool, label);
             for (auto id = free.rbegin(); id != free.rend() && cores < wanted;) {
                 const PooledInstance &one = m_instances[*id];
-                if (!has(one) || !mayMove(one, pool, now) || one.pool == pool) {
+                if (!one.hasLabel(label) || !mayMove(one, pool, now) || one.pool == pool) {
                     ++id;
                     continue;
                 }
@@ -330,9 +328,9 @@
                 const auto other = m_loads.find(one.pool);
                 const bool light = other != m_loads.end()
                     && (other->second.idle.contains(one.executor) || other->second.light.contains(one.executor));
-                if (cores < wanted && one.pool != pool && light && one.state == InstanceAvailability::Up && has(one)
-                    && !m_moves.contains(id) && !m_reserved.contains(id) && mayMove(one, pool, now)
-                    && !wouldMiss(one.pool, one)) {
+                if (cores < wanted && one.pool != pool && light && one.state == InstanceAvailability::Up
+                    && one.hasLabel(label) && !m_moves.contains(id) && !m_reserved.contains(id)
+                    && mayMove(one, pool, now) && !wouldMiss(one)) {
                     m_moves[id] = {pool, one.pool, one.executor};
                     cores += one.capacity.milliCores;
                 }
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -93,8 +93,9 @@
 
     int instancesOf(const std::string &pool) const;              // present and arriving
     const std::string &poolOf(const PooledInstance &one) const;  // once the moves that are planned have ended
-    /// Whether the pool would lack executors of a kind or with a label that its jobs require.
-    bool wouldMiss(const std::string &pool, const PooledInstance &one) const;
+    int coresWithLabel(const std::string &pool, const std::string &label) const;  // milli-cores
+    /// Whether the instance's pool would lack its kind, or cores with a label that its jobs require.
+    bool wouldMiss(const PooledInstance &one) const;
     /// Instances that a pool needs for so many cores; none when its load is not known.
     std::optional<int> neededFor(const std::string &pool, int milliCores, TimePoint now) const;
     /// Cores that a pool is expected to want when an instance that is ordered now has come up.
--- a/src/scheduler_advice.cpp
+++ b/src/scheduler_advice.cpp
@@ -7,7 +7,6 @@
 #include "scheduler.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace briarvane
 {
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -384,6 +384,7 @@
     CHECK(after.value().learned == TimePoint{2s});
     CHECK_FALSE(parsePoolLoad("[]", TimePoint{2s}));
     CHECK_FALSE(parsePoolLoad("{\"wanted\":\"x\"}", TimePoint{2s}));
+    CHECK_FALSE(parsePoolLoad(R"({"wanted":1,"widest":0,"labels":{"large":"x"},"idle":[],"light":[]})", TimePoint{2s}));
 }
 
 TEST_CASE("The word of empty executors survives the store")
