Keep one odd message from ending or blocking a process

Cause: operators of similar systems reported that one odd entry among those of the executors, or one unexpected error, took processes down. Here no callback was guarded: an exception in a handler left io_context::run(), and in a periodic reader it also lost the timer for the next read. Decoders cast doubles beyond the range of an integer (undefined), multiplied unbounded milliseconds, lost the error of a number when a later number in the same report was readable, and passed on addresses that are no IPv4 addresses and ids that break a header field. Records of the recorded executors were read with throwing accessors.

Ruled out by the new tests: nesting (the JSON parser stops at 32 levels) and ports out of range (refused before).

Change: callGuarded() stops exceptions at each HTTP response, timer, store item and request; an owner whose completion throws ends its ownership, so that the next owner loads the state from the store; the event loop goes on after any other exception.

--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -13,6 +13,8 @@
 
 #include <boost/json.hpp>
 
+#include <charconv>
+
 namespace briarvane
 {
 
@@ -60,7 +62,7 @@
 public:
     FleetOwner(S &store, Timers &timers, std::uint64_t fencingToken, bool hadOwner, FleetOwnerSettings settings,
                FleetOwnerHooks hooks, TimePoint acquiredAt)
-        : OwnershipGuard(timers, fencingToken)
+        : OwnershipGuard(timers, fencingToken, [this] { reportOwnershipLost("unexpected-error"); })
         , m_store(store)
         , m_writer(store, keys::owner(keys::FleetPartition), fencingToken)
         , m_settings(settings)
@@ -95,8 +97,10 @@
     {
         m_waves[wave.id] = wave;
         if (m_loaded) {
-            m_wavePlanner.addWave(wave, m_begunInstances[wave.id], bootNow());
-            runPlanners();
+            guarded([&] {
+                m_wavePlanner.addWave(wave, m_begunInstances[wave.id], bootNow());
+                runPlanners();
+            })();
         }
     }
     void setSparePools(std::set<std::string> pools)
@@ -111,14 +115,18 @@
         for (const auto &[id, revision] : executors) {
             ids.insert(id);
         }
-        m_wavePlanner.setVacated(std::move(ids));
-        m_poolPlanner.setVacated(executors);
-        runPlanners();
+        guarded([&] {
+            m_wavePlanner.setVacated(std::move(ids));
+            m_poolPlanner.setVacated(executors);
+            runPlanners();
+        })();
     }
     void setLoad(const std::string &pool, PoolLoad load)
     {
-        m_poolPlanner.setLoad(pool, std::move(load));
-        runPlanners();
+        guarded([&] {
+            m_poolPlanner.setLoad(pool, std::move(load));
+            runPlanners();
+        })();
     }
 
 private:
@@ -138,9 +146,14 @@
             return;
         }
         for (const auto &[wave, instances] : value.get_object()) {
-            for (const boost::json::value &instance : instances.as_array()) {
-                m_begunInstances[std::stoll(std::string(wave))].insert(std::string(instance.as_string()));
+            std::int64_t id = 0;
+            const auto [end, parsed] = std::from_chars(wave.data(), wave.data() + wave.size(), id);
+            const auto ids = parseIds(&instances);
+            if (parsed != std::errc() || end != wave.data() + wave.size() || !ids) {
+                logEvent(LogLevel::Error, "wave-record-unreadable", {{"wave", std::string(wave)}});
+                continue;
             }
+            m_begunInstances[id].insert(ids.value().begin(), ids.value().end());
         }
         m_storedBegun = text;
     }
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,5 +1,6 @@
 #include "http.h"
 
+#include "guarded_call.h"
 #include "http_timers.h"
 #include "log.h"
 
@@ -365,7 +366,9 @@
     ++impl->inFlight;
     ++impl->requests;
     const auto exchange = std::make_shared<HttpExchange>(shared_from_this(), std::move(request));
-    impl->handler(exchange);
+    // An exchange that is dropped without a response closes its connection, so the caller learns that the outcome is
+    // unknown.
+    callGuarded("request", [&] { impl->handler(exchange); });
 }
 
 void HttpExchange::Connection::refuse(int status, std::string_view reason)
--- a/src/http_timers.h
+++ b/src/http_timers.h
@@ -3,6 +3,7 @@
 // Multiplexes many deadlines onto one Asio timer. A request that completes before its deadline costs one insertion into
 // and one removal from an ordered map, instead of starting and cancelling a timer of its own.
 
+#include "guarded_call.h"
 #include "types.h"
 
 #include <boost/asio/io_context.hpp>
@@ -83,7 +84,7 @@
             const TimePoint now = steadyNow();
             while (!locked->functions.empty() && locked->functions.begin()->first.first <= now) {
                 auto node = locked->functions.extract(locked->functions.begin());
-                node.mapped()();
+                callGuarded("timer", node.mapped());
             }
             if (!locked->functions.empty() && locked->functions.begin()->first.first < locked->armedFor) {
                 arm(locked, locked->functions.begin()->first.first);
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -80,7 +80,9 @@
     scheduleSettingsCheck();
     logEvent(LogLevel::Info, "entry-started",
              {{"entry", m_settings.name}, {"start_id", m_startId}, {"listen", formatEndpoint(m_settings.listen)}});
-    m_io.run();
+    while (!callGuarded("event-loop", [this] { m_io.run(); })) {
+        // run() continues with the next event after an exception that no other guard has stopped.
+    }
     logEvent(LogLevel::Info, "entry-ended", {{"entry", m_settings.name}});
     return 0;
 }
@@ -151,42 +153,55 @@
             return;
         }
         for (const StoreItem &item : reply.items) {
-            const std::string id = item.key.substr(platform::ExecutorPrefix.size());
-            auto record = platform::decodeExecutor(id, item.value);
-            if (record) {
-                m_pendingExecutorList.push_back(std::move(record.value()));
-            } else {
-                logRepeated(LogLevel::Warn, "executor-entry-unreadable", id);
-            }
+            callGuarded("executor-entry", [&] { readExecutorEntry(item); });
         }
         if (reply.truncated && !reply.items.empty()) {
             listExecutors(reply.items.back().key);
             return;
         }
-        m_executorList = std::exchange(m_pendingExecutorList, {});
-        m_executorListComplete = true;
-        std::set<std::string> neededExecutors;
-        for (const ExecutorRecord &record : m_executorList) {
-            neededExecutors.insert(record.id);
-        }
-        for (const auto &[partition, owner] : m_partitions) {
-            owner->setExecutors(m_executorList);
-            for (const auto &[id, executor] : owner->scheduler().executors()) {
-                neededExecutors.insert(id);
-            }
-        }
-        for (auto position = m_registeredExecutors.begin(); position != m_registeredExecutors.end();) {
-            if (neededExecutors.contains(*position)) {
-                ++position;
-            } else {
-                m_executors.removeExecutor(*position);
-                position = m_registeredExecutors.erase(position);
-            }
-        }
+        callGuarded("executor-list", [this] { applyExecutorList(); });
         later(ListPeriod, [this] { listExecutors({}); });
     });
 }
 
+/// Adds the executor to the list in progress. Other programs write under the same prefix, so an entry that is not the
+/// complete record of an executor is left out, and the others hold.
+void JobEntry::readExecutorEntry(const StoreItem &item)
+{
+    const std::string id = item.key.substr(platform::ExecutorPrefix.size());
+    auto record = platform::decodeExecutor(id, item.value);
+    if (record) {
+        m_pendingExecutorList.push_back(std::move(record.value()));
+    } else {
+        logRepeated(LogLevel::Warn, "executor-entry-unreadable", id, {{"entry", id}, {"why", record.error().message}});
+    }
+}
+
+/// Passes the complete list to the owners of this entry and drops the endpoints of executors that none of them needs.
+void JobEntry::applyExecutorList()
+{
+    m_executorList = std::exchange(m_pendingExecutorList, {});
+    m_executorListComplete = true;
+    std::set<std::string> neededExecutors;
+    for (const ExecutorRecord &record : m_executorList) {
+        neededExecutors.insert(record.id);
+    }
+    for (const auto &[partition, owner] : m_partitions) {
+        owner->setExecutors(m_executorList);
+        for (const auto &[id, executor] : owner->scheduler().executors()) {
+            neededExecutors.insert(id);
+        }
+    }
+    for (auto position = m_registeredExecutors.begin(); position != m_registeredExecutors.end();) {
+        if (neededExecutors.contains(*position)) {
+            ++position;
+        } else {
+            m_executors.removeExecutor(*position);
+            position = m_registeredExecutors.erase(position);
+        }
+    }
+}
+
 // Callers -------------------------------------------------------------------------------------------------------------
 
 void JobEntry::reply(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &body)
@@ -441,7 +456,8 @@
 {
     openLog(settings.logLevel);
     boost::asio::io_context io(1);
-    const int code = JobEntry(io, settings).run();
+    JobEntry entry(io, settings);
+    const int code = entry.run();
     // Exits without static destructors. The destructors of log4cplus join its threads, which has taken longer than the
     // grace time in deployments, so that each planned stop ended in SIGKILL three seconds later. No log line is lost,
     // since every line is flushed as it is written.
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -122,6 +122,8 @@
 
     // Executors
     void listExecutors(const std::string &after);
+    void readExecutorEntry(const StoreItem &item);
+    void applyExecutorList();
 
     // Callers
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
--- a/src/ownership_guard.h
+++ b/src/ownership_guard.h
@@ -1,8 +1,9 @@
 #pragma once
 
-// Base of PartitionOwner and FleetOwner: completions and timers that do nothing once the owner is destroyed, and the
-// check of the ownership key.
+// Base of PartitionOwner and FleetOwner: completions and timers that do nothing once the owner is destroyed, the end of
+// an ownership after an unexpected exception, and the check of the ownership key.
 
+#include "guarded_call.h"
 #include "http_timers.h"
 #include "store.h"
 
@@ -12,9 +13,12 @@
 class OwnershipGuard
 {
 public:
-    OwnershipGuard(Timers &timers, std::uint64_t fencingToken)
+    /// `onException` is called once a wrapped completion has thrown. The state of the owner may be half changed then,
+    /// so the function must end the ownership; the next owner loads the state from the store.
+    OwnershipGuard(Timers &timers, std::uint64_t fencingToken, std::function<void()> onException)
         : m_timers(timers)
         , m_fencingToken(fencingToken)
+        , m_onException(std::move(onException))
         , m_alive(std::make_shared<bool>(true))
     {
     }
@@ -25,13 +29,13 @@
         *m_alive = false;
     }
 
-    /// Wraps a completion so that it does nothing once the owner is destroyed.
+    /// Wraps a completion so that it does nothing once the owner is destroyed, and ends the ownership if it throws.
     template<class F>
     auto guarded(F function) const
     {
-        return [alive = m_alive, function = std::move(function)](const auto &...arguments) mutable {
-            if (*alive) {
-                function(arguments...);
+        return [this, alive = m_alive, function = std::move(function)](const auto &...arguments) mutable {
+            if (*alive && !callGuarded("partition-owner", [&] { function(arguments...); }) && *alive) {
+                m_onException();
             }
         };
     }
@@ -59,6 +63,7 @@
 private:
     Timers &m_timers;
     std::uint64_t m_fencingToken;
+    std::function<void()> m_onException;
     std::shared_ptr<bool> m_alive;
 };
 
--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -20,6 +20,7 @@
 
 #include <deque>
 #include <set>
+#include <tuple>
 
 namespace briarvane
 {
@@ -72,7 +73,7 @@
     PartitionOwner(S &store, Timers &timers, std::string partition, std::uint64_t fencingToken,
                    keys::Predecessor predecessor, PartitionOwnerSettings settings, PartitionOwnerHooks hooks,
                    TimePoint acquiredAt, TimePoint confirmedAt)
-        : OwnershipGuard(timers, fencingToken)
+        : OwnershipGuard(timers, fencingToken, [this] { reportOwnershipLost("unexpected-error"); })
         , m_store(store)
         , m_writer(store, keys::owner(partition), fencingToken)
         , m_timers(timers)
@@ -81,9 +82,8 @@
         , m_hooks(std::move(hooks))
         , m_scheduler(settings.scheduler, m_partition, fencingToken,
                       predecessorLimits(predecessor, settings, acquiredAt))
-        , m_jobs(
-              store, timers, keys::jobs(m_partition), {}, [this](const StoreItem &item) { jobChanged(item); },
-              [this] { jobsRefreshed(); })
+        , m_jobs(store, timers, keys::jobs(m_partition), {},
+                 guarded([this](const StoreItem &item) { jobChanged(item); }), guarded([this] { jobsRefreshed(); }))
     {
         m_scheduler.confirmed(confirmedAt);
     }
@@ -103,13 +103,13 @@
             }
         }
         m_executorListReceived = true;
-        recordExecutors();
+        guarded([this] { recordExecutors(); })();
     }
 
     void setVacating(const std::unordered_set<std::string> &executors, std::uint64_t listRevision)
     {
         m_vacatingRevision = listRevision;
-        m_scheduler.setVacating(executors, bootNow());
+        guarded([&] { m_scheduler.setVacating(executors, bootNow()); })();
         schedulePass();
     }
 
@@ -208,12 +208,15 @@
             return;
         }
         for (const boost::json::value &element : value.get_array()) {
-            const boost::json::array &row = element.as_array();
+            using Row = std::tuple<std::string, std::string, std::uint16_t, std::int64_t>;
+            const auto row = boost::json::try_value_to<Row>(element);
+            if (!row) {
+                logEvent(LogLevel::Error, "used-executors-unreadable",
+                         {{"share", m_partition}, {"row", boost::json::serialize(element)}});
+                continue;
+            }
             ExecutorRecord record;
-            record.id = row.at(0).as_string();
-            record.address = row.at(1).as_string();
-            record.port = static_cast<std::uint16_t>(row.at(2).as_int64());
-            record.startedMs = row.at(3).as_int64();
+            std::tie(record.id, record.address, record.port, record.startedMs) = *row;
             record.service = m_partition;
             m_recordedExecutors.insert(record.id);
             m_hooks.registerExecutor(record);
--- a/src/store_view.h
+++ b/src/store_view.h
@@ -3,6 +3,7 @@
 // Follows the items under a prefix of the store: lists them page by page, then watches from the lowest revision of
 // these pages, so that no change between two pages is missed.
 
+#include "guarded_call.h"
 #include "http_timers.h"
 #include "store.h"
 
@@ -136,7 +137,7 @@
         {
             listed = true;
             refreshedAt = requestedAt;
-            refreshed();
+            callGuarded("store-view", refreshed);
             if (!closed) {
                 later(&State::watch, settings.watchPause);
             }
@@ -187,7 +188,7 @@
             } else {
                 revisions[item.key] = item.revision;
             }
-            changed(item);
+            callGuarded("store-item", [&] { changed(item); });
         }
 
         S &store;
--- a/tests/run_partition_owner.cpp
+++ b/tests/run_partition_owner.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 using namespace briarvane;
 using namespace std::chrono_literals;
 
@@ -173,6 +175,7 @@
             if (command.kind == CommandKind::Start) {
                 running[command.task] = command.run;
             }
+            ++commands;
             std::erase_if(ended, [&](const EndReport &end) { return end.number <= command.observed; });
             constexpr Duration answerTime = 5ms;
             timers.at(steadyNow() + answerTime, [this, kind = command.kind, done = std::move(done)] {
@@ -189,8 +192,15 @@
         hooks.requestAdvice = [](const AdviceRequest &, const PartitionOwnerHooks::AdviceDone &) {};
         hooks.registerExecutor = [](const ExecutorRecord &) {};
         hooks.listInstances = [](const auto &) {};
-        hooks.jobFinished = [](const Scheduler::Finished &) {};
-        hooks.ownershipLost = [this](const std::string &, std::string_view) { ownershipLost = true; };
+        hooks.jobFinished = [this](const Scheduler::Finished &) {
+            if (throwWhenJobFinishes) {
+                throw std::length_error("unexpected");
+            }
+        };
+        hooks.ownershipLost = [this](const std::string &, std::string_view why) {
+            ownershipLost = true;
+            whyLost = why;
+        };
         owner.emplace(store, timers, "orders", token, keys::Predecessor::None, PartitionOwnerSettings{},
                       std::move(hooks), bootNow(), bootNow());
         ExecutorRecord executor;
@@ -233,12 +243,62 @@
     std::map<std::string, int> running;
     std::vector<EndReport> ended;
     std::uint64_t lastEndNumber = 0;
+    int commands = 0;  // commands that the owner has sent
+    bool throwWhenJobFinishes = false;
     bool ownershipLost = false;
+    std::string whyLost;
     std::optional<PartitionOwner<UnreliableStore>> owner;
 };
 
 }
 
+TEST_CASE("An owner that hits an unexpected exception gives up its partition instead of going on half changed")
+{
+    // Guards against a report of other operators: an unexpected error took the whole process down. The state of the
+    // scheduler may be inconsistent after an exception, so the next owner loads it from the store.
+    OwnerFixture fixture;
+    fixture.throwWhenJobFinishes = true;
+    for (const int index : {0, 1, 2}) {
+        fixture.endRun(index, RunEnd::Done);
+    }
+    fixture.runUntil([&] { return fixture.ownershipLost; });
+    CHECK(fixture.whyLost == "unexpected-error");
+    const int commandsThen = fixture.commands;
+    bool waited = false;
+    fixture.timers.at(steadyNow() + 200ms, [&] { waited = true; });
+    fixture.runUntil([&] { return waited; });
+    CHECK(fixture.commands == commandsThen);
+    CHECK(fixture.progress(0).done == false);
+}
+
+TEST_CASE("Odd rows among the recorded executors are skipped")
+{
+    // Guards against the same report for the records that owners leave to their successors.
+    OwnerFixture fixture;
+    const auto listed = [&fixture](const std::string &text) {
+        std::set<std::string> registered;
+        PartitionOwnerHooks hooks;
+        hooks.sendCommand = [](const ExecutorCommand &, const PartitionOwnerHooks::CommandDone &) {};
+        hooks.requestAdvice = [](const AdviceRequest &, const PartitionOwnerHooks::AdviceDone &) {};
+        hooks.registerExecutor = [&registered](const ExecutorRecord &record) { registered.insert(record.id); };
+        hooks.listInstances = [](const auto &) {};
+        hooks.jobFinished = [](const Scheduler::Finished &) {};
+        hooks.ownershipLost = [](const std::string &, std::string_view) {};
+        fixture.store.put(keys::recordedExecutorsKey("supplies"), text);
+        const std::uint64_t token = fixture.store.put(keys::owner("supplies"), "e1");
+        PartitionOwner<UnreliableStore> owner(fixture.store, fixture.timers, "supplies", token, keys::Predecessor::Lost,
+                                              PartitionOwnerSettings{}, std::move(hooks), bootNow(), bootNow());
+        owner.start();
+        fixture.runUntil([&] { return registered.contains("good"); });
+        return registered;
+    };
+    const std::string good = R"(["good","10.0.0.1",80,5])";
+    CHECK(listed("[7,[],[\"a\"],[\"b\",\"10.0.0.1\",65536,1],[\"c\",\"10.0.0.1\",-1,1],[\"d\",1,80,1],"
+                 "[\"e\",\"10.0.0.1\",80,1e300],"
+                 + good + "]")
+          == std::set<std::string>{"good"});
+}
+
 TEST_CASE("A write that the store applies late does not undo a newer write")
 {
     OwnerFixture fixture;
--- a/tests/run_platform_wire.cpp
+++ b/tests/run_platform_wire.cpp
@@ -48,6 +48,121 @@
     }
 }
 
+TEST_CASE("An odd record among those of the executors names no executor and is refused with a reason")
+{
+    // Guards against a report of other operators: one odd entry ended every process that read the list, or kept it from
+    // reading the others.
+    const auto record = [](const std::string &address, const std::string &more = "") {
+        return R"({"service":"s1","address":")" + address + R"(","state":"ready","capacity":{"cpu":16000})" + more
+            + "}";
+    };
+    REQUIRE(decodeExecutor("i-1", record("10.0.0.1:80")));
+
+    SECTION("nested 10,000 levels deep")
+    {
+        const std::string nested = std::string(10'000, '[') + std::string(10'000, ']');
+        CHECK_FALSE(decodeExecutor("i-1", record("10.0.0.1:80", R"(,"x":)" + nested)));
+        CHECK_FALSE(decodeExecutor("i-1", std::string(10'000, '[')));
+    }
+    SECTION("with a port out of range, or without one")
+    {
+        for (const char *address : {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:99999999999999999999",
+                                    "10.0.0.1:", "10.0.0.1:80x", "10.0.0.1", ":80", ""}) {
+            CAPTURE(address);
+            CHECK_FALSE(decodeExecutor("i-1", record(address)));
+        }
+    }
+    SECTION("with an address that is no IPv4 address")
+    {
+        for (const char *address : {"[::1]:80", "::1:80", "host.example:80", "10.0.0.256:80", "10.0.0.1 :80"}) {
+            CAPTURE(address);
+            CHECK_FALSE(decodeExecutor("i-1", record(address)));
+        }
+    }
+    SECTION("with numbers beyond the range of an integer, which are bounded or left out")
+    {
+        for (const char *number : {"1e300", "-1e300", "1e400", "18446744073709551616", "9223372036854775808", "1e18"}) {
+            CAPTURE(number);
+            const auto decoded
+                = decodeExecutor("i-1",
+                                 R"({"service":"s1","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":)"
+                                     + std::string(number) + R"(,"mem_mb":)" + number + R"(},"born":)" + number + "}");
+            if (decoded) {
+                CHECK(decoded.value().capacity.milliCores >= 0);
+                CHECK(decoded.value().capacity.milliCores <= 1'000'000);
+                CHECK(decoded.value().capacity.memoryMb <= 1'000'000);
+            }
+        }
+    }
+    SECTION("with a megabyte of labels")
+    {
+        std::string labels = R"(,"labels":["a")";
+        while (labels.size() < 1'000'000) {
+            labels += R"(,"label")";
+        }
+        CHECK_FALSE(decodeExecutor("i-1", record("10.0.0.1:80", labels + "]")));
+    }
+    SECTION("with an id that would break the header field of a command")
+    {
+        const std::string valid = record("10.0.0.1:80");
+        for (const std::string &id : {std::string(), std::string("i 1"), std::string("i\r\nX: 1"),
+                                      std::string("i\0", 2), std::string(201, 'i')}) {
+            CAPTURE(id);
+            CHECK_FALSE(decodeExecutor(id, valid));
+        }
+    }
+}
+
+TEST_CASE("A report with one number that cannot be read is refused whole")
+{
+    // A later readable number must not hide an earlier unreadable one: the run would count as run 0.
+    CHECK_FALSE(decodeExecutorReport(R"({"clock_ms":1,"running":[["t",1e300,"",0],["u",1,"",0]],"ended":[]})"));
+    CHECK_FALSE(decodeExecutorReport(R"({"clock_ms":1,"running":[["t","x","",0],["u",1,"",0]],"ended":[]})"));
+    CHECK_FALSE(
+        decodeExecutorReport(R"({"clock_ms":1,"running":[],"ended":[[-1,"t",1,"done",""],[2,"u",1,"done",""]]})"));
+    CHECK_FALSE(decodeExecutorReport(
+        R"({"clock_ms":1,"running":[],"ended":[[1,"t",99999999999,"done",""],[2,"u",1,"done",""]]})"));
+}
+
+TEST_CASE("Numbers of jobs, configurations and waves are bounded, so that sums and products of them stay in range")
+{
+    Queue queue;
+    for (const char *number :
+         {"1e300", "-1e300", "9223372036854775807", "18446744073709551615", "-9223372036854775808"}) {
+        CAPTURE(number);
+        const std::string text = number;
+        const auto job = decodeJob("5c0e7a21d94b36f8", queue,
+                                   R"({"times":2,"start_at_ms":)" + text + R"(,"interval_ms":)" + text
+                                       + R"(,"steps":[{"count":100000,"cpu":)" + text + R"(,"mem_mb":)" + text
+                                       + R"(,"estimate_ms":)" + text + R"(,"may_miss":)" + text + R"(,"target_ms":)"
+                                       + text + "}]}",
+                                   17);
+        REQUIRE(job);
+        const StepSpec &step = job.value().steps[0];
+        CHECK(step.estimate >= Duration{0});
+        CHECK(step.estimate <= std::chrono::hours(24 * 30));
+        CHECK(step.each.milliCores >= 0);
+        CHECK(step.each.milliCores <= 1'000'000);
+        CHECK(step.maxUnavailable >= 0);
+        CHECK(job.value().intervalMs >= 0);
+        const auto config
+            = decodeDeploymentConfig(R"({"version":1,"routes":[{"name":"r","max_attempts":)" + text + R"(,"stretch":)"
+                                     + text + R"(,"target_latency_ms":)" + text + R"(,"advice":{"decide_ms":)" + text
+                                     + R"(}}],"services":[{"name":"s",
+            "max_conns":)" + text + "}]}");
+        REQUIRE(config);
+        CHECK(config.value().queues[0].maxAttempts >= 1);
+        CHECK(config.value().queues[0].stretch >= 0);
+        CHECK(config.value().queues[0].targetLatency >= Duration{0});
+        CHECK(config.value().queues[0].advice.callTime >= Duration{0});
+        CHECK(config.value().services[0].connections >= 1);
+        const auto wave = decodeWave(R"({"wave":1,"machines":[],"within_s":)" + text + R"(,"cap":)" + text + "}");
+        REQUIRE(wave);
+        CHECK(wave.value().dueWithin >= Duration{0});
+        CHECK(wave.value().maxConcurrent >= 1);
+    }
+}
+
 TEST_CASE("An executor report lists the running tasks and the ended ones in order of their number")
 {
     const auto report = decodeExecutorReport(R"({"clock_ms":482113,"born":17,"running":[["j.0.1.17",2,"c",41,123.5]],
