Divide large services into several partitions

Cause: one entry owned a whole service. A profile of the owner at that load (stand-in on loopback, 266 executors, 83 jobs/s): 281 ms of processor time a second in the mean, 43% of it in passes over all executors and jobs that each event caused, 48% in HTTP calls. In a queue's turn the demand is four to five times that, so acknowledgements of ends, renewals and restarts of long-running tasks waited for the processor.

Change: a service gets about one partition for 64 instances of its pool; the number is decided once by the owner of the fleet, before the first job, and stored. Jobs and executors belong to a partition by a hash of their id, so no two owners ever command the same executor and a job is still found with one read. A service that already had an owner, a spare pool, or a deployment with an entry of an older build keeps one partition, with the same keys as before. Passes over the scheduler are at least 5 ms apart; stops are repeated and executors vacated every 40 ms instead of in each pass.

Not built: splitting and joining while the service runs.

--- a/src/job_api.h
+++ b/src/job_api.h
@@ -76,14 +76,15 @@
         return m_failures < minFailures || now - m_lastReachedAt < recentPeriod || now - m_lastOutcomeAt > recentPeriod;
     }
 
-    void submit(JobSpec spec, JobApiDone done)
+    /// `partition`: name of the partition that a job with this id belongs to.
+    void submit(JobSpec spec, std::string partition, JobApiDone done)
     {
         const TimePoint now = bootNow();
         if (!storeReachable(now)) {
             done({JobApiOutcome::NotRun, JobState::Pending, 0});
             return;
         }
-        m_pendingJobs.push_back({std::move(spec), std::move(done), 0, now});
+        m_pendingJobs.push_back({std::move(spec), std::move(partition), std::move(done), 0, now});
         writePending();
     }
 
@@ -156,6 +157,7 @@
     struct PendingJob
     {
         JobSpec spec;
+        std::string partition;
         JobApiDone done;
         int unknownOutcomes = 0;  // attempts to write the job whose outcome is unknown
         TimePoint arrived;
@@ -197,8 +199,8 @@
             JobRecord record;
             record.spec = spec;
             txn.expected.emplace_back(keys::jobId(spec.id), 0);
-            txn.writes.push_back({keys::jobId(spec.id), spec.service, 0});
-            txn.writes.push_back({keys::job(spec.service, spec.id), encodeJobRecord(record), 0});
+            txn.writes.push_back({keys::jobId(spec.id), pendingJob.partition, 0});
+            txn.writes.push_back({keys::job(pendingJob.partition, spec.id), encodeJobRecord(record), 0});
         }
         m_store.commit(txn, timeout, [this, batch](const StoreReply &reply) { batchWritten(batch, reply); });
     }
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -257,6 +257,11 @@
         reply(exchange, 400, platform::encodeError("the path does not end with a job id of 16 hexadecimal digits"));
         return;
     }
+    const std::optional<std::string> partition = partitionOfJob(queue->service, id);
+    if (!partition) {
+        reply(exchange, 503, platform::encodeError("the service of the queue has no owner yet"));
+        return;
+    }
     const auto answered = [this, exchange](const JobApiReply &result) {
         if (result.outcome == JobApiOutcome::Done) {
             reply(exchange, 200, platform::encodeJobState(result.state));
@@ -265,11 +270,11 @@
         }
     };
     if (request.method == "POST") {
-        submit(exchange, *queue, id);
+        submit(exchange, *queue, id, *partition);
     } else if (request.method == "GET") {
-        m_jobApi.state(queue->service, id, answered);
+        m_jobApi.state(*partition, id, answered);
     } else if (request.method == "DELETE") {
-        m_jobApi.cancel(queue->service, id, [answered, id](const JobApiReply &result) {
+        m_jobApi.cancel(*partition, id, [answered, id](const JobApiReply &result) {
             logEvent(LogLevel::Info, "job-cancel",
                      {{"job", id},
                       {"outcome", std::to_string(static_cast<int>(result.outcome))},
@@ -281,7 +286,8 @@
     }
 }
 
-void JobEntry::submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const std::string &id)
+void JobEntry::submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const std::string &id,
+                      const std::string &partition)
 {
     auto spec = platform::decodeJob(id, queue, exchange->request().body, wallNowMs());
     if (!spec) {
@@ -290,7 +296,7 @@
     }
     const TimePoint arrived = bootNow();
     m_jobApi.submit(
-        std::move(spec.value()),
+        std::move(spec.value()), partition,
         [this, exchange, id, arrived, name = queue.name, version = m_config.version](const JobApiReply &result) {
             const Duration took = bootNow() - arrived;
             logEvent(LogLevel::Info, "job-submitted",
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -45,11 +45,12 @@
     });
 }
 
-/// Value that a serving entry publishes: its CPU share, followed by the endpoint for calls of other entries if this
-/// entry can pass such calls on to the advice service.
+/// Value that a serving entry publishes: its CPU share, its capability, and the endpoint for calls of other entries if
+/// this entry can pass such calls on to the advice service.
 std::string JobEntry::servingState() const
 {
     std::string state = std::string(ServingState) + std::to_string(m_settings.cpuShare);
+    state += PartitionsCapability;
     if (m_settings.metrics && m_advice) {
         state += ' ' + formatEndpoint(*m_settings.metrics);
     }
@@ -83,6 +84,17 @@
         updateAdviceRoutes();
         return;
     }
+    if (item.key.starts_with(keys::PartitionCounts)) {
+        const std::string service = item.key.substr(keys::PartitionCounts.size());
+        const std::optional<int> count = parsePartitionCount(item.value);
+        if (item.removed || !count) {
+            logEvent(LogLevel::Error, "partition-count-unreadable", {{"service", service}, {"value", item.value}});
+            return;
+        }
+        m_partitionCounts.try_emplace(service, *count);
+        logEvent(LogLevel::Info, "partition-count", {{"service", service}, {"partitions", item.value}});
+        return;
+    }
     if (!item.key.starts_with(keys::Owners)) {
         return;
     }
@@ -140,11 +152,91 @@
 {
     std::vector<std::string> partitions{keys::FleetPartition};
     for (const PooledService &service : m_config.services) {
-        partitions.push_back(service.name);
+        const auto found = m_partitionCounts.find(service.name);
+        const int count = found == m_partitionCounts.end() ? 0 : found->second;
+        for (int index = 0; index < count; ++index) {
+            partitions.push_back(Partition{service.name, index, count}.name());
+        }
     }
     return partitions;
 }
 
+/// Name of the partition of a job; none until the number of partitions of its service is stored.
+std::optional<std::string> JobEntry::partitionOfJob(const std::string &service, const std::string &id) const
+{
+    const auto count = m_partitionCounts.find(service);
+    return count == m_partitionCounts.end() ? std::nullopt
+                                            : std::optional(partitionOf(service, count->second, id).name());
+}
+
+/// Stores the number of partitions of each service that has none yet, by the size of its pool. Only the owner of the
+/// fleet does this.
+void JobEntry::decidePartitionCounts()
+{
+    std::vector<PooledService> undecided;
+    for (const PooledService &service : m_config.services) {
+        if (!m_partitionCounts.contains(service.name)) {
+            undecided.push_back(service);
+        }
+    }
+    if (undecided.empty()) {
+        m_countsWantedSince = {};
+        return;
+    }
+    if (!m_fleet || m_openCountDecisions > 0) {
+        return;
+    }
+    const TimePoint now = steadyNow();
+    if (m_countsWantedSince == TimePoint{}) {
+        m_countsWantedSince = now;
+    }
+    m_openCountDecisions = 1;
+    m_machines.list([this, undecided](const Result<std::vector<PooledInstance>> &listed) {
+        m_openCountDecisions = 0;
+        const bool timedOut = steadyNow() - m_countsWantedSince > PartitionDecisionTimeout;
+        if (!listed && !timedOut) {
+            logRepeated(LogLevel::Warn, "machines-not-listed", "partitions", {{"why", listed.error().message}});
+            return;
+        }
+        const bool allCapable = std::all_of(m_entries.begin(), m_entries.end(), [](const auto &entry) {
+            return !entry.second.starts_with(ServingState)
+                || entry.second.find(PartitionsCapability) != std::string::npos;
+        });
+        std::map<std::string, int> instances;
+        if (listed && allCapable) {
+            for (const PooledInstance &instance : listed.value()) {
+                ++instances[instance.pool];
+            }
+        }
+        for (const PooledService &service : undecided) {
+            storePartitionCount(service.name, service.spare ? 1 : partitionsForPool(instances[service.name]));
+        }
+    });
+}
+
+/// The number is written once. A service that had an owner before it had a number was served as one partition.
+void JobEntry::storePartitionCount(const std::string &service, int count)
+{
+    ++m_openCountDecisions;
+    StoreTxn txn;
+    txn.expected.emplace_back(keys::partitionCount(service), 0);
+    if (count > 1) {
+        txn.expected.emplace_back(keys::ownershipMarker(service), 0);
+    }
+    txn.writes.push_back({keys::partitionCount(service), std::to_string(count), 0});
+    m_store.commit(txn, StoreTimeout, [this, service, count](const StoreReply &reply) {
+        --m_openCountDecisions;
+        m_jobApi.recordStoreReply(reply);
+        const bool hadOwner = reply.outcome == StoreOutcome::Conflict
+            && std::any_of(reply.items.begin(), reply.items.end(), [&service](const StoreItem &item) {
+                                  return item.key == keys::ownershipMarker(service) && item.revision != 0;
+                              });
+        if (hadOwner && count > 1) {
+            storePartitionCount(service, 1);
+        }
+    });
+}
+
 int JobEntry::ownedCount() const
 {
     return static_cast<int>(m_partitions.size()) + (m_fleet ? 1 : 0);
@@ -210,6 +302,7 @@
                 break;  // one partition per round: the next rank includes it, so that partitions spread evenly
             }
         }
+        decidePartitionCounts();
         rebalance();
     }
     later(AssignPeriod / 4, [this] { assignPartitions(); });
@@ -279,11 +372,13 @@
         updateVacating();
         return;
     }
+    Partition identity = parsePartitionName(partition);
+    identity.count = m_partitionCounts.at(identity.service);
     PartitionOwnerSettings settings;
     settings.scheduler.lease = m_settings.runLeaseTime;
     settings.scheduler.stopTime = m_settings.stopTime;
     settings.finalStateRetention = m_settings.finalStateRetention;
-    auto owner = std::make_unique<PartitionOwner<Client>>(m_store, m_timers, partition, fencingToken, predecessor,
+    auto owner = std::make_unique<PartitionOwner<Client>>(m_store, m_timers, identity, fencingToken, predecessor,
                                                           settings, partitionHooks(), now, confirmedAt);
     owner->setVacating(m_vacating, m_vacatingRevision);
     if (m_executorListComplete) {
@@ -396,7 +491,9 @@
     if (item.key.starts_with(keys::FleetLoads)) {
         const auto load = parsePoolLoad(item.value, bootNow());
         if (load) {
-            m_loads[item.key.substr(keys::FleetLoads.size())] = load.value();
+            const std::string partition = item.key.substr(keys::FleetLoads.size());
+            m_loads[partition] = load.value();
+            m_changedLoads.insert(parsePartitionName(partition).service);
         } else if (!item.removed) {
             logEvent(LogLevel::Error, "load-unreadable", {{"key", item.key}});
         }
@@ -437,8 +534,19 @@
             }
         }
         m_fleet->setVacated(vacated);
-        for (const auto &[pool, load] : std::exchange(m_loads, {})) {
-            m_fleet->setLoad(pool, load);
+        for (const std::string &service : std::exchange(m_changedLoads, {})) {
+            const auto found = m_partitionCounts.find(service);
+            const int count = found == m_partitionCounts.end() ? 1 : found->second;
+            std::vector<PoolLoad> loads;
+            for (int index = 0; index < count; ++index) {
+                const auto load = m_loads.find(Partition{service, index, count}.name());
+                if (load != m_loads.end()) {
+                    loads.push_back(load->second);
+                }
+            }
+            if (static_cast<int>(loads.size()) == count) {
+                m_fleet->setLoad(service, combineLoads(loads));
+            }
         }
     }
 }
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -43,6 +43,11 @@
 /// Start of the published state of a serving entry. The CPU share follows, and then the endpoint for calls of other
 /// entries if the entry can forward such calls to the advice service.
 constexpr std::string_view ServingState = "serving ";
+/// Word in the published state of an entry whose build knows several partitions of a service. A service gets more than
+/// one only if all serving entries publish it: an older build would take the first partition for the whole service.
+constexpr std::string_view PartitionsCapability = " partitions";
+/// A service gets one partition if the instances of its pool could not be listed within this time.
+constexpr Duration PartitionDecisionTimeout{3'000'000};
 constexpr Duration StoreTimeout{700'000};
 /// Pause between two watches of the reports, so that reports of several partitions are joined into one watch reply.
 constexpr Duration FleetReportPause{120'000};
@@ -95,6 +100,9 @@
     void requestAdvice(const AdviceRequest &request, PartitionOwnerHooks::AdviceDone done);
     void membershipItemChanged(const StoreItem &item);
     std::vector<std::string> neededPartitions() const;
+    void decidePartitionCounts();
+    void storePartitionCount(const std::string &service, int count);
+    std::optional<std::string> partitionOfJob(const std::string &service, const std::string &id) const;
     struct Candidate
     {
         double cpuShare = 1;
@@ -127,7 +135,8 @@
 
     // Callers
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
-    void submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const std::string &id);
+    void submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const std::string &id,
+                const std::string &partition);
     void reply(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &body);
     void replyWithError(const std::shared_ptr<HttpExchange> &exchange, const JobApiReply &result);
     void handleReadiness(const std::shared_ptr<HttpExchange> &exchange);
@@ -175,6 +184,9 @@
     bool m_stopping = false;
     std::map<std::string, std::string> m_entries;     // state by entry name
     std::map<std::string, OwnershipRecord> m_owners;  // ownership by partition
+    std::map<std::string, int> m_partitionCounts;     // stored number of partitions by service
+    int m_openCountDecisions = 0;                     // calls for partition counts without an answer yet
+    TimePoint m_countsWantedSince;                    // default-constructed: all services have a count
     std::set<std::string> m_acquiring;
     std::map<std::string, std::unique_ptr<PartitionOwner<Client>>> m_partitions;
     std::unique_ptr<FleetOwner<Client>> m_fleet;
@@ -186,7 +198,8 @@
     std::unordered_set<std::string> m_vacating;
     std::uint64_t m_vacatingRevision = 0;            // revision of the list of vacating executors in the store
     std::map<std::string, VacatedReport> m_vacated;  // last report by partition
-    std::map<std::string, PoolLoad> m_loads;         // loads by pool that m_fleet has not received yet
+    std::map<std::string, PoolLoad> m_loads;         // last load by partition
+    std::set<std::string> m_changedLoads;            // services with a load that m_fleet has not received yet
 };
 
 }
--- a/src/job_keys.h
+++ b/src/job_keys.h
@@ -27,11 +27,18 @@
 inline const std::string Owners = "m/own/";
 /// Partition of the instance moves and waves of all pools. Its name is not a valid service name.
 inline const std::string FleetPartition = "!fleet";
+/// Number of partitions of each service. Not bound to a lease and never changed, since the assignment of jobs and
+/// executors to partitions follows from it.
+inline const std::string PartitionCounts = "m/parts/";
 
 inline std::string entry(const std::string &name)
 {
     return Entries + name;
 }
+inline std::string partitionCount(const std::string &service)
+{
+    return PartitionCounts + service;
+}
 inline std::string owner(const std::string &partition)
 {
     return Owners + partition;
--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -13,6 +13,7 @@
 #include "log.h"
 #include "ownership_guard.h"
 #include "partition_ownership.h"
+#include "partitions.h"
 #include "scheduler.h"
 #include "store_view.h"
 
@@ -30,7 +31,10 @@
 struct PartitionOwnerSettings
 {
     SchedulerSettings scheduler;
-    Duration tickPeriod{50'000};      // longest time between two passes, which check deadlines and retries
+    Duration tickPeriod{50'000};  // longest time between two passes, which check deadlines and retries
+    /// Shortest time between two passes. A pass visits all executors and open jobs, so in a burst the events of several
+    /// milliseconds are handled by one pass.
+    Duration passGap{5'000};
     Duration confirmPeriod{800'000};  // time between reads of the ownership key, which confirm the ownership
     Duration storeTimeout{700'000};   // timeout of one read or write; a slow store takes up to 250 ms
     Duration retryPause{120'000};     // pause after a failed call to the store
@@ -70,17 +74,18 @@
 class PartitionOwner : private OwnershipGuard
 {
 public:
-    PartitionOwner(S &store, Timers &timers, std::string partition, std::uint64_t fencingToken,
+    PartitionOwner(S &store, Timers &timers, const Partition &partition, std::uint64_t fencingToken,
                    keys::Predecessor predecessor, PartitionOwnerSettings settings, PartitionOwnerHooks hooks,
                    TimePoint acquiredAt, TimePoint confirmedAt)
         : OwnershipGuard(timers, fencingToken, [this] { reportOwnershipLost("unexpected-error"); })
         , m_store(store)
-        , m_writer(store, keys::owner(partition), fencingToken)
+        , m_writer(store, keys::owner(partition.name()), fencingToken)
         , m_timers(timers)
-        , m_partition(std::move(partition))
+        , m_partition(partition.name())
+        , m_identity(partition)
         , m_settings(settings)
         , m_hooks(std::move(hooks))
-        , m_scheduler(settings.scheduler, m_partition, fencingToken,
+        , m_scheduler(settings.scheduler, partition.service, fencingToken,
                       predecessorLimits(predecessor, settings, acquiredAt))
         , m_jobs(store, timers, keys::jobs(m_partition), {},
                  guarded([this](const StoreItem &item) { jobChanged(item); }), guarded([this] { jobsRefreshed(); }))
@@ -98,7 +103,8 @@
     {
         m_listedExecutors.clear();
         for (const ExecutorRecord &record : records) {
-            if (record.service == m_partition) {
+            if (record.service == m_identity.service
+                && partitionIndex(record.id, m_identity.count) == m_identity.index) {
                 m_listedExecutors.push_back(record);
             }
         }
@@ -217,7 +223,7 @@
             }
             ExecutorRecord record;
             std::tie(record.id, record.address, record.port, record.startedMs) = *row;
-            record.service = m_partition;
+            record.service = m_identity.service;
             m_recordedExecutors.insert(record.id);
             m_hooks.registerExecutor(record);
             m_scheduler.addRecordedExecutor(record, bootNow());
@@ -364,13 +370,14 @@
 
     // Passes over the scheduler
 
-    /// Schedules one pass for all events that are handled in the present turn of the I/O loop.
+    /// Schedules one pass for all events that arrive until it runs: at once, or passGap after the previous pass.
     void schedulePass()
     {
         if (!m_loaded || m_ownershipLost || std::exchange(m_passScheduled, true)) {
             return;
         }
-        later(Duration{0}, [this] {
+        const TimePoint now = steadyNow();
+        later(std::max(Duration{0}, m_lastPassAt + m_settings.passGap - now), [this] {
             m_passScheduled = false;
             runPass();
         });
@@ -382,6 +389,7 @@
             return;
         }
         const TimePoint now = bootNow();
+        m_lastPassAt = steadyNow();
         m_scheduler.tick(now, wallNowMs());
         for (const ExecutorCommand &command : m_scheduler.takeCommands()) {
             send(command, now);
@@ -409,7 +417,7 @@
         }
         const TimePoint latest = now + m_settings.tickPeriod;
         const TimePoint next = std::min(latest, m_scheduler.nextWake(now).value_or(latest));
-        const TimePoint passTime = steadyNow() + std::max(Duration{1000}, next - now);
+        const TimePoint passTime = steadyNow() + std::max(m_settings.passGap, next - now);
         if (m_passTimer.second != 0 && passTime >= m_passAt && m_passAt > steadyNow()) {
             return;
         }
@@ -685,7 +693,8 @@
     S &m_store;
     FencedWriter<S> m_writer;
     Timers &m_timers;
-    std::string m_partition;
+    std::string m_partition;  // name of the partition
+    Partition m_identity;
     PartitionOwnerSettings m_settings;
     PartitionOwnerHooks m_hooks;
     Scheduler m_scheduler;
@@ -705,6 +714,7 @@
     Timers::Key m_confirmTimer{};
     bool m_confirmingOwnership = false;
     TimePoint m_passAt;
+    TimePoint m_lastPassAt;
     bool m_loaded = false;
     bool m_executorListReceived = false;
     bool m_recordingExecutors = false;
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -22,6 +22,23 @@
 
 }
 
+PoolLoad combineLoads(const std::vector<PoolLoad> &partitions)
+{
+    PoolLoad sum;
+    sum.receivedAt = TimePoint::max();
+    for (const PoolLoad &load : partitions) {
+        sum.demandMilliCores += load.demandMilliCores;
+        for (const auto &[label, milliCores] : load.demandByLabel) {
+            sum.demandByLabel[label] += milliCores;
+        }
+        sum.minExecutors += load.minExecutors;  // a step spreads over the executors of its own partition only
+        sum.idle.insert(load.idle.begin(), load.idle.end());
+        sum.withoutLongRunning.insert(load.withoutLongRunning.begin(), load.withoutLongRunning.end());
+        sum.receivedAt = std::min(sum.receivedAt, load.receivedAt);
+    }
+    return sum;
+}
+
 std::string encodePoolLoad(const PoolLoad &load)
 {
     return json::serialize(json::object{{"wanted", load.demandMilliCores},
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -68,6 +68,8 @@
     std::string pool;
 };
 
+/// Load of a pool from the loads of the partitions of its service. It is as old as the oldest of them.
+PoolLoad combineLoads(const std::vector<PoolLoad> &partitions);
 std::string encodePoolLoad(const PoolLoad &load);
 Result<PoolLoad> parsePoolLoad(std::string_view text, TimePoint now);
 
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -254,12 +254,16 @@
         m_unreportedExecutors.clear();
         m_placementNeeded = true;
     }
+    const bool upkeepDue = now >= m_nextUpkeepAt && mayCommand(now);
+    if (upkeepDue) {
+        m_nextUpkeepAt = now + m_settings.upkeepInterval;
+    }
     for (auto &[id, executor] : m_executors) {
         const bool silent = now - executor.silentSince() > m_settings.silentAfter;
         if (silent && !executor.runs.empty() && executor.leasesEndBy != TimePoint{} && now > executor.leasesEndBy) {
             discardRuns(executor, now, "lease-over");
         }
-        if (mayCommand(now)) {
+        if (upkeepDue) {
             repeatStops(executor, now);
             vacate(executor, now);
         }
--- a/tests/job_demo.cpp
+++ b/tests/job_demo.cpp
@@ -83,20 +83,22 @@
 class Deployment
 {
 public:
-    Deployment(std::string bin, std::string work, unsigned seed)
+    Deployment(std::string bin, std::string work, unsigned seed, int perPool)
         : m_bin(std::move(bin))
         , m_work(std::move(work))
         , m_seed(seed)
+        , m_perPool(perPool)
     {
     }
 
     bool start()
     {
-        m_standIn = harness::Process({m_bin + "/standin_deployment", "--store-port", std::to_string(storePort()),
-                                      "--machines-port", std::to_string(machinesPort()), "--executor-port",
-                                      std::to_string(m_ports.first() + 40), "--pools", "vendors,supplies,spare",
-                                      "--per-pool", "4", "--spare", "spare", "--seed", std::to_string(m_seed)},
-                                     {}, m_work + "/deployment.log");
+        m_standIn
+            = harness::Process({m_bin + "/standin_deployment", "--store-port", std::to_string(storePort()),
+                                "--machines-port", std::to_string(machinesPort()), "--executor-port",
+                                std::to_string(m_ports.first() + 40), "--pools", "vendors,supplies,spare", "--per-pool",
+                                std::to_string(m_perPool), "--spare", "spare", "--seed", std::to_string(m_seed)},
+                               {}, m_work + "/deployment.log");
         return waitStatus(machinesPort(), "/machines", 200);
     }
     void startEntry(int index)
@@ -188,6 +190,7 @@
     std::string m_bin;
     std::string m_work;
     unsigned m_seed = 1;
+    int m_perPool = 4;
     harness::PortBlock m_ports;
     harness::Process m_standIn;
     harness::Process m_entries[Entries];
@@ -437,25 +440,39 @@
     std::string bin = "build/release";
     int seconds = 12;
     unsigned seed = 20261204;
+    int partitions = 1;
     CLI::App app("Jobs through three entries, one of them killed");
     app.add_option("--bin", bin, "folder of the programs")->capture_default_str();
     app.add_option("--seconds", seconds, "time for which jobs are submitted, seconds")
         ->check(CLI::Range(8, 3600))
         ->capture_default_str();
     app.add_option("--seed", seed, "seed of ids, entries and durations")->capture_default_str();
+    app.add_option("--partitions", partitions, "partitions of each service")
+        ->check(CLI::Range(1, 4))
+        ->capture_default_str();
     CLI11_PARSE(app, argc, argv);
 
     const std::string work
         = (std::filesystem::temp_directory_path() / ("briarvane-jobs-" + std::to_string(::getpid()))).string();
     std::filesystem::create_directories(work);
-    std::cout << "three entries, 12 instances in 3 pools; logs in " << work << std::endl;
-    Deployment deployment(std::filesystem::absolute(bin).string(), work, seed);
+    // Pools of several partitions have enough instances that no partition is left without one.
+    const int perPool = partitions == 1 ? 4 : 20;
+    std::cout << "three entries, " << 3 * perPool << " instances in 3 pools, " << partitions
+              << " partitions a service; logs in " << work << std::endl;
+    Deployment deployment(std::filesystem::absolute(bin).string(), work, seed, perPool);
     if (!deployment.start()) {
         return 1;
     }
     GuaranteeChecks checks;
     checks.require(deployment.control("PUT", "/test/put?key=op/config", configuration()).status == 200,
                    "the configuration was not stored");
+    for (const std::string service : {"vendors", "supplies"}) {
+        if (partitions > 1) {
+            checks.require(
+                deployment.control("PUT", "/test/put?key=m/parts/" + service, std::to_string(partitions)).status == 200,
+                "the number of partitions was not stored");
+        }
+    }
     for (int index = 0; index < Entries; ++index) {
         deployment.startEntry(index);
     }
--- a/tests/run_job_api.cpp
+++ b/tests/run_job_api.cpp
@@ -106,7 +106,7 @@
     JobApi<ScriptedStore> api(store, timers, {});
     std::map<std::string, JobApiOutcome> outcomes;
     const auto submit = [&](const std::string &id) {
-        api.submit(job(id), [&outcomes, id](const JobApiReply &reply) { outcomes[id] = reply.outcome; });
+        api.submit(job(id), "orders", [&outcomes, id](const JobApiReply &reply) { outcomes[id] = reply.outcome; });
     };
 
     SECTION("the caller gets no reply before the write is done")
@@ -131,6 +131,15 @@
         CHECK(third.txn.expected[0] == std::pair(keys::jobId("c"), std::uint64_t{0}));
         CHECK(third.txn.rows() <= StoreTxn::MaxRows);
     }
+    SECTION("the job is stored in its partition, and the partition under its id")
+    {
+        api.submit(job("a"), "orders!2", [&outcomes](const JobApiReply &reply) { outcomes["a"] = reply.outcome; });
+        const auto write = store.take("commit");
+        REQUIRE(write.txn.writes.size() == 2);
+        CHECK(write.txn.writes[0].key == keys::jobId("a"));
+        CHECK(write.txn.writes[0].value == "orders!2");
+        CHECK(write.txn.writes[1].key == keys::job("orders!2", "a"));
+    }
     SECTION("a refused write is reported as not run")
     {
         submit("a");
--- a/tests/run_partition_owner.cpp
+++ b/tests/run_partition_owner.cpp
@@ -201,7 +201,7 @@
             ownershipLost = true;
             whyLost = why;
         };
-        owner.emplace(store, timers, "orders", token, keys::Predecessor::None, PartitionOwnerSettings{},
+        owner.emplace(store, timers, Partition{"orders"}, token, keys::Predecessor::None, PartitionOwnerSettings{},
                       std::move(hooks), bootNow(), bootNow());
         ExecutorRecord executor;
         executor.id = "i-1";
@@ -286,8 +286,9 @@
         hooks.ownershipLost = [](const std::string &, std::string_view) {};
         fixture.store.put(keys::recordedExecutorsKey("supplies"), text);
         const std::uint64_t token = fixture.store.put(keys::owner("supplies"), "e1");
-        PartitionOwner<UnreliableStore> owner(fixture.store, fixture.timers, "supplies", token, keys::Predecessor::Lost,
-                                              PartitionOwnerSettings{}, std::move(hooks), bootNow(), bootNow());
+        PartitionOwner<UnreliableStore> owner(fixture.store, fixture.timers, Partition{"supplies"}, token,
+                                              keys::Predecessor::Lost, PartitionOwnerSettings{}, std::move(hooks),
+                                              bootNow(), bootNow());
         owner.start();
         fixture.runUntil([&] { return registered.contains("good"); });
         return registered;
