Log jobs that are refused before their service has partitions

Entries were ready before the number of partitions was stored, and such a job got 503 without a line.

Change: an entry is ready once it knows the partitions of all services, and the refusal is logged with its reason.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -259,7 +259,16 @@
     }
     const std::optional<std::string> partition = partitionOfJob(queue->service, id);
     if (!partition) {
-        reply(exchange, 503, platform::encodeError("the service of the queue has no owner yet"));
+        constexpr std::string_view why = "the service of the queue has no partitions yet";
+        if (request.method == "POST") {
+            logEvent(LogLevel::Info, "job-submitted",
+                     {{"job", id},
+                      {"queue", queue->name},
+                      {"config_version", std::to_string(m_config.version)},
+                      {"outcome", "refused"},
+                      {"why", std::string(why)}});
+        }
+        reply(exchange, 503, platform::encodeError(why));
         return;
     }
     const auto answered = [this, exchange](const JobApiReply &result) {
@@ -317,13 +326,24 @@
         });
 }
 
+/// Whether this entry knows the partitions of all services and thus of all jobs. A service that a later configuration
+/// adds has no partitions for a moment, which does not make a serving entry unready.
+bool JobEntry::canAcceptJobs()
+{
+    m_acceptedBefore = m_acceptedBefore
+        || (m_config.version >= 0
+            && std::all_of(m_config.services.begin(), m_config.services.end(),
+                           [this](const PooledService &service) { return m_partitionCounts.contains(service.name); }));
+    return m_acceptedBefore;
+}
+
 void JobEntry::handleReadiness(const std::shared_ptr<HttpExchange> &exchange)
 {
     if (exchange->request().path() == "/metrics") {
         exchange->respond(200, "text/plain; version=0.0.4", exposition());
         return;
     }
-    const bool ready = !m_stopping && m_config.version >= 0;
+    const bool ready = !m_stopping && canAcceptJobs();
     exchange->respond(ready ? 200 : 503, "application/json", ready ? "{}" : platform::encodeError("not ready"));
 }
 
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -139,6 +139,7 @@
                 const std::string &partition);
     void reply(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &body);
     void replyWithError(const std::shared_ptr<HttpExchange> &exchange, const JobApiReply &result);
+    bool canAcceptJobs();
     void handleReadiness(const std::shared_ptr<HttpExchange> &exchange);
     void handleMetricsPort(const std::shared_ptr<HttpExchange> &exchange);
     std::string exposition();
@@ -181,6 +182,7 @@
     std::uint64_t m_lease = 0;
     TimePoint m_enteredAt;
     bool m_entered = false;
+    bool m_acceptedBefore = false;  // canAcceptJobs() has been true
     bool m_stopping = false;
     std::map<std::string, std::string> m_entries;     // state by entry name
     std::map<std::string, OwnershipRecord> m_owners;  // ownership by partition
