--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -375,6 +375,7 @@
     m_metrics.set("briarvane_store_refused_total", {}, static_cast<double>(calls.refused));
     m_metrics.set("briarvane_store_unanswered_total", {}, static_cast<double>(calls.unanswered));
     m_metrics.set("briarvane_config_version", {}, static_cast<double>(m_config.version));
+    m_metrics.set("briarvane_unexpected_errors_total", {}, static_cast<double>(stoppedExceptions()));
     const LogDrops drops = logDrops();
     m_metrics.set("briarvane_log_lines_dropped_total", {{"reason", "over-budget"}},
                   static_cast<double>(drops.overRateLimit));
