Never move an instance whose planned move was cancelled in the same pass

A pool below its minimum size cancelled moves out of it after the available instances had been collected; such an instance was then planned as if it were a spare one without an executor, and moved at once.

Change: moves are cancelled before the available instances are collected.

--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -321,18 +321,22 @@
     }
 }
 
-/// Cancels up to `missing` planned moves out of the pool whose executors are being vacated and which have not been
-/// requested yet. Reduces `missing` by the number of cancelled moves. `alsoLent`: also moves to pools that are not
-/// spare; a pool that is below its minimum size only because it lends instances does not take them back.
-void PoolPlanner::cancelScaleDown(const std::string &pool, int &missing, bool alsoLent)
+/// Cancels moves out of pools that would be below `minShare` of the mean pool size or below their own demand. Only
+/// moves whose executors are being vacated and which have not been requested yet are cancelled. `alsoLent`: also moves
+/// to pools that are not spare; a pool that is below its minimum size only because it lends instances does not take
+/// them back.
+void PoolPlanner::cancelMovesOut(double minShare, bool alsoLent, TimePoint now)
 {
-    std::erase_if(m_moves, [&](const auto &entry) {
-        const Move &move = entry.second;
-        const bool isCancelled = missing > 0 && move.sourcePool == pool && !move.executor.empty() && !isRequested(move)
-            && (alsoLent || m_sparePools.contains(move.targetPool));
-        missing -= isCancelled ? 1 : 0;
-        return isCancelled;
-    });
+    for (const Shortage &shortage : shortages(minShare, now)) {
+        int missing = shortage.missing;
+        std::erase_if(m_moves, [&](const auto &entry) {
+            const Move &move = entry.second;
+            const bool isCancelled = missing > 0 && move.sourcePool == shortage.pool && !move.executor.empty()
+                && !isRequested(move) && (alsoLent || m_sparePools.contains(move.targetPool));
+            missing -= isCancelled ? 1 : 0;
+            return isCancelled;
+        });
+    }
 }
 
 /// Plans moves into pools whose jobs require a label for which the pool has too few cores. Takes instances from
@@ -371,14 +375,13 @@
     }
 }
 
-/// Pools that require more instances than they have, also after planned moves out of them were cancelled.
-std::vector<PoolPlanner::Shortage> PoolPlanner::shortages(double minShare, bool takeBackLent, TimePoint now)
+/// Pools that require more instances than they have after all planned moves.
+std::vector<PoolPlanner::Shortage> PoolPlanner::shortages(double minShare, TimePoint now) const
 {
     std::vector<Shortage> found;
     for (const auto &[pool, load] : m_loads) {
         const std::optional<int> needed = requiredInstances(pool, expectedDemand(pool), minShare, now);
-        int missing = needed && !m_sparePools.contains(pool) ? *needed - instanceCount(pool) : 0;
-        cancelScaleDown(pool, missing, takeBackLent);
+        const int missing = needed && !m_sparePools.contains(pool) ? *needed - instanceCount(pool) : 0;
         if (missing > 0) {
             found.push_back({missing, pool});
         }
@@ -465,7 +468,9 @@
 void PoolPlanner::planScaleUp(TimePoint now)
 {
     recordPeaks(now);
-    std::vector<Shortage> demanded = shortages(m_settings.minLenderShare, true, now);
+    // Before the available instances are collected: an instance whose move is cancelled is not available.
+    cancelMovesOut(m_settings.minLenderShare, true, now);
+    cancelMovesOut(m_settings.minSizeShare, false, now);
     std::vector<std::string> leaving;
     std::vector<std::string> available;  // spare and leaving instances; the last one is used first
     for (const auto &[id, instance] : m_instances) {
@@ -481,9 +486,10 @@
     }
     available.insert(available.begin(), leaving.begin(), leaving.end());
     planLabelDemand(available, now);
+    std::vector<Shortage> demanded = shortages(m_settings.minLenderShare, now);
     fillShortages(demanded, available, now);
     borrowIdle(demanded, now);
-    std::vector<Shortage> belowMinimum = shortages(m_settings.minSizeShare, false, now);
+    std::vector<Shortage> belowMinimum = shortages(m_settings.minSizeShare, now);
     fillShortages(belowMinimum, available, now);
 }
 
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -146,13 +146,13 @@
     bool isRequested(const Move &move) const;
     void planScaleDown(TimePoint now);
     void planScaleUp(TimePoint now);
-    std::vector<Shortage> shortages(double minShare, bool takeBackLent, TimePoint now);
+    std::vector<Shortage> shortages(double minShare, TimePoint now) const;
     void fillShortages(std::vector<Shortage> &shortages, std::vector<std::string> &available, TimePoint now);
     void borrowIdle(std::vector<Shortage> &shortages, TimePoint now);
     void recordPeaks(TimePoint now);
     bool mayLend(const std::string &pool, const std::string &borrower) const;
     void planLabelDemand(std::vector<std::string> &available, TimePoint now);
-    void cancelScaleDown(const std::string &pool, int &missing, bool alsoLent);
+    void cancelMovesOut(double minShare, bool alsoLent, TimePoint now);
 
     PoolPlannerSettings m_settings;
     std::map<std::string, PooledInstance> m_instances;
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <numeric>
+#include <random>
 
 using namespace briarvane;
 using namespace std::chrono_literals;
@@ -385,6 +386,63 @@
     }
 }
 
+TEST_CASE("No instance with an executor moves before its executor is vacated")
+{
+    // Guards against this failure on swanfloss-sched-large: a pool below its minimum size took back a planned move, and
+    // the same pass gave the instance to another pool as if it were a spare one. The move ended 312 runs in a day.
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        const auto draw = [&random](int end) { return std::uniform_int_distribution<int>(0, end - 1)(random); };
+        const std::vector<std::string> pools{"orders", "bills", "audits"};
+        std::vector<PooledInstance> listed = makeFleet(6, 2);
+        for (int i = 0; i < 6; ++i) {
+            listed.push_back(makeInstance("b" + std::to_string(i), "bills"));
+            listed.push_back(makeInstance("c" + std::to_string(i), "audits"));
+        }
+        TimePoint now{1h};
+        PoolPlanner planner({});
+        std::map<std::string, std::uint64_t> vacated;
+        std::uint64_t revision = 10;
+        for (int round = 0; round < 60; ++round) {
+            now += 250ms;
+            planner.setInstances(listed, SparePools, now);
+            for (const std::string &pool : pools) {
+                std::set<std::string> idle;
+                for (const PooledInstance &instance : listed) {
+                    if (instance.pool == pool && draw(2) == 0) {
+                        idle.insert(instance.executor);
+                    }
+                }
+                planner.setLoad(pool, makeLoad(draw(4) == 0 ? 60 + draw(120) : draw(30), now, idle));
+            }
+            planner.setVacated(vacated);
+            for (const MoveRequest &request : planner.tick(now)) {
+                auto instance = std::find_if(listed.begin(), listed.end(), [&request](const PooledInstance &candidate) {
+                    return candidate.id == request.instance;
+                });
+                const bool isSpare = SparePools.contains(instance->pool);
+                CHECK((isSpare || vacated.contains(instance->executor)));
+                if (draw(3) == 0) {
+                    planner.moveRefused(request.instance, false, now);
+                    continue;
+                }
+                planner.moveAccepted(request.instance, now);
+                instance->pool = request.pool;
+                instance->executor += "+";
+            }
+            const std::set<std::string> published = planner.vacating();
+            planner.setPublishedVacating(published, ++revision);
+            std::erase_if(vacated, [&published](const auto &entry) { return !published.contains(entry.first); });
+            for (const std::string &executor : published) {
+                if (draw(2) == 0) {
+                    vacated[executor] = revision;
+                }
+            }
+        }
+    }
+}
+
 TEST_CASE("Pools get the kinds of instance that their jobs require")
 {
     TimePoint now{10s};
