--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -343,7 +343,16 @@
         exchange->respond(200, "text/plain; version=0.0.4", exposition());
         return;
     }
-    const bool ready = !m_stopping && canAcceptJobs();
+    // Load that this answers: the store serves most entries, but not this one. Callers of an entry that is not ready
+    // reach other entries, also in other data centres; here their jobs would be refused.
+    const bool storeReachable = m_jobApi.storeReachable(bootNow());
+    const bool ready = !m_stopping && storeReachable && canAcceptJobs();
+    if (std::exchange(m_reportedReady, ready) != ready) {
+        logEvent(LogLevel::Info, "readiness-changed",
+                 {{"ready", ready ? "yes" : "no"},
+                  {"store_reachable", storeReachable ? "yes" : "no"},
+                  {"stopping", m_stopping ? "yes" : "no"}});
+    }
     exchange->respond(ready ? 200 : 503, "application/json", ready ? "{}" : platform::encodeError("not ready"));
 }
 
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -183,6 +183,7 @@
     TimePoint m_enteredAt;
     bool m_entered = false;
     bool m_acceptedBefore = false;  // canAcceptJobs() has been true
+    bool m_reportedReady = false;   // last answer to a readiness check
     bool m_stopping = false;
     std::map<std::string, std::string> m_entries;     // state by entry name
     std::map<std::string, OwnershipRecord> m_owners;  // ownership by partition
--- a/tests/run_job_api.cpp
+++ b/tests/run_job_api.cpp
@@ -98,6 +98,37 @@
 
 }
 
+TEST_CASE("An entry whose calls to the store fail learns that it cannot reach the store")
+{
+    // Jobs are refused at once then, and the entry reports that it is not ready, so that callers reach other entries.
+    boost::asio::io_context io;
+    Timers timers(io);
+    ScriptedStore store;
+    JobApi<ScriptedStore> api(store, timers, {});
+    StoreReply failed;
+    failed.outcome = StoreOutcome::Refused;
+    StoreReply answered;
+    answered.outcome = StoreOutcome::NotFound;
+    CHECK(api.storeReachable(bootNow()));
+    api.recordStoreReply(failed);
+    CHECK(api.storeReachable(bootNow()));  // a single failure does not show an outage
+    api.recordStoreReply(failed);
+    CHECK_FALSE(api.storeReachable(bootNow()));
+    JobApiOutcome outcome = JobApiOutcome::Done;
+    api.submit(job("a"), "orders", [&outcome](const JobApiReply &reply) { outcome = reply.outcome; });
+    CHECK(outcome == JobApiOutcome::NotRun);
+    CHECK(store.calls.empty());
+    SECTION("any answer shows that it is reachable again")
+    {
+        api.recordStoreReply(answered);
+        CHECK(api.storeReachable(bootNow()));
+    }
+    SECTION("without recent calls the next job tries the store")
+    {
+        CHECK(api.storeReachable(bootNow() + 2s));
+    }
+}
+
 TEST_CASE("A job is reported as accepted only after the store has it")
 {
     boost::asio::io_context io;
