--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -230,8 +230,7 @@
     });
 }
 
-std::optional<int> PoolPlanner::requiredInstances(const std::string &pool, int milliCores, double minShare,
-                                                  TimePoint now) const
+std::optional<int> PoolPlanner::requiredInstances(const std::string &pool, int milliCores, TimePoint now) const
 {
     const auto load = m_loads.find(pool);
     if (load == m_loads.end()) {
@@ -245,7 +244,8 @@
         largest = std::max(largest, instance.pool == pool ? instance.capacity.milliCores : 0);
     }
     const int forDemand = largest == 0 ? 0 : static_cast<int>(std::ceil(milliCores * m_settings.headroom / largest));
-    return std::max({forDemand, load->second.minExecutors, static_cast<int>(std::ceil(meanPoolSize() * minShare))});
+    return std::max(
+        {forDemand, load->second.minExecutors, static_cast<int>(std::ceil(meanPoolSize() * m_settings.minSizeShare))});
 }
 
 int PoolPlanner::meanPoolSize() const
@@ -300,7 +300,7 @@
         for (const auto &[time, milliCores] : m_demandHistory[pool]) {
             peakMilliCores = std::max(peakMilliCores, milliCores);
         }
-        const std::optional<int> needed = requiredInstances(pool, peakMilliCores, m_settings.minSizeShare, now);
+        const std::optional<int> needed = requiredInstances(pool, peakMilliCores, now);
         int excess = needed && !m_sparePools.contains(pool) ? instanceCount(pool) - *needed : 0;
         for (const std::set<std::string> *executors : {&load.idle, &load.withoutLongRunning}) {
             for (const auto &[id, instance] : m_instances) {
@@ -321,22 +321,16 @@
     }
 }
 
-/// Cancels moves out of pools that would be below `minShare` of the mean pool size or below their own demand. Only
-/// moves whose executors are being vacated and which have not been requested yet are cancelled. `alsoLent`: also moves
-/// to pools that are not spare; a pool that is below its minimum size only because it lends instances does not take
-/// them back.
-void PoolPlanner::cancelMovesOut(double minShare, bool alsoLent, TimePoint now)
-{
-    for (const Shortage &shortage : shortages(minShare, now)) {
-        int missing = shortage.missing;
-        std::erase_if(m_moves, [&](const auto &entry) {
-            const Move &move = entry.second;
-            const bool isCancelled = missing > 0 && move.sourcePool == shortage.pool && !move.executor.empty()
-                && !isRequested(move) && (alsoLent || m_sparePools.contains(move.targetPool));
-            missing -= isCancelled ? 1 : 0;
-            return isCancelled;
-        });
-    }
+/// Cancels up to `missing` planned moves out of the pool whose executors are being vacated and which have not been
+/// requested yet. Reduces `missing` by the number of cancelled moves.
+void PoolPlanner::cancelScaleDown(const std::string &pool, int &missing)
+{
+    std::erase_if(m_moves, [&](const auto &entry) {
+        const Move &move = entry.second;
+        const bool isCancelled = missing > 0 && move.sourcePool == pool && !move.executor.empty() && !isRequested(move);
+        missing -= isCancelled ? 1 : 0;
+        return isCancelled;
+    });
 }
 
 /// Plans moves into pools whose jobs require a label for which the pool has too few cores. Takes instances from
@@ -375,102 +369,19 @@
     }
 }
 
-/// Pools that require more instances than they have after all planned moves.
-std::vector<PoolPlanner::Shortage> PoolPlanner::shortages(double minShare, TimePoint now) const
+/// Plans moves into pools that require more instances than they have: spare instances first, then those that are about
+/// to leave other pools for a spare pool.
+void PoolPlanner::planScaleUp(TimePoint now)
 {
-    std::vector<Shortage> found;
+    std::vector<std::pair<int, std::string>> shortages;  // missing instances and pool; sorted, largest first
     for (const auto &[pool, load] : m_loads) {
-        const std::optional<int> needed = requiredInstances(pool, expectedDemand(pool), minShare, now);
-        const int missing = needed && !m_sparePools.contains(pool) ? *needed - instanceCount(pool) : 0;
+        const std::optional<int> needed = requiredInstances(pool, expectedDemand(pool), now);
+        int missing = needed && !m_sparePools.contains(pool) ? *needed - instanceCount(pool) : 0;
+        cancelScaleDown(pool, missing);
         if (missing > 0) {
-            found.push_back({missing, pool});
-        }
-    }
-    return found;
-}
-
-/// Plans moves of the available instances, the last one first, each into the pool with the largest shortage.
-void PoolPlanner::fillShortages(std::vector<Shortage> &shortages, std::vector<std::string> &available, TimePoint now)
-{
-    std::vector<std::string> unsuitable;  // no pool with a shortage takes these
-    for (; !available.empty() && !shortages.empty(); available.pop_back()) {
-        std::sort(shortages.rbegin(), shortages.rend());
-        const PooledInstance &instance = m_instances[available.back()];
-        const auto shortage = std::find_if(shortages.begin(), shortages.end(),
-                                           [&](const Shortage &item) { return mayMove(instance, item.pool, now); });
-        if (shortage == shortages.end()) {
-            unsuitable.push_back(instance.id);
-            continue;
-        }
-        const auto [move, added] = m_moves.try_emplace(instance.id, Move{shortage->pool, instance.pool, {}});
-        move->second.targetPool = shortage->pool;
-        if (--shortage->missing == 0) {
-            shortages.erase(shortage);
-        }
-    }
-    available.insert(available.begin(), unsuitable.begin(), unsuitable.end());
-}
-
-void PoolPlanner::recordPeaks(TimePoint now)
-{
-    for (const auto &[pool, load] : m_loads) {
-        if (now - load.receivedAt <= m_settings.maxLoadAge && !m_sparePools.contains(pool)
-            && requiredInstances(pool, load.demandMilliCores, 0, now).value_or(0) > meanPoolSize()) {
-            m_lastPeaks[pool] = now;
-        }
-    }
-}
-
-/// Queues have their demand peaks in turn, so the next peak is expected in the pool that has been without one for the
-/// longest time, or has had none yet. That pool keeps its instances: it needs them before they could come back.
-bool PoolPlanner::mayLend(const std::string &pool, const std::string &borrower) const
-{
-    const auto lastPeak = m_lastPeaks.find(pool);
-    if (pool == borrower || lastPeak == m_lastPeaks.end() || m_sparePools.contains(pool)) {
-        return false;
-    }
-    return std::any_of(m_loads.begin(), m_loads.end(), [&](const auto &entry) {
-        const auto other = m_lastPeaks.find(entry.first);
-        return entry.first != pool && entry.first != borrower && !m_sparePools.contains(entry.first)
-            && (other == m_lastPeaks.end() || other->second < lastPeak->second);
-    });
-}
-
-/// Plans moves of idle instances from pools whose own demand leaves them unused. In a peak a queue demands more than
-/// its pool and the spare instances have.
-void PoolPlanner::borrowIdle(std::vector<Shortage> &shortages, TimePoint now)
-{
-    for (Shortage &shortage : shortages) {
-        for (const auto &[lender, load] : m_loads) {
-            const std::optional<int> needed
-                = requiredInstances(lender, expectedDemand(lender), m_settings.minLenderShare, now);
-            int excess = needed && mayLend(lender, shortage.pool) ? instanceCount(lender) - *needed : 0;
-            for (const auto &[id, instance] : m_instances) {
-                if (shortage.missing <= 0 || excess <= 0) {
-                    break;
-                }
-                const bool isIdle = instance.pool == lender && instance.state == InstanceAvailability::Up
-                    && load.idle.contains(instance.executor);
-                if (isIdle && !m_moves.contains(id) && !m_inMaintenance.contains(id)
-                    && mayMove(instance, shortage.pool, now) && !isRequiredByPool(instance)) {
-                    m_moves[id] = {shortage.pool, lender, instance.executor};
-                    --shortage.missing;
-                    --excess;
-                }
-            }
+            shortages.emplace_back(missing, pool);
         }
     }
-}
-
-/// Plans moves into pools that require more instances than they have. Pools whose demand exceeds their instances come
-/// first: they get spare instances, then those that are about to leave other pools for a spare pool, then idle ones of
-/// other pools. Pools below their minimum size get what is left.
-void PoolPlanner::planScaleUp(TimePoint now)
-{
-    recordPeaks(now);
-    // Before the available instances are collected: an instance whose move is cancelled is not available.
-    cancelMovesOut(m_settings.minLenderShare, true, now);
-    cancelMovesOut(m_settings.minSizeShare, false, now);
     std::vector<std::string> leaving;
     std::vector<std::string> available;  // spare and leaving instances; the last one is used first
     for (const auto &[id, instance] : m_instances) {
@@ -486,11 +397,20 @@
     }
     available.insert(available.begin(), leaving.begin(), leaving.end());
     planLabelDemand(available, now);
-    std::vector<Shortage> demanded = shortages(m_settings.minLenderShare, now);
-    fillShortages(demanded, available, now);
-    borrowIdle(demanded, now);
-    std::vector<Shortage> belowMinimum = shortages(m_settings.minSizeShare, now);
-    fillShortages(belowMinimum, available, now);
+    for (; !available.empty() && !shortages.empty(); available.pop_back()) {
+        std::sort(shortages.rbegin(), shortages.rend());
+        const PooledInstance &instance = m_instances[available.back()];
+        const auto shortage = std::find_if(shortages.begin(), shortages.end(),
+                                           [&](const auto &item) { return mayMove(instance, item.second, now); });
+        if (shortage == shortages.end()) {
+            continue;
+        }
+        const auto [move, added] = m_moves.try_emplace(instance.id, Move{shortage->second, instance.pool, {}});
+        move->second.targetPool = shortage->second;
+        if (--shortage->first == 0) {
+            shortages.erase(shortage);
+        }
+    }
 }
 
 std::vector<MoveRequest> PoolPlanner::tick(TimePoint now)
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -32,9 +32,6 @@
     /// Minimum size of a pool, as a share of the mean pool size, which counts the spare instances too. A pool has to
     /// serve the first moments of a demand peak with this size.
     double minSizeShare = 0.85;
-    /// Minimum size of a pool that lends idle instances to a pool with a demand peak, as a share of the mean pool size.
-    /// The pool gets instances back from the lender or the spare pool once the peak is over.
-    double minLenderShare = 0.5;
     /// Time over which the rise of the demand is measured.
     Duration trendWindow{500'000};
     /// The measured rise is extrapolated over this time, which a move takes, to at most twice the present demand.
@@ -117,14 +114,6 @@
         std::uint64_t vacatingRevision = 0;
     };
 
-    struct Shortage
-    {
-        int missing = 0;  // instances
-        std::string pool;
-
-        auto operator<=>(const Shortage &) const = default;
-    };
-
     /// Number of instances of the pool after all planned moves, without instances that are down.
     int instanceCount(const std::string &pool) const;
     const std::string &plannedPool(const PooledInstance &instance) const;  // the instance's pool after its move
@@ -133,9 +122,8 @@
     /// Whether the pool needs the instance: the instance is the last one in its pool with its first label (its kind),
     /// or the pool's jobs require a label of the instance and the other instances with the label have too few cores.
     bool isRequiredByPool(const PooledInstance &instance) const;
-    /// Number of instances that a pool requires for the given demand, at least `minShare` of the mean pool size; none
-    /// while the pool has reported no load.
-    std::optional<int> requiredInstances(const std::string &pool, int milliCores, double minShare, TimePoint now) const;
+    /// Number of instances that a pool requires for the given demand; none while the pool has reported no load.
+    std::optional<int> requiredInstances(const std::string &pool, int milliCores, TimePoint now) const;
     /// Milli-cores that the pool is expected to demand when an instance whose move is requested now has come up.
     int expectedDemand(const std::string &pool) const;
     /// All instances, the spare ones included, divided by the number of pools that are not spare.
@@ -146,20 +134,14 @@
     bool isRequested(const Move &move) const;
     void planScaleDown(TimePoint now);
     void planScaleUp(TimePoint now);
-    std::vector<Shortage> shortages(double minShare, TimePoint now) const;
-    void fillShortages(std::vector<Shortage> &shortages, std::vector<std::string> &available, TimePoint now);
-    void borrowIdle(std::vector<Shortage> &shortages, TimePoint now);
-    void recordPeaks(TimePoint now);
-    bool mayLend(const std::string &pool, const std::string &borrower) const;
     void planLabelDemand(std::vector<std::string> &available, TimePoint now);
-    void cancelMovesOut(double minShare, bool alsoLent, TimePoint now);
+    void cancelScaleDown(const std::string &pool, int &missing);
 
     PoolPlannerSettings m_settings;
     std::map<std::string, PooledInstance> m_instances;
     std::set<std::string> m_sparePools;
     std::map<std::string, PoolLoad> m_loads;
     std::map<std::string, std::deque<std::pair<TimePoint, int>>> m_demandHistory;  // milli-cores by pool, latest last
-    std::map<std::string, TimePoint> m_lastPeaks;  // by pool: last time at which its demand exceeded the mean pool size
     std::map<std::string, std::uint64_t> m_vacated;
     std::set<std::string> m_inMaintenance;
     std::map<std::string, Move> m_moves;                           // by instance
