Store one partition for a service that an earlier build already owns

Cause: while the fleet is owned by an entry of an earlier build, nobody stored the numbers of partitions, so entries of this build never became ready during a rolling upgrade. Found by reading.

Change: any entry stores one partition for a service without a number that has an owner.

--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -169,15 +169,21 @@
                                             : std::optional(partitionOf(service, count->second, id).name());
 }
 
-/// Stores the number of partitions of each service that has none yet, by the size of its pool. Only the owner of the
-/// fleet does this.
+/// Stores the number of partitions of each service that has none yet. The owner of the fleet decides by the size of the
+/// pool. A service that has an owner already is served by an earlier build as one partition; any entry stores this,
+/// since the fleet may be owned by that build too.
 void JobEntry::decidePartitionCounts()
 {
     std::vector<PooledService> undecided;
     for (const PooledService &service : m_config.services) {
-        if (!m_partitionCounts.contains(service.name)) {
-            undecided.push_back(service);
+        if (m_partitionCounts.contains(service.name)) {
+            continue;
         }
+        const auto ownership = m_owners.find(service.name);
+        if (m_openCountDecisions == 0 && ownership != m_owners.end() && !ownership->second.holder.empty()) {
+            storePartitionCount(service.name, 1);
+        }
+        undecided.push_back(service);
     }
     if (undecided.empty()) {
         m_countsWantedSince = {};
