--- a/tests/run_platform_wire.cpp
+++ b/tests/run_platform_wire.cpp
@@ -9,6 +9,20 @@
 using namespace briarvane::platform;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+/// The text with each '#' replaced by the number.
+std::string withNumber(std::string text, std::string_view number)
+{
+    for (std::size_t at = text.find('#'); at != std::string::npos; at = text.find('#', at)) {
+        text.replace(at, 1, number);
+    }
+    return text;
+}
+
+}
+
 TEST_CASE("A configuration is decoded with its queues, services and limits")
 {
     const auto config
@@ -130,12 +144,10 @@
     for (const char *number :
          {"1e300", "-1e300", "9223372036854775807", "18446744073709551615", "-9223372036854775808"}) {
         CAPTURE(number);
-        const std::string text = number;
         const auto job = decodeJob("5c0e7a21d94b36f8", queue,
-                                   R"({"times":2,"start_at_ms":)" + text + R"(,"interval_ms":)" + text
-                                       + R"(,"steps":[{"count":100000,"cpu":)" + text + R"(,"mem_mb":)" + text
-                                       + R"(,"estimate_ms":)" + text + R"(,"may_miss":)" + text + R"(,"target_ms":)"
-                                       + text + "}]}",
+                                   withNumber(R"({"times":2,"start_at_ms":#,"interval_ms":#,"steps":[{"count":100000,
+            "cpu":#,"mem_mb":#,"estimate_ms":#,"may_miss":#,"target_ms":#}]})",
+                                              number),
                                    17);
         REQUIRE(job);
         const StepSpec &step = job.value().steps[0];
@@ -145,18 +157,17 @@
         CHECK(step.each.milliCores <= 1'000'000);
         CHECK(step.maxUnavailable >= 0);
         CHECK(job.value().intervalMs >= 0);
-        const auto config
-            = decodeDeploymentConfig(R"({"version":1,"routes":[{"name":"r","max_attempts":)" + text + R"(,"stretch":)"
-                                     + text + R"(,"target_latency_ms":)" + text + R"(,"advice":{"decide_ms":)" + text
-                                     + R"(}}],"services":[{"name":"s",
-            "max_conns":)" + text + "}]}");
+        const auto config = decodeDeploymentConfig(
+            withNumber(R"({"version":1,"routes":[{"name":"r","max_attempts":#,"stretch":#,"target_latency_ms":#,
+            "advice":{"decide_ms":#}}],"services":[{"name":"s","max_conns":#}]})",
+                       number));
         REQUIRE(config);
         CHECK(config.value().queues[0].maxAttempts >= 1);
         CHECK(config.value().queues[0].stretch >= 0);
         CHECK(config.value().queues[0].targetLatency >= Duration{0});
         CHECK(config.value().queues[0].advice.callTime >= Duration{0});
         CHECK(config.value().services[0].connections >= 1);
-        const auto wave = decodeWave(R"({"wave":1,"machines":[],"within_s":)" + text + R"(,"cap":)" + text + "}");
+        const auto wave = decodeWave(withNumber(R"({"wave":1,"machines":[],"within_s":#,"cap":#})", number));
         REQUIRE(wave);
         CHECK(wave.value().dueWithin >= Duration{0});
         CHECK(wave.value().maxConcurrent >= 1);
