Use one word for one thing in the scheduler's settings and pages

No behaviour changes.

Measured: core_scheduler, core_features, run_partition_owner and job_demo with three partitions pass.

--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -694,7 +694,7 @@
     FencedWriter<S> m_writer;
     Timers &m_timers;
     std::string m_partition;  // name of the partition
-    Partition m_identity;
+    Partition m_identity;     // the executors of the service that belong to this partition follow from it
     PartitionOwnerSettings m_settings;
     PartitionOwnerHooks m_hooks;
     Scheduler m_scheduler;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// The scheduler of one partition, that is of the jobs of one service and the executors that run them. It only makes
-// decisions: events and the present time are its input, commands and store writes its output. It uses no sockets,
+// The scheduler of one partition, that is of a part of the jobs of one service and the executors that run them. It only
+// makes decisions: events and the present time are its input, commands and store writes its output. It uses no sockets,
 // clocks or threads.
 //
 // Index
@@ -50,8 +50,8 @@
     Duration stopTime{400'000};           // time in which an executor stops a run; its reports omit the run meanwhile
     /// Time that tasks on a vacating executor, except long-running ones, get to finish.
     Duration vacateGracePeriod{2'500'000};
-    Duration placementInterval{100'000};  // time between placement passes while tasks wait and no event occurs
-    Duration upkeepInterval{40'000};      // time between looks at all runs for stops to repeat and tasks to vacate
+    Duration placementInterval{100'000};    // time between placement passes while tasks wait and no event occurs
+    Duration housekeepingInterval{40'000};  // time between checks for stops to repeat and tasks to vacate
     /// An executor gets no work for this time after repeated failed runs or unanswered starts, and after a start was
     /// refused with CommandResult::Replaced. After Unhealthy or NotSent the time is a quarter of this.
     Duration ejectionTime{4'000'000};
@@ -414,7 +414,7 @@
     /// Time of the next placement pass if nothing changes; needed because ejections and retry delays end without an
     /// event.
     TimePoint m_nextPlacementAt;
-    TimePoint m_nextUpkeepAt;  // time from which tick() repeats stops and vacates executors
+    TimePoint m_nextHousekeepingAt;  // time from which tick() repeats stops and vacates executors
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<std::string, Executor> m_executors;
     /// Executors recorded by previous owners that have not reported to this owner yet and may have runs.
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -256,16 +256,16 @@
         m_unreportedExecutors.clear();
         m_placementNeeded = true;
     }
-    const bool upkeepDue = now >= m_nextUpkeepAt && mayCommand(now);
-    if (upkeepDue) {
-        m_nextUpkeepAt = now + m_settings.upkeepInterval;
+    const bool housekeepingDue = now >= m_nextHousekeepingAt && mayCommand(now);
+    if (housekeepingDue) {
+        m_nextHousekeepingAt = now + m_settings.housekeepingInterval;
     }
     for (auto &[id, executor] : m_executors) {
         const bool silent = now - executor.silentSince() > m_settings.silentAfter;
         if (silent && !executor.runs.empty() && executor.leasesEndBy != TimePoint{} && now > executor.leasesEndBy) {
             discardRuns(executor, now, "lease-over");
         }
-        if (upkeepDue) {
+        if (housekeepingDue) {
             repeatStops(executor, now);
             vacate(executor, now);
         }
