--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -1,5 +1,5 @@
-"""A client hands a lasting submission in at an entry that stands still, gives up at its time limit and cancels at another
-entry, which answers. The frozen entry wakes up. The cancelled submission must not run."""
+"""An executor restarts under its id. Seconds later it is cut off from all entries while the owner of its service is
+stopped as planned. The next owner must wait until the leases on the executor have ended."""
 
 import asyncio
 import os
@@ -8,10 +8,7 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common"))
-from standin import BOUNDS, Client, Executor, config, main, now, route, service  # noqa: E402
-
-FREEZE_S = 4.0
-TIME_LIMIT_S = 3.0
+from standin import Client, Executor, config, main, route, service  # noqa: E402
 
 
 async def scenario(deployment, record, trouble):
@@ -21,44 +18,47 @@
                            executors)
     client = Client(deployment)
 
-    async def traffic():
+    async def traffic():  # short jobs all the time
         while True:
             await client.submit("orders", [{"count": 4, "cpu": 500, "mem_mb": 64, "estimate_ms": 400}], "work")
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(0.25)
+
+    await asyncio.sleep(2)
+
+    victim = executors[0]
+    if trouble:  # one of eight executors crashes for 3 s; its entry in the store lapses only after 4.5 s
+        victim.crash()
+        await asyncio.sleep(3)
+        await victim.boot()
+    else:
+        await asyncio.sleep(3)
+    await asyncio.sleep(8)
 
+    # Work that lasts: one subtask on each executor.
+    await client.submit("audits", [{"count": 8, "cpu": 1500, "mem_mb": 512, "estimate_ms": 700,
+                                    "long_running": True}], "lasts")
+    await asyncio.sleep(1)
     deployment.tasks.append(asyncio.create_task(traffic()))
-    await asyncio.sleep(5)
+    await asyncio.sleep(4)
+    on_victim = [task for task, run in victim.runs.items() if run["ends"] is None]
+    record.line("runs-on-the-executor", executor=victim.id, tasks=",".join(on_victim))
+    if not on_victim:
+        record.say("cannot run: the executor got no subtask that lasts")
+        return 2
     owner = deployment.began[-1][4]
-    # Two entries that don't own the service: one stands still, the other answers the client's cancelling.
-    frozen, other = [name for name in deployment.entries if name != owner]
-    if trouble:
-        deployment.signal(frozen, signal.SIGSTOP)
-    woken_at = now() + FREEZE_S
-
-    job = os.urandom(8).hex()
-    steps = [{"count": 4, "cpu": 1500, "mem_mb": 512, "estimate_ms": 700, "long_running": True}]
+    if trouble:  # the executor is cut off from all entries for 5.5 s, and runs on
+        record.line("cut", executor=victim.id)
+        victim.cut = True
     await asyncio.sleep(0.3)
-    handed_in = await client.request(frozen, "POST", "audits", job, {"spec": "lasts", "steps": steps},
-                                     timeout=TIME_LIMIT_S)
-    cancelled = await client.request(other, "DELETE", "audits", job)
-    acknowledged_at = now()
-    if cancelled is None or cancelled[0] not in (200, 202, 204, 410):
-        record.say(f"cannot run: the cancelling was answered {cancelled}")
-        return 2
-    await asyncio.sleep(max(0, woken_at - now()))
-    if trouble:
-        deployment.signal(frozen, signal.SIGCONT)
-    # Gone after cancel_ms + stop_ms without a disruption; contact_ms after the freeze none is near any more.
-    calm_from = max(acknowledged_at, now() + BOUNDS["contact_ms"] / 1000 if trouble else 0)
-    bound = calm_from + (BOUNDS["cancel_ms"] + BOUNDS["stop_ms"]) / 1000
-    await asyncio.sleep(bound - now() + 0.1)
-    running = deployment.running(job)
-    await asyncio.sleep(3)
-    still = [task for task in deployment.running(job) if task in running]
-    state = await client.request(other, "GET", "audits", job)
-    record.say(f"handing in was answered {handed_in}, cancelling {cancelled}; {now() - acknowledged_at:.1f} s after the "
-               f"cancelling's answer {len(still)} subtasks run, the state is {state}")
-    return 1 if still else 0
+    deployment.signal(owner, signal.SIGTERM)  # planned restart of the entry that sent the last order
+    deployment.tasks.append(asyncio.create_task(deployment.restart_after_end(owner)))
+    await asyncio.sleep(5.2)
+    victim.cut = False
+    record.line("cut-ended", executor=victim.id)
+    await asyncio.sleep(4)
+    for moment, task, executor, others in deployment.overlaps:
+        record.say(f"{moment:.3f} s: {task} started on {executor} while it ran on {', '.join(others)}")
+    return 1 if deployment.overlaps else 0
 
 
 main(FOLDER, scenario)
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -26,6 +26,8 @@
     "status_s": 120, "harm_ms": 4000, "finish_s": 14, "upkeep_s": 2, "move_s": 1.5, "pace_ms": 100,
 }
 
+VALUE_BYTES = 1048576  # platform.value_bytes
+
 
 def now():
     return time.monotonic()
@@ -241,6 +243,9 @@
                 return 403, {}
             if row.get("lease", 0) and row["lease"] not in self.leases:
                 return 404, {}
+            if len(row["value"]) * 3 // 4 > VALUE_BYTES:
+                self.record.line("value-too-large", entry=entry, key=row["key"], bytes=len(row["value"]) * 3 // 4)
+                return 400, {"error": f"the value of {row['key']} is larger than {VALUE_BYTES} bytes"}
         self.revision += 1
         self.writer_of[self.revision] = entry
         for row in body.get("writes", []):
@@ -373,6 +378,8 @@
         run = self.runs.pop(task)
         self.end_number += 1
         self.ended.append([self.end_number, task, run["run"], how, ""])
+        if how == "done":
+            self.deployment.done[(self.id, self.born, self.end_number)] = (now(), task, run["run"])
         self.refused_up_to[task] = max(self.refused_up_to.get(task, 0), run["run"])
         self.deployment.run_ended(self, task, run, how)
         news, self.news = self.news, asyncio.Event()
@@ -436,7 +443,7 @@
             observed = body.get("observed", 0)
             for end in self.ended:
                 if end[0] <= observed:
-                    self.deployment.end_observed(end)
+                    self.deployment.observed.add((self.id, self.born, end[0]))
             self.ended = [end for end in self.ended if end[0] > observed]
             wait = min(body.get("wait_ms", 0), 2000) / 1000
             if not self.ended and wait > 0:
@@ -488,7 +495,8 @@
         self.began = []  # (time, executor, task, run number, entry)
         self.open_runs = {}  # task -> list of (executor, run dict)
         self.overlaps = []
-        self.done_observed = {}  # task -> time at which its end was taken note of
+        self.done = {}  # (executor, its birth, number of the end) -> (time, task, run number) of runs that ended `done`
+        self.observed = set()  # keys of `done` that were taken note of
         self.machines = Machines(self)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.settings = os.path.join(self.folder, "node.yaml")
@@ -511,9 +519,18 @@
         self.record.line("end", executor=executor.id, task=task, run=run["run"], how=how.replace(" ", "-"))
         self.open_runs[task] = [item for item in self.open_runs.get(task, []) if item[1] is not run]
 
-    def end_observed(self, end):
-        if end[3] == "done":
-            self.done_observed.setdefault(end[1], now())
+    def starts_after_done(self):
+        """Starts of subtasks after a run of them has ended `done`, if that end was taken note of then or later."""
+        ended = {}
+        for key, (moment, task, run) in self.done.items():
+            if key in self.observed:
+                ended.setdefault(task, []).append((moment, run, key[0]))
+        found = []
+        for moment, executor, task, run, entry in self.began:
+            earlier = [end for end in ended.get(task, []) if end[0] < moment]
+            if earlier:
+                found.append((moment, task, run, executor, entry, earlier[0]))
+        return found
 
     def running(self, job):
         return [task for task, runs in self.open_runs.items() if task.startswith(job + ".") and runs]
