--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -24,7 +24,7 @@
     async def traffic():
         while True:
             await client.submit("orders", [{"count": 4, "cpu": 500, "mem_mb": 64, "estimate_ms": 400}], "work")
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(0.15)
 
     stream = asyncio.create_task(traffic())
     deployment.tasks.append(stream)
@@ -55,6 +55,9 @@
     if trouble and writes["lost"] == 0:
         record.say("cannot run: no other entry took over while answers were lost")
         return 2
+    if trouble and writes["lost"] > LOST_SHARE * writes["all"]:
+        record.say(f"cannot run: {writes['lost']} of {writes['all']} answers lost is more than the site's share")
+        return 2
     if trouble:
         record.line("store-busy", for_s=BUSY_S)
         deployment.store.state = "busy"
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import sys
@@ -609,6 +610,8 @@
             if process is not None and process.returncode is None:
                 process.kill()
                 await process.wait()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class CannotRun(Exception):
@@ -784,6 +787,9 @@
     deployment = Deployment(record)
 
     async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(scenario(deployment, record, trouble), 115)
         except CannotRun as error:
@@ -792,6 +798,9 @@
         except asyncio.TimeoutError:
             record.say("cannot run: not done after 115 s")
             return 2
+        except asyncio.CancelledError:
+            record.say("cannot run: stopped by a signal")
+            return 2
         finally:
             await deployment.stop()
 
