--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -533,6 +534,19 @@
                 found.append((moment, task, run, executor, entry, earlier[0]))
         return found
 
+    def turn_with_room(self, job, steps, used, cores):
+        """Whether a subtask of the job has its turn, with room for it twice over and under half of the cores in use."""
+        done = {task for _, task, _ in self.done.values()}
+        for number, step in enumerate(steps):
+            tasks = [f"{job}.0.{number}.{index}" for index in range(step["count"])]
+            if all(task in done for task in tasks):
+                continue
+            ready = all(f"{job}.0.{earlier}.{index}" in done
+                        for earlier in step.get("after", []) for index in range(steps[earlier]["count"]))
+            if ready and used < cores / 2 and cores - used >= 2 * step["cpu"] / 1000:
+                return True
+        return False
+
     def running(self, job):
         return [task for task, runs in self.open_runs.items() if task.startswith(job + ".") and runs]
 
@@ -605,6 +619,7 @@
     async def stop(self):
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for entry in self.entries.values():
             process = entry["process"]
             if process is not None and process.returncode is None:
@@ -801,6 +816,9 @@
         except asyncio.CancelledError:
             record.say("cannot run: stopped by a signal")
             return 2
+        except Exception:  # a fault of the script is no broken rule
+            record.say("cannot run: " + traceback.format_exc().replace("\n", " | "))
+            return 2
         finally:
             await deployment.stop()
 
