Acquire a partition whose key names this process but has no owner

Cause: the reply to the write of the ownership key was lost and the read that was to settle the outcome was refused, or the write was carried out after that read. The key then named a process that ran no owner, and no entry considered the partition vacant. Evidence: the entry logs share-released without a later share-acquired, and the key names an entry whose lease is renewed.

Only the watch says who owns a partition now (ownership_records). A key that names this process, while it runs no owner and is not releasing that ownership, makes the process acquire the partition again. The marker of the predecessor is a precondition of the acquisition, so a late write cannot take a partition after another owner came and went. dropOwner() releases with its token instead of settling the key by a read.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -48,6 +48,7 @@
                   [this](const auto &exchange) { handleReadiness(exchange); })
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
     , m_settingsFile(settings.settingsFile)
+    , m_ownership(settings.name, m_startId)
 {
     if (settings.advice) {
         m_advice.emplace(io, settings.advice->address, settings.advice->port);
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -98,11 +98,7 @@
     if (!item.key.starts_with(keys::Owners)) {
         return;
     }
-    const std::string partition = item.key.substr(keys::Owners.size());
-    OwnershipRecord &ownership = m_owners[partition];
-    ownership.revision = item.revision;
-    ownership.holder = item.removed ? std::string() : item.value;
-    ownership.vacantSince = item.removed ? steadyNow() : TimePoint{};
+    m_ownership.keyChanged(item.key.substr(keys::Owners.size()), item, steadyNow());
 }
 
 /// Updates the entries that can pass calls to the advice service: this entry and all other serving entries that
@@ -179,8 +175,7 @@
         if (m_partitionCounts.contains(service.name)) {
             continue;
         }
-        const auto ownership = m_owners.find(service.name);
-        if (m_openCountDecisions == 0 && ownership != m_owners.end() && !ownership->second.holder.empty()) {
+        if (m_openCountDecisions == 0 && m_ownership.hasOwner(service.name)) {
             storePartitionCount(service.name, 1);
         }
         undecided.push_back(service);
@@ -260,12 +255,14 @@
             candidate.cpuShare = std::clamp(candidate.cpuShare, SmallestCpuShare, 64.0);
         }
     }
-    for (const auto &[partition, ownership] : m_owners) {
-        const auto found = serving.find(ownership.holder.substr(0, ownership.holder.find(' ')));
-        if (found != serving.end()) {
-            ++found->second.owned;
+    for (const auto &[name, owned] : m_ownership.ownedByEntry()) {
+        if (const auto found = serving.find(name); found != serving.end()) {
+            found->second.owned = owned;
         }
     }
+    if (const auto self = serving.find(m_settings.name); self != serving.end()) {
+        self->second.owned = ownedCount();  // the watch reports this entry's own changes with a delay
+    }
     return serving;
 }
 
@@ -295,15 +292,13 @@
     if (m_entered && !m_stopping && m_membershipView.complete() && m_config.version >= 0
         && now - m_enteredAt > StartupSettlePause) {
         for (const std::string &partition : neededPartitions()) {
-            OwnershipRecord &ownership = m_owners[partition];
-            if (!vacantRevision(partition)) {
+            const std::optional<Vacancy> vacant = vacancy(partition);
+            if (!vacant || m_acquiring.contains(partition)) {
                 continue;
             }
-            if (ownership.vacantSince == TimePoint{}) {
-                ownership.vacantSince = now;
-            }
-            const int rank = rankFor(partition);
-            if (rank >= 0 && now - ownership.vacantSince >= rank * RankDelay && !m_acquiring.contains(partition)) {
+            // No other entry can take a partition whose key names this process.
+            const int rank = vacant->namesThisProcess ? 0 : rankFor(partition);
+            if (rank >= 0 && m_ownership.vacantFor(partition, now) >= rank * RankDelay) {
                 acquireOwnership(partition);
                 break;  // one partition per round: the next rank includes it, so that partitions spread evenly
             }
@@ -314,28 +309,34 @@
     later(AssignPeriod / 4, [this] { assignPartitions(); });
 }
 
-/// Revision that the ownership key must have for this entry to take the partition: 0 if the key does not exist, or the
-/// revision of an earlier process of this entry. Nothing while another entry or this process has the partition.
-std::optional<std::uint64_t> JobEntry::vacantRevision(const std::string &partition) const
+bool JobEntry::runsOwner(const std::string &partition) const
 {
-    const auto ownership = m_owners.find(partition);
-    if (ownership == m_owners.end() || ownership->second.holder.empty()) {
-        return 0;
-    }
-    const std::string self = m_settings.name + ' ';
-    const bool formerSelf = ownership->second.holder.starts_with(self) && ownership->second.holder != self + m_startId;
-    return formerSelf ? std::optional(ownership->second.revision) : std::nullopt;
+    return partition == keys::FleetPartition ? m_fleet != nullptr : m_partitions.contains(partition);
+}
+
+/// Nothing while another entry or this process has the partition.
+std::optional<Vacancy> JobEntry::vacancy(const std::string &partition) const
+{
+    return runsOwner(partition) ? std::nullopt : m_ownership.vacancy(partition);
 }
 
 void JobEntry::acquireOwnership(const std::string &partition)
 {
     m_acquiring.insert(partition);
     acquirePartition(
-        m_store, partition, m_settings.name + ' ' + m_startId, m_lease,
-        [this, partition] { return vacantRevision(partition); },
-        [this, partition](const std::optional<Acquisition> &acquired) {
-            if (acquired) {
-                startOwner(partition, acquired->fencingToken, acquired->predecessor, acquired->confirmedAt);
+        m_store,
+        AcquisitionRequest{partition, m_ownership.holder(), m_lease, m_ownership.unknownPredecessor(partition)},
+        [this, partition]() -> std::optional<std::uint64_t> {
+            const std::optional<Vacancy> vacant = vacancy(partition);
+            return vacant ? std::optional(vacant->revision) : std::nullopt;
+        },
+        [this, partition](AcquisitionOutcome outcome, const Acquisition &acquisition) {
+            if (outcome == AcquisitionOutcome::Acquired) {
+                startOwner(partition, acquisition.fencingToken, acquisition.predecessor, acquisition.confirmedAt);
+            } else if (outcome == AcquisitionOutcome::Unknown) {
+                m_ownership.acquisitionUnknown(partition, acquisition.predecessor);
+                logEvent(LogLevel::Warn, "share-acquisition-unknown",
+                         {{"share", partition}, {"predecessor", std::string(toString(acquisition.predecessor))}});
             }
             m_acquiring.erase(partition);
         });
@@ -345,17 +346,11 @@
                           TimePoint confirmedAt)
 {
     m_rebalancedAt = steadyNow();  // a partition that was just acquired must not trigger a handover
-    OwnershipRecord &ownership = m_owners[partition];
-    if (ownership.revision < fencingToken) {
-        ownership = {m_settings.name + ' ' + m_startId, fencingToken, {}};
-    }
+    m_ownership.ownerStarted(partition);
     logEvent(LogLevel::Info, "share-acquired",
              {{"share", partition},
               {"token", std::to_string(fencingToken)},
-              {"predecessor",
-               predecessor == keys::Predecessor::None           ? "none"
-                   : predecessor == keys::Predecessor::Released ? "released"
-                                                                : "lost"}});
+              {"predecessor", std::string(toString(predecessor))}});
     startFleetViews();
     const TimePoint now = bootNow();
     if (partition == keys::FleetPartition) {
@@ -395,38 +390,15 @@
     m_partitions[partition] = std::move(owner);
 }
 
+/// Ends an ownership that its owner reported as lost. The key may still name this process, for example after an
+/// unexpected exception, and is removed then.
 void JobEntry::dropOwner(std::string partition, std::string_view why)
 {
     logEvent(LogLevel::Warn, "share-lost", {{"share", partition}, {"why", std::string(why)}});
     // Deferred, because the owner that reports the loss is still on the stack.
     later(Duration{0}, [this, partition] {
-        if (partition == keys::FleetPartition) {
-            m_fleet.reset();
-            m_reportsView.reset();
-        } else {
-            m_partitions.erase(partition);
-        }
-        OwnershipRecord &ownership = m_owners[partition];
-        if (ownership.holder == m_settings.name + ' ' + m_startId) {  // the watch still shows this process as the owner
-            m_store.read(keys::owner(partition), StoreTimeout, [this, partition](const StoreReply &reply) {
-                OwnershipRecord &current = m_owners[partition];
-                if (reply.outcome == StoreOutcome::NotFound) {
-                    current.holder.clear();
-                    current.vacantSince = steadyNow();
-                } else if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
-                    const bool ownedBySelf = reply.items.front().value == m_settings.name + ' ' + m_startId;
-                    const bool running
-                        = m_partitions.contains(partition) || (partition == keys::FleetPartition && m_fleet);
-                    if (ownedBySelf && !running) {
-                        releasePartition(m_store, m_timers, partition, reply.items.front().revision);
-                    } else {
-                        current.holder = reply.items.front().value;
-                        current.revision = reply.items.front().revision;
-                    }
-                } else {
-                    later(StoreTimeout, [this, partition] { dropOwner(partition, "check-again"); });
-                }
-            });
+        if (runsOwner(partition)) {
+            releaseOwnership(partition);
         }
     });
 }
@@ -442,6 +414,7 @@
     } else {
         m_partitions.erase(partition);
     }
+    m_ownership.ownerEnded(partition, token);
     logEvent(LogLevel::Info, "share-released", {{"share", partition}, {"token", std::to_string(token)}});
     releasePartition(m_store, m_timers, partition, token);
 }
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -14,6 +14,7 @@
 #include "http.h"
 #include "job_api.h"
 #include "metrics.h"
+#include "ownership_records.h"
 #include "partition_owner.h"
 #include "settings_file.h"
 
@@ -69,13 +70,6 @@
 
 // [2] The process of `briarvane serve` --------------------------------------------------------------------------------
 
-struct OwnershipRecord
-{
-    std::string holder;          // name and start id of the entry; empty: vacant
-    std::uint64_t revision = 0;  // revision of the ownership key
-    TimePoint vacantSince;       // default-constructed: owned, or not yet found vacant
-};
-
 /// The process behind `briarvane serve`. All its functions run on the I/O thread.
 class JobEntry
 {
@@ -111,7 +105,8 @@
     std::map<std::string, Candidate> candidates() const;
     int rankFor(const std::string &partition) const;
     void assignPartitions();
-    std::optional<std::uint64_t> vacantRevision(const std::string &partition) const;
+    bool runsOwner(const std::string &partition) const;
+    std::optional<Vacancy> vacancy(const std::string &partition) const;
     void acquireOwnership(const std::string &partition);
     void startOwner(const std::string &partition, std::uint64_t fencingToken, keys::Predecessor predecessor,
                     TimePoint confirmedAt);
@@ -185,11 +180,11 @@
     bool m_acceptedBefore = false;  // canAcceptJobs() has been true
     bool m_reportedReady = false;   // last answer to a readiness check
     bool m_stopping = false;
-    std::map<std::string, std::string> m_entries;     // state by entry name
-    std::map<std::string, OwnershipRecord> m_owners;  // ownership by partition
-    std::map<std::string, int> m_partitionCounts;     // stored number of partitions by service
-    int m_openCountDecisions = 0;                     // calls for partition counts without an answer yet
-    TimePoint m_countsWantedSince;                    // default-constructed: all services have a count
+    std::map<std::string, std::string> m_entries;  // state by entry name
+    OwnershipRecords m_ownership;
+    std::map<std::string, int> m_partitionCounts;  // stored number of partitions by service
+    int m_openCountDecisions = 0;                  // calls for partition counts without an answer yet
+    TimePoint m_countsWantedSince;                 // default-constructed: all services have a count
     std::set<std::string> m_acquiring;
     std::map<std::string, std::unique_ptr<PartitionOwner<Client>>> m_partitions;
     std::unique_ptr<FleetOwner<Client>> m_fleet;
--- a/src/job_keys.h
+++ b/src/job_keys.h
@@ -7,6 +7,8 @@
 // [2] Jobs
 // [3] Data shared between owners and with their successors
 
+#include "types.h"
+
 #include <string>
 #include <string_view>
 
@@ -104,3 +106,16 @@
 inline const std::string FleetMaintenanceBegun = "f/done";  // instances whose maintenance has begun, per wave
 
 }
+
+namespace briarvane
+{
+
+template<>
+struct EnumNames<keys::Predecessor>
+{
+    static constexpr std::array<EnumName<keys::Predecessor>, 3> names = {{{keys::Predecessor::None, "none"},
+                                                                          {keys::Predecessor::Released, "released"},
+                                                                          {keys::Predecessor::Lost, "lost"}}};
+};
+
+}
--- a/src/partition_ownership.h
+++ b/src/partition_ownership.h
@@ -121,50 +121,81 @@
     TimePoint confirmedAt;  // time at which the acquiring write was sent
 };
 
+enum class AcquisitionOutcome {
+    Acquired,
+    NotAcquired,
+    Unknown,  // the write may have been carried out, or may still be
+};
+
+template<>
+struct EnumNames<AcquisitionOutcome>
+{
+    static constexpr std::array<EnumName<AcquisitionOutcome>, 3> names
+        = {{{AcquisitionOutcome::Acquired, "acquired"},
+            {AcquisitionOutcome::NotAcquired, "not-acquired"},
+            {AcquisitionOutcome::Unknown, "unknown"}}};
+};
+
+struct AcquisitionRequest
+{
+    std::string partition;
+    std::string holder;       // value for the ownership key; names this process
+    std::uint64_t lease = 0;  // the ownership ends with this lease
+    /// Predecessor of an earlier acquisition of this process whose reply was lost. It applies if that write was carried
+    /// out, which the ownership marker shows.
+    std::optional<keys::Predecessor> unknownPredecessor;
+};
+
 /// Takes a vacant partition. `vacantRevision` returns the revision that the ownership key must have, or nothing while
 /// another entry has the partition. It is called after the ownership marker was read, since another entry may have
-/// taken the partition during the read.
+/// taken the partition during the read. `done` is called with the outcome and the acquisition, which has a fencing
+/// token only if the outcome is Acquired.
 template<Store S, class V, class D>
-void acquirePartition(S &store, const std::string &partition, const std::string &holder, std::uint64_t lease,
-                      V vacantRevision, D done)
+void acquirePartition(S &store, const AcquisitionRequest &request, V vacantRevision, D done)
 {
-    store.read(keys::ownershipMarker(partition), AcquireTimeout,
-               [&store, partition, holder, lease, vacantRevision, done](const StoreReply &markerReply) {
+    store.read(keys::ownershipMarker(request.partition), AcquireTimeout,
+               [&store, request, vacantRevision, done](const StoreReply &markerReply) {
                    const std::optional<std::uint64_t> expectedRevision = vacantRevision();
                    const bool answered
                        = markerReply.outcome == StoreOutcome::Done || markerReply.outcome == StoreOutcome::NotFound;
                    if (!answered || !expectedRevision) {
-                       done(std::nullopt);
+                       done(AcquisitionOutcome::NotAcquired, Acquisition());
                        return;
                    }
                    const bool exists = markerReply.outcome == StoreOutcome::Done && !markerReply.items.empty();
+                   const std::string marker = exists ? markerReply.items.front().value : std::string();
                    Acquisition attempt;
-                   attempt.predecessor = !exists                                 ? keys::Predecessor::None
-                       : markerReply.items.front().value == keys::ReleasedMarker ? keys::Predecessor::Released
-                                                                                 : keys::Predecessor::Lost;
+                   attempt.predecessor = !exists        ? keys::Predecessor::None
+                       : marker == keys::ReleasedMarker ? keys::Predecessor::Released
+                       : marker == request.holder       ? request.unknownPredecessor.value_or(keys::Predecessor::Lost)
+                                                        : keys::Predecessor::Lost;
                    attempt.confirmedAt = bootNow();
                    StoreTxn txn;
-                   txn.expected.emplace_back(keys::owner(partition), *expectedRevision);
-                   txn.writes.push_back({keys::owner(partition), holder, lease});
-                   txn.writes.push_back({keys::ownershipMarker(partition), holder, 0});
-                   store.commit(
-                       txn, AcquireTimeout, [&store, partition, holder, attempt, done](const StoreReply &reply) {
-                           Acquisition acquired = attempt;
-                           acquired.fencingToken = reply.revision;
-                           if (reply.outcome != StoreOutcome::Unknown) {
-                               done(reply.outcome == StoreOutcome::Done ? std::optional(acquired) : std::nullopt);
-                               return;
-                           }
-                           store.read(keys::owner(partition), AcquireTimeout,
-                                      [holder, acquired, done](const StoreReply &owner) mutable {
-                                          const bool isHolder = owner.outcome == StoreOutcome::Done
-                                              && !owner.items.empty() && owner.items.front().value == holder;
-                                          if (isHolder) {
-                                              acquired.fencingToken = owner.items.front().revision;
-                                          }
-                                          done(isHolder ? std::optional(acquired) : std::nullopt);
-                                      });
-                       });
+                   txn.expected.emplace_back(keys::owner(request.partition), *expectedRevision);
+                   // Keeps a late write from taking the partition after another owner came and went: the predecessor
+                   // would be that owner then.
+                   txn.expected.emplace_back(keys::ownershipMarker(request.partition),
+                                             exists ? markerReply.items.front().revision : 0);
+                   txn.writes.push_back({keys::owner(request.partition), request.holder, request.lease});
+                   txn.writes.push_back({keys::ownershipMarker(request.partition), request.holder, 0});
+                   store.commit(txn, AcquireTimeout, [&store, request, attempt, done](const StoreReply &reply) {
+                       Acquisition acquisition = attempt;
+                       if (reply.outcome != StoreOutcome::Unknown) {
+                           const bool acquired = reply.outcome == StoreOutcome::Done;
+                           acquisition.fencingToken = acquired ? reply.revision : 0;
+                           done(acquired ? AcquisitionOutcome::Acquired : AcquisitionOutcome::NotAcquired, acquisition);
+                           return;
+                       }
+                       store.read(keys::owner(request.partition), AcquireTimeout,
+                                  [request, attempt, done](const StoreReply &owner) {
+                                      const bool isHolder = owner.outcome == StoreOutcome::Done && !owner.items.empty()
+                                          && owner.items.front().value == request.holder;
+                                      Acquisition acquisition = attempt;
+                                      acquisition.fencingToken = isHolder ? owner.items.front().revision : 0;
+                                      done(isHolder ? AcquisitionOutcome::Acquired : AcquisitionOutcome::Unknown,
+                                           acquisition);
+                                  });
+                   });
                });
 }
 
--- a/tests/run_partition_owner.cpp
+++ b/tests/run_partition_owner.cpp
@@ -1,6 +1,7 @@
 // Tests PartitionOwner, acquirePartition and releasePartition against a store in memory that loses replies and applies
 // writes late.
 
+#include "ownership_records.h"
 #include "partition_owner.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -44,6 +45,27 @@
     {
         m_losePrefix = prefix;
     }
+    /// The next write is applied, but its reply is lost and the store is busy from then on.
+    void loseNextReplyAndRefuse()
+    {
+        m_loseReply = true;
+    }
+    /// While busy, the store refuses all calls.
+    void setBusy(bool busy)
+    {
+        m_busy = busy;
+    }
+    /// The item of a key as a watch reports it, also when the key does not exist.
+    StoreItem item(const std::string &key) const
+    {
+        const auto found = m_items.find(key);
+        return found == m_items.end() ? StoreItem{key, {}, m_revision, 0, true} : found->second;
+    }
+    void erase(const std::string &key)
+    {
+        ++m_revision;
+        m_items.erase(key);
+    }
     bool hasLostWrite() const
     {
         return !m_lostWrites.empty();
@@ -61,6 +83,11 @@
     void read(const std::string &key, Duration /*timeout*/, const StoreDone &done)
     {
         StoreReply reply;
+        if (m_busy) {
+            reply.outcome = StoreOutcome::Refused;
+            answer(done, std::move(reply));
+            return;
+        }
         const auto found = m_items.find(key);
         reply.outcome = found == m_items.end() ? StoreOutcome::NotFound : StoreOutcome::Done;
         if (found != m_items.end()) {
@@ -97,7 +124,16 @@
             answer(done, std::move(reply));
             return;
         }
-        answer(done, apply(txn));
+        StoreReply reply;
+        reply.outcome = StoreOutcome::Refused;
+        if (!m_busy) {
+            reply = apply(txn);
+        }
+        if (std::exchange(m_loseReply, false)) {
+            reply = {};
+            m_busy = true;
+        }
+        answer(done, std::move(reply));
     }
     void grantLease(Duration /*ttl*/, const StoreDone & /*done*/)
     {
@@ -151,6 +187,8 @@
     std::uint64_t m_revision = 100;
     std::string m_losePrefix;
     std::vector<StoreTxn> m_lostWrites;
+    bool m_loseReply = false;
+    bool m_busy = false;
 };
 
 struct OwnerFixture
@@ -398,10 +436,14 @@
     UnreliableStore store(io);
     std::optional<std::uint64_t> vacant = 0;
     std::optional<std::optional<Acquisition>> result;
+    AcquisitionOutcome outcome = AcquisitionOutcome::NotAcquired;
     const auto acquire = [&] {
         acquirePartition(
-            store, "orders", "e1", 7, [&] { return vacant; },
-            [&](const std::optional<Acquisition> &acquired) { result = acquired; });
+            store, AcquisitionRequest{"orders", "e1", 7, std::nullopt}, [&] { return vacant; },
+            [&](AcquisitionOutcome acquired, const Acquisition &acquisition) {
+                outcome = acquired;
+                result = acquired == AcquisitionOutcome::Acquired ? std::optional(acquisition) : std::nullopt;
+            });
     };
     const auto awaitResult = [&] {
         for (int rounds = 0; rounds < 10 && !result; ++rounds) {
@@ -449,6 +491,141 @@
         store.loseNextWrite(keys::Owners);
         acquire();
         CHECK_FALSE(awaitResult());
+        CHECK(outcome == AcquisitionOutcome::Unknown);
         CHECK(store.applyLostWrites() == std::vector<StoreOutcome>{StoreOutcome::Done});
     }
+    SECTION("a late write has no effect once another owner came and went, since the predecessor has changed")
+    {
+        // Guards against this failure: the late owner took the marker that it had read for its predecessor's, and did
+        // not wait for the commands that an owner after that one may still send.
+        store.put(keys::ownershipMarker("orders"), std::string(keys::ReleasedMarker));
+        store.loseNextWrite(keys::Owners);
+        acquire();
+        CHECK_FALSE(awaitResult());
+        store.put(keys::owner("orders"), "e2");
+        store.put(keys::ownershipMarker("orders"), "e2");
+        store.erase(keys::owner("orders"));
+        CHECK(store.applyLostWrites() == std::vector<StoreOutcome>{StoreOutcome::Conflict});
+        CHECK(store.value(keys::owner("orders")).empty());
+    }
+}
+
+TEST_CASE("A partition whose ownership key names this process gets an owner")
+{
+    // Guards against this failure: the reply to the write of the ownership key is lost and the read after it is
+    // refused, or the write is carried out after the read. The key then names an entry that runs no owner, and no entry
+    // took the partition, so that accepted jobs never started.
+    boost::asio::io_context io;
+    UnreliableStore store(io);
+    OwnershipRecords records("e1", "1");
+    std::optional<Acquisition> owned;
+    const std::string partition = "orders";
+    const auto watch = [&] { records.keyChanged(partition, store.item(keys::owner(partition)), steadyNow()); };
+    // One round of an entry: acquires the partition if the records say that it may.
+    const auto round = [&] {
+        if (owned || !records.vacancy(partition)) {
+            return;
+        }
+        acquirePartition(
+            store, AcquisitionRequest{partition, records.holder(), 7, records.unknownPredecessor(partition)},
+            [&]() -> std::optional<std::uint64_t> {
+                const auto vacant = records.vacancy(partition);
+                return vacant ? std::optional(vacant->revision) : std::nullopt;
+            },
+            [&](AcquisitionOutcome outcome, const Acquisition &acquisition) {
+                if (outcome == AcquisitionOutcome::Acquired) {
+                    owned = acquisition;
+                    records.ownerStarted(partition);
+                } else if (outcome == AcquisitionOutcome::Unknown) {
+                    records.acquisitionUnknown(partition, acquisition.predecessor);
+                }
+            });
+        for (int rounds = 0; rounds < 10; ++rounds) {
+            io.restart();
+            io.run();
+        }
+    };
+    store.put(keys::ownershipMarker(partition), std::string(keys::ReleasedMarker));
+
+    SECTION("the reply is lost and the store is busy for a moment")
+    {
+        store.loseNextReplyAndRefuse();
+        round();
+        CHECK_FALSE(owned);
+        REQUIRE(store.value(keys::owner(partition)) == records.holder());
+        store.setBusy(false);
+        watch();
+        REQUIRE(records.vacancy(partition));
+        CHECK(records.vacancy(partition)->namesThisProcess);
+        round();
+        REQUIRE(owned);
+        CHECK(owned->fencingToken == store.item(keys::owner(partition)).revision);
+
+        SECTION("and the predecessor is that of the write whose reply was lost")
+        {
+            CHECK(owned->predecessor == keys::Predecessor::Released);
+        }
+        SECTION("and after the owner has run, a later owner does not rely on that predecessor")
+        {
+            records.ownerEnded(partition, owned->fencingToken);
+            owned.reset();
+            store.erase(keys::owner(partition));
+            watch();
+            round();
+            REQUIRE(owned);
+            CHECK(owned->predecessor == keys::Predecessor::Lost);
+        }
+    }
+    SECTION("the write is carried out after the read")
+    {
+        store.loseNextWrite(keys::Owners);
+        round();
+        CHECK_FALSE(owned);
+        CHECK(store.applyLostWrites() == std::vector<StoreOutcome>{StoreOutcome::Done});
+        watch();
+        round();
+        REQUIRE(owned);
+        CHECK(owned->predecessor == keys::Predecessor::Released);
+    }
+    SECTION("the late write is carried out before a second one, whose precondition fails")
+    {
+        store.loseNextWrite(keys::Owners);
+        round();
+        CHECK(store.applyLostWrites() == std::vector<StoreOutcome>{StoreOutcome::Done});
+        round();  // the watch has not reported the key yet
+        CHECK_FALSE(owned);
+        watch();
+        round();
+        CHECK(owned);
+    }
+    SECTION("a key that this process is releasing is not acquired again")
+    {
+        round();
+        REQUIRE(owned);
+        records.ownerEnded(partition, owned->fencingToken);
+        watch();
+        CHECK_FALSE(records.vacancy(partition));
+
+        SECTION("but a later write of this process is")
+        {
+            store.put(keys::owner(partition), records.holder());
+            watch();
+            CHECK(records.vacancy(partition));
+        }
+    }
+    SECTION("a partition of another entry is not acquired")
+    {
+        store.put(keys::owner(partition), "e2 1");
+        watch();
+        CHECK_FALSE(records.vacancy(partition));
+    }
+    SECTION("a key that an earlier process of this entry wrote is replaced")
+    {
+        store.put(keys::owner(partition), "e1 0");
+        watch();
+        REQUIRE(records.vacancy(partition));
+        CHECK_FALSE(records.vacancy(partition)->namesThisProcess);
+        round();
+        CHECK(owned);
+    }
 }
