Wait for silent executors of a former owner whatever their incarnation

Cause: the record of the executors kept the incarnation that it was first written with, and the next owner took a later incarnation in the list of executors for a proof that the runs were lost.

The comparison of incarnations is gone: only a report, the list of instances or the end of the leases says that an executor has no runs of a former owner. A restarted executor that can be reached reports within milliseconds, so the comparison only decided about silent ones, where it was wrong. Keeping the record up to date would not do, since a start addressed to an id may be carried out by a later incarnation.

--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -222,7 +222,7 @@
                 continue;
             }
             ExecutorRecord record;
-            std::tie(record.id, record.address, record.port, record.startedMs) = *row;
+            std::tie(record.id, record.address, record.port, std::ignore) = *row;
             record.service = m_identity.service;
             m_recordedExecutors.insert(record.id);
             m_hooks.registerExecutor(record);
@@ -338,8 +338,11 @@
         m_executorsRecordedAt = now;
         boost::json::array rows;
         auto ids = std::make_shared<std::set<std::string>>();
+        // Earlier builds took an incarnation that is later than the one in the last column for a proof that no run is
+        // left. The column stays for them, with a value that proves nothing.
+        constexpr std::int64_t unknownIncarnation = 0;
         for (const auto &[id, record] : needed) {
-            rows.push_back({id, record->address, static_cast<std::int64_t>(record->port), record->startedMs});
+            rows.push_back({id, record->address, static_cast<std::int64_t>(record->port), unknownIncarnation});
             ids->insert(id);
         }
         StoreTxn txn;
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -431,10 +431,6 @@
         } else if (executor.record.startedMs != 0 && record.startedMs > executor.record.startedMs) {
             discardRuns(executor, now, "executor-restarted", true);
         }
-        if (const auto recorded = m_unreportedExecutors.find(record.id); recorded != m_unreportedExecutors.end()) {
-            recorded->second.restarted
-                = recorded->second.startedMs != 0 && record.startedMs > recorded->second.startedMs;
-        }
         const std::int64_t startedMs = std::max(record.startedMs, executor.record.startedMs);
         if (record.draining != executor.record.draining) {
             m_placementNeeded = true;
@@ -458,7 +454,7 @@
         item->second.nextReportPoll = now;
     }
     if (!item->second.adopted) {
-        m_unreportedExecutors.emplace(record.id, RecordedExecutor{record.startedMs, false});
+        m_unreportedExecutors.insert(record.id);
     }
 }
 
@@ -500,11 +496,11 @@
             executorsPresent.insert(instance.executor);
         }
     }
-    const std::size_t ended = std::erase_if(m_unreportedExecutors, [&](const auto &item) {
-        const bool gone = !executorsPresent.contains(item.first);
+    const std::size_t ended = std::erase_if(m_unreportedExecutors, [&](const std::string &id) {
+        const bool gone = !executorsPresent.contains(id);
         if (gone) {
             logDecision("inherited-executor-gone", {},
-                        "executor=" + item.first + " instances=" + std::to_string(instances.size())
+                        "executor=" + id + " instances=" + std::to_string(instances.size())
                             + " list_age_ms=" + std::to_string((now - askedAt).count() / 1000));
         }
         return gone;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -197,13 +197,6 @@
     std::map<std::string, Run> runs;  // by task name
 };
 
-/// An executor that a previous owner recorded because it may have runs.
-struct RecordedExecutor
-{
-    std::int64_t startedMs = 0;  // recorded incarnation; 0: unknown
-    bool restarted = false;      // a later incarnation has registered itself
-};
-
 // [3] Store writes, log lines and counts ------------------------------------------------------------------------------
 
 struct JobWrite
@@ -278,7 +271,7 @@
     // Executors
     /// Sets the complete list of registered executors.
     void setExecutors(const std::vector<ExecutorRecord> &records, TimePoint now);
-    /// Adds an executor that previous owners recorded as one that may have runs, with the incarnation recorded.
+    /// Adds an executor that previous owners recorded as one that may have runs. Its incarnation is unknown.
     void addRecordedExecutor(const ExecutorRecord &record, TimePoint now);
     void setVacating(const std::unordered_set<std::string> &ids, TimePoint now);
     /// Whether an executor recorded by a previous owner may have runs that it has not reported to this owner.
@@ -418,7 +411,7 @@
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
     std::map<std::string, Executor> m_executors;
     /// Executors recorded by previous owners that have not reported to this owner yet and may have runs.
-    std::unordered_map<std::string, RecordedExecutor> m_unreportedExecutors;
+    std::unordered_set<std::string> m_unreportedExecutors;
     std::unordered_set<std::string> m_dirtyJobs;  // jobs with state that the next commit writes
     std::uint64_t m_generation = 0;               // generation of the last commit batch
     bool m_commitPending = false;
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -540,9 +540,9 @@
         return true;
     }
     // The executor of a long-running task is recorded before each start, and the store rejects the writes of a deposed
-    // owner. So only the recorded incarnation may have a run.
-    const auto recorded = m_unreportedExecutors.find(task.recordedExecutor);
-    return recorded != m_unreportedExecutors.end() && !recorded->second.restarted;
+    // owner. So only the recorded executor may have a run, in any of its incarnations: a restart that the list shows
+    // may have come before the start.
+    return m_unreportedExecutors.contains(task.recordedExecutor);
 }
 
 }
--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -277,6 +277,47 @@
     }
 }
 
+TEST_CASE("A new owner waits for a silent executor that was restarted under the previous owner")
+{
+    // Guards against this failure: the record of an executor named an incarnation that had ended long ago. The next
+    // owner took the later incarnation in the list of executors for a proof that the recorded executor had lost its
+    // runs, and started its long-running task a second time.
+    Simulation simulation(faultFreeSettings());
+    simulation.takeOver(true);
+    simulation.run(2s);
+    simulation.crashAndRestart(0);
+    simulation.run(8s);
+    StepSpec lasting = oneCoreStep(6);
+    lasting.longRunning = true;
+    simulation.submit(makeJob("a", {lasting}));
+    simulation.run(5s);
+    REQUIRE(simulation.starts() == 6);
+    const int runsOfSilent = simulation.runsAt(0);
+    REQUIRE(runsOfSilent > 0);
+    simulation.executor(0).unreachable = true;
+    simulation.depose(true);
+    simulation.takeOver();
+
+    SECTION("the executor answers again before its leases end and keeps its run")
+    {
+        simulation.run(5s);
+        CHECK(simulation.starts() == 6);
+        simulation.executor(0).unreachable = false;
+        simulation.run(10s);
+        CHECK(simulation.servingTasks("a") == 6);
+        CHECK(violationsOf(simulation).empty());
+    }
+    SECTION("the executor restarts once more and answers: the task starts again at once")
+    {
+        simulation.crashAndRestart(0);
+        simulation.executor(0).unreachable = false;
+        simulation.run(3s);
+        CHECK(simulation.servingTasks("a") == 6);
+        CHECK(simulation.starts() == 6 + runsOfSilent);
+        CHECK(violationsOf(simulation).empty());
+    }
+}
+
 namespace
 {
 
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -641,13 +641,18 @@
             }
         }
         if (owner.token == m_store.owner || m_settings.disabled.writePrecondition) {
-            m_store.recordedExecutors.clear();
+            // As in PartitionOwner, a record is not replaced while its executor is in use, so it may name an
+            // incarnation that has ended.
+            std::set<std::string> used;
             for (const ExecutorRecord &record : records) {
-                m_store.recordedExecutors[record.id] = record;
+                used.insert(record.id);
+                m_store.recordedExecutors.try_emplace(record.id, record);
             }
             for (const auto &[id, executor] : owner.scheduler.executors()) {
+                used.insert(id);
                 m_store.recordedExecutors.try_emplace(id, executor.record);
             }
+            std::erase_if(m_store.recordedExecutors, [&used](const auto &item) { return !used.contains(item.first); });
         }
         owner.scheduler.setExecutors(records, m_now);
         owner.scheduler.setVacating(m_vacating, m_now);
