Take the id of a job that is cancelled before it is stored

Cause: the answer 'no such job' was a read, and the later write of the job had only the precondition that its id does not exist.

Cancelling an unknown job now takes the id and stores a cancelled record in one write before the answer. A request that is carried out later, also a late write of the store, finds the id taken and is accepted as cancelled. Its state is answered 410 until it is submitted.

--- a/src/job_api.h
+++ b/src/job_api.h
@@ -91,6 +91,10 @@
     void state(const std::string &partition, const std::string &id, JobApiDone done)
     {
         find(partition, id, [this, id, done = std::move(done)](const LookupResult &lookup) {
+            if (lookup.outcome == JobApiOutcome::Done && lookup.state == JobState::Cancelled) {
+                readCancelledState(id, done);
+                return;
+            }
             if (lookup.outcome != JobApiOutcome::Done || isFinal(lookup.state)) {
                 done({lookup.outcome, lookup.state, 0});
                 return;
@@ -217,14 +221,19 @@
         case StoreOutcome::Conflict: {
             // An id that exists belongs to an accepted job: an earlier request or an unanswered attempt of this write
             // has stored it.
-            std::map<std::string, bool> idExists;
+            std::map<std::string, StoreItem> existingIds;
             for (const StoreItem &item : reply.items) {
-                idExists[item.key] = item.revision != 0 && !item.removed;
+                if (item.revision != 0 && !item.removed) {
+                    existingIds[item.key] = item;
+                }
             }
             auto rest = std::make_shared<std::vector<PendingJob>>();
             for (PendingJob &pendingJob : *batch) {
-                if (idExists[keys::jobId(pendingJob.spec.id)]) {
+                const auto existing = existingIds.find(keys::jobId(pendingJob.spec.id));
+                if (existing != existingIds.end() && keys::parseJobId(existing->second.value).submitted) {
                     completeJob(pendingJob, JobApiOutcome::Done);
+                } else if (existing != existingIds.end()) {
+                    acceptAsCancelled(pendingJob, existing->second);
                 } else {
                     rest->push_back(std::move(pendingJob));
                 }
@@ -262,10 +271,24 @@
         writePending();
     }
 
-    void completeJob(const PendingJob &pendingJob, JobApiOutcome outcome)
+    /// Accepts a job whose cancellation was stored before it. It stays cancelled and never runs.
+    void acceptAsCancelled(const PendingJob &pendingJob, const StoreItem &idItem)
+    {
+        StoreTxn txn;
+        txn.expected.emplace_back(idItem.key, idItem.revision);
+        txn.writes.push_back({idItem.key, keys::encodeJobId({keys::parseJobId(idItem.value).partition, true}), 0});
+        logEvent(LogLevel::Info, "job-cancelled-before", {{"job", pendingJob.spec.id}});
+        m_store.commit(txn, m_settings.writeTimeout, [this, pendingJob](const StoreReply &reply) {
+            recordStoreReply(reply);
+            completeJob(pendingJob, reply.outcome == StoreOutcome::Done ? JobApiOutcome::Done : JobApiOutcome::Unknown,
+                        JobState::Cancelled);
+        });
+    }
+
+    void completeJob(const PendingJob &pendingJob, JobApiOutcome outcome, JobState state = JobState::Pending)
     {
         --m_inFlight;
-        pendingJob.done({outcome, JobState::Pending, 0});
+        pendingJob.done({outcome, state, 0});
     }
 
     // Looking up jobs
@@ -281,10 +304,12 @@
             }
             m_store.read(keys::jobId(id), m_settings.readTimeout, [this, partition, id, done](const StoreReply &reply) {
                 recordStoreReply(reply);
-                if (reply.outcome == StoreOutcome::Done && !reply.items.empty()
-                    && reply.items.front().value != partition) {
-                    readRecord(reply.items.front().value, id, done);
-                    return;
+                if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                    const std::string stored = keys::parseJobId(reply.items.front().value).partition;
+                    if (stored != partition) {
+                        readRecord(stored, id, done);
+                        return;
+                    }
                 }
                 const bool notFound = reply.outcome == StoreOutcome::NotFound;
                 done({notFound ? JobApiOutcome::NoSuchJob : JobApiOutcome::NotRun, partition, JobState::Pending, 0});
@@ -315,11 +340,64 @@
                      });
     }
 
+    /// State of a job whose record says that it is cancelled. Without a request to submit it there is no such job.
+    void readCancelledState(const std::string &id, const JobApiDone &done)
+    {
+        m_store.read(keys::jobId(id), m_settings.readTimeout, [this, done](const StoreReply &reply) {
+            recordStoreReply(reply);
+            if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                const bool submitted = keys::parseJobId(reply.items.front().value).submitted;
+                done({submitted ? JobApiOutcome::Done : JobApiOutcome::NoSuchJob, JobState::Cancelled, 0});
+            } else {
+                const bool notFound = reply.outcome == StoreOutcome::NotFound;
+                done({notFound ? JobApiOutcome::NoSuchJob : JobApiOutcome::NotRun, JobState::Cancelled, 0});
+            }
+        });
+    }
+
     // Cancelling jobs
 
+    /// Cancels a job that no entry has stored. A request to submit it may still be on its way, read late by an entry
+    /// that stood still, or written late by the store. `NoSuchJob` is reported only once the id is taken, after which
+    /// none of these can store the job.
+    void cancelUnknownJob(const std::string &partition, const std::string &id, int attemptsLeft, const JobApiDone &done)
+    {
+        JobRecord record;
+        record.state = JobState::Cancelled;
+        record.endedMs = wallNowMs();
+        StoreTxn txn;
+        txn.expected.emplace_back(keys::jobId(id), 0);
+        txn.writes.push_back({keys::jobId(id), keys::encodeJobId({partition, false}), 0});
+        txn.writes.push_back({keys::job(partition, id), encodeJobRecord(record), 0});
+        m_store.commit(txn, m_settings.writeTimeout,
+                       [this, partition, id, attemptsLeft, done](const StoreReply &reply) {
+                           recordStoreReply(reply);
+                           if (reply.outcome == StoreOutcome::Done) {
+                               done({JobApiOutcome::NoSuchJob, JobState::Cancelled, 0});
+                           } else {
+                               retryCancel(partition, id, attemptsLeft, reply.outcome, done);
+                           }
+                       });
+    }
+
+    void retryCancel(const std::string &partition, const std::string &id, int attemptsLeft, StoreOutcome outcome,
+                     const JobApiDone &done)
+    {
+        if (attemptsLeft > 1 && (outcome == StoreOutcome::Conflict || outcome == StoreOutcome::Unknown)) {
+            attemptCancel(partition, id, attemptsLeft - 1, done);
+        } else {
+            const bool unknown = outcome == StoreOutcome::Unknown;
+            done({unknown ? JobApiOutcome::Unknown : JobApiOutcome::NotRun, JobState::Pending, 0});
+        }
+    }
+
     void attemptCancel(const std::string &partition, const std::string &id, int attemptsLeft, JobApiDone done)
     {
         find(partition, id, [this, partition, id, attemptsLeft, done = std::move(done)](const LookupResult &lookup) {
+            if (lookup.outcome == JobApiOutcome::NoSuchJob) {
+                cancelUnknownJob(partition, id, attemptsLeft, done);
+                return;
+            }
             if (lookup.outcome != JobApiOutcome::Done || isFinal(lookup.state)) {
                 done({lookup.outcome, lookup.state, 0});
                 return;
@@ -330,19 +408,15 @@
             StoreTxn txn;
             txn.expected.emplace_back(keys::job(lookup.partition, id), lookup.revision);
             txn.writes.push_back({keys::job(lookup.partition, id), encodeJobRecord(record), 0});
-            m_store.commit(
-                txn, m_settings.writeTimeout, [this, partition, id, attemptsLeft, done](const StoreReply &reply) {
-                    recordStoreReply(reply);
-                    if (reply.outcome == StoreOutcome::Done) {
-                        done({JobApiOutcome::Done, JobState::Cancelled, 0});
-                    } else if (attemptsLeft > 1
-                               && (reply.outcome == StoreOutcome::Conflict || reply.outcome == StoreOutcome::Unknown)) {
-                        attemptCancel(partition, id, attemptsLeft - 1, done);
-                    } else {
-                        const bool unknown = reply.outcome == StoreOutcome::Unknown;
-                        done({unknown ? JobApiOutcome::Unknown : JobApiOutcome::NotRun, JobState::Pending, 0});
-                    }
-                });
+            m_store.commit(txn, m_settings.writeTimeout,
+                           [this, partition, id, attemptsLeft, done](const StoreReply &reply) {
+                               recordStoreReply(reply);
+                               if (reply.outcome == StoreOutcome::Done) {
+                                   done({JobApiOutcome::Done, JobState::Cancelled, 0});
+                               } else {
+                                   retryCancel(partition, id, attemptsLeft, reply.outcome, done);
+                               }
+                           });
         });
     }
 
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -320,7 +320,7 @@
                       {"took_ms", std::to_string(took.count() / 1000)}});
             m_metrics.observe("briarvane_accept_seconds", MetricKey{ServiceId{name}, {}, RequestClass::Short}, took);
             if (result.outcome == JobApiOutcome::Done) {
-                reply(exchange, 200, platform::encodeJobState(JobState::Pending));
+                reply(exchange, 200, platform::encodeJobState(result.state));
             } else {
                 replyWithError(exchange, result);
             }
--- a/src/job_keys.h
+++ b/src/job_keys.h
@@ -54,6 +54,23 @@
 {
     return "id/" + id;
 }
+/// Value of a job id's key. A job that is cancelled before any entry has stored it gets the key as well, so that a
+/// request to submit it that is carried out late finds the id taken.
+struct JobIdValue
+{
+    std::string partition;
+    bool submitted = true;  // false: only the cancellation has arrived so far
+};
+inline const std::string NotSubmittedSuffix = "/not-submitted";
+inline std::string encodeJobId(const JobIdValue &value)
+{
+    return value.submitted ? value.partition : value.partition + NotSubmittedSuffix;
+}
+inline JobIdValue parseJobId(const std::string &text)
+{
+    const bool submitted = !text.ends_with(NotSubmittedSuffix);
+    return {submitted ? text : text.substr(0, text.size() - NotSubmittedSuffix.size()), submitted};
+}
 inline std::string jobs(const std::string &partition)
 {
     return "s/" + partition + "/";
--- a/tests/run_job_api.cpp
+++ b/tests/run_job_api.cpp
@@ -308,6 +308,126 @@
     }
 }
 
+TEST_CASE("A job that is cancelled before it is stored never runs")
+{
+    // Guards against this failure: the entry that a job was submitted to stood still, the caller cancelled the job at
+    // another entry and was told that it does not exist, and the first entry stored and ran it after it woke up.
+    boost::asio::io_context io;
+    Timers timers(io);
+    ScriptedStore store;
+    JobApi<ScriptedStore> api(store, timers, {});
+    std::optional<JobApiReply> callerReply;
+    const auto storeReply = [&callerReply](const JobApiReply &reply) { callerReply = reply; };
+    const std::string notSubmitted = keys::encodeJobId({"orders", false});
+
+    SECTION("the cancellation takes the id before the caller gets a reply")
+    {
+        api.cancel("orders", "a", storeReply);
+        store.answer("read", StoreOutcome::NotFound);
+        store.answer("read", StoreOutcome::NotFound);
+        CHECK_FALSE(callerReply);
+        REQUIRE(store.calls.size() == 1);
+        const StoreTxn txn = store.calls.front().txn;
+        CHECK(txn.expected == std::vector<std::pair<std::string, std::uint64_t>>{{"id/a", 0}});
+        REQUIRE(txn.writes.size() == 2);
+        CHECK(txn.writes[0].key == "id/a");
+        CHECK_FALSE(keys::parseJobId(txn.writes[0].value).submitted);
+        CHECK(keys::parseJobId(txn.writes[0].value).partition == "orders");
+        CHECK(txn.writes[1].key == "s/orders/a");
+        REQUIRE(parseJobRecord("a", txn.writes[1].value));
+        CHECK(parseJobRecord("a", txn.writes[1].value).value().state == JobState::Cancelled);
+
+        SECTION("the write is done: there is no such job")
+        {
+            store.answer("commit", StoreOutcome::Done);
+            CHECK(callerReply->outcome == JobApiOutcome::NoSuchJob);
+        }
+        SECTION("the job was stored meanwhile: it is cancelled")
+        {
+            store.answer("commit", StoreOutcome::Conflict, {item("id/a", "orders", 5)});
+            store.answer("read", StoreOutcome::Done, {item("s/orders/a", record(JobState::Pending), 5)});
+            store.answer("commit", StoreOutcome::Done);
+            CHECK(callerReply->outcome == JobApiOutcome::Done);
+            CHECK(callerReply->state == JobState::Cancelled);
+        }
+        SECTION("the outcome of the write is unknown: the state is read again")
+        {
+            store.answer("commit", StoreOutcome::Unknown);
+            CHECK_FALSE(callerReply);
+            store.answer("read", StoreOutcome::Done, {item("s/orders/a", record(JobState::Cancelled), 6)});
+            CHECK(callerReply->outcome == JobApiOutcome::Done);
+        }
+        SECTION("the store refuses the write: the caller is not told that there is no such job")
+        {
+            store.answer("commit", StoreOutcome::Refused);
+            CHECK(callerReply->outcome == JobApiOutcome::NotRun);
+        }
+    }
+    SECTION("a request to submit it that is carried out later is accepted, and the job stays cancelled")
+    {
+        api.submit(job("a"), "orders", storeReply);
+        store.answer("commit", StoreOutcome::Conflict, {item("id/a", notSubmitted, 7)});
+        CHECK_FALSE(callerReply);
+        REQUIRE(store.calls.size() == 1);
+        const StoreTxn txn = store.calls.front().txn;
+        CHECK(txn.expected == std::vector<std::pair<std::string, std::uint64_t>>{{"id/a", 7}});
+        REQUIRE(txn.writes.size() == 1);
+        CHECK(txn.writes[0].value == "orders");
+
+        SECTION("the write is done")
+        {
+            store.answer("commit", StoreOutcome::Done);
+            CHECK(callerReply->outcome == JobApiOutcome::Done);
+            CHECK(callerReply->state == JobState::Cancelled);
+        }
+        SECTION("the outcome of the write is unknown: the caller submits the job again")
+        {
+            store.answer("commit", StoreOutcome::Unknown);
+            CHECK(callerReply->outcome == JobApiOutcome::Unknown);
+        }
+    }
+    SECTION("jobs that share its write are stored")
+    {
+        api.submit(job("x"), "orders", [](const JobApiReply &) {});
+        api.submit(job("y"), "orders", [](const JobApiReply &) {});
+        api.submit(job("a"), "orders", [](const JobApiReply &) {});
+        api.submit(job("b"), "orders", storeReply);
+        store.answer("commit", StoreOutcome::Done);
+        store.answer("commit", StoreOutcome::Done);
+        store.answer("commit", StoreOutcome::Conflict, {item("id/a", notSubmitted, 7)});
+        REQUIRE(store.calls.size() == 2);
+        CHECK(store.calls.front().txn.writes[0].value == "orders");
+        store.answer("commit", StoreOutcome::Done);
+        CHECK(store.calls.front().txn.writes[0].key == "id/b");
+        store.answer("commit", StoreOutcome::Done);
+        CHECK(callerReply->state == JobState::Pending);
+        CHECK(api.open() == 0);
+    }
+    SECTION("its state is unknown until it is submitted")
+    {
+        api.state("orders", "a", storeReply);
+        store.answer("read", StoreOutcome::Done, {item("s/orders/a", record(JobState::Cancelled), 4)});
+        CHECK_FALSE(callerReply);
+
+        SECTION("not submitted")
+        {
+            store.answer("read", StoreOutcome::Done, {item("id/a", notSubmitted, 4)});
+            CHECK(callerReply->outcome == JobApiOutcome::NoSuchJob);
+        }
+        SECTION("submitted")
+        {
+            store.answer("read", StoreOutcome::Done, {item("id/a", "orders", 6)});
+            CHECK(callerReply->outcome == JobApiOutcome::Done);
+            CHECK(callerReply->state == JobState::Cancelled);
+        }
+        SECTION("the store does not answer")
+        {
+            store.answer("read", StoreOutcome::Refused);
+            CHECK(callerReply->outcome == JobApiOutcome::NotRun);
+        }
+    }
+}
+
 TEST_CASE("A view of the store misses no change when the store has compacted its history")
 {
     boost::asio::io_context io;
