Count a commit only for ends of the incarnation that reported them

If an executor restarted under its id while a commit was pending, the commit marked ends of the new incarnation with the same numbers as stored. They were acknowledged, and an owner that ended then left tasks that would run again.

The commit remembers the incarnation with the number of the last end. Test: 'A commit covers only ends of the incarnation that they were reported by' (core_scheduler) fails before: end 1 counts as stored instead of none.

--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -420,8 +420,14 @@
     std::uint64_t m_generation = 0;               // generation of the last commit batch
     bool m_commitPending = false;
     TimePoint m_dirtySince;  // time since which changes wait for a commit; default value: none wait
-    std::map<std::string, std::uint64_t> m_commitHandledEnds;  // by executor: last end that the pending commit covers
-    std::vector<std::string> m_commitFinalJobs;                // jobs whose final state the pending commit writes
+    /// Last end of an executor that the pending commit covers. Numbers of ends begin anew with each incarnation.
+    struct CommittedEnd
+    {
+        std::int64_t startedMs = 0;
+        std::uint64_t number = 0;
+    };
+    std::map<std::string, CommittedEnd> m_commitHandledEnds;  // by executor
+    std::vector<std::string> m_commitFinalJobs;               // jobs whose final state the pending commit writes
     /// Executor and task of each reserved run that the next commit records.
     std::vector<std::pair<std::string, std::string>> m_reservedRuns;
     /// Executor and task of each reserved run that the pending commit records.
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -333,7 +333,7 @@
     m_commitHandledEnds.clear();
     m_commitFinalJobs.clear();
     for (const auto &[id, executor] : m_executors) {
-        m_commitHandledEnds[id] = executor.handledEnd;
+        m_commitHandledEnds[id] = {executor.record.startedMs, executor.handledEnd};
     }
     for (const std::string &id : m_dirtyJobs) {
         const auto found = m_jobs.find(id);
@@ -385,8 +385,9 @@
     m_commitPending = false;
     for (const auto &[id, end] : m_commitHandledEnds) {
         const auto found = m_executors.find(id);
-        if (found != m_executors.end() && end <= found->second.handledEnd) {
-            found->second.durableEnd = std::max(found->second.durableEnd, end);
+        if (found != m_executors.end() && end.startedMs == found->second.record.startedMs
+            && end.number <= found->second.handledEnd) {
+            found->second.durableEnd = std::max(found->second.durableEnd, end.number);
             if (found->second.runs.empty()) {
                 found->second.nextReportPoll = std::min(found->second.nextReportPoll, now);
             }
--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -278,6 +278,55 @@
     }
 }
 
+TEST_CASE("A commit covers only ends of the incarnation that they were reported by")
+{
+    // Guards against this failure: an executor restarts while a commit is pending. The ends of its new incarnation have
+    // the same numbers as those of the commit, and were acknowledged before they were stored. An owner that ended then
+    // left tasks without an end, which ran again.
+    Scheduler scheduler({}, "orders", 5, {TimePoint{}, TimePoint{}});
+    TimePoint now{Duration{10'000'000}};
+    constexpr std::int64_t wallMs = 1'700'000'000'000;
+    ExecutorRecord record;
+    record.id = "i-0";
+    record.service = "orders";
+    record.capacity = {4000, 16'000, 0};
+    record.startedMs = wallMs;
+    scheduler.setExecutors({record}, now);
+    JobSpec spec = makeJob("00000000000000aa", {oneCoreStep(3)});
+    spec.service = "orders";
+    scheduler.addJob(spec, 1, nullptr, false, now, wallMs);
+    const auto endOf = [](std::uint64_t number, int index) {
+        return EndReport{number, formatTaskName({"00000000000000aa", 0, 0, index}), 1, RunEnd::Done, {}};
+    };
+    ExecutorReport report;
+    report.clockMs = 1000;
+    report.startedMs = wallMs;
+    report.ended = {endOf(1, 0)};
+    scheduler.reported("i-0", report, now, now);
+    now += 1s;
+    CHECK_FALSE(scheduler.takeCommit(now, wallMs));  // waits for further changes
+    now += 1s;
+    const auto commit = scheduler.takeCommit(now, wallMs);
+    REQUIRE(commit);
+
+    SECTION("the executor has restarted before the store answers: none of its new ends is stored")
+    {
+        report.startedMs = wallMs + 5000;
+        report.ended = {endOf(1, 1), endOf(2, 2)};
+        scheduler.reported("i-0", report, now, now);
+        scheduler.committed(commit->generation, now);
+        CHECK(scheduler.executors().at("i-0").handledEnd == 2);
+        CHECK(scheduler.executors().at("i-0").durableEnd == 0);
+    }
+    SECTION("the executor has not restarted")
+    {
+        report.ended = {endOf(1, 0), endOf(2, 1)};
+        scheduler.reported("i-0", report, now, now);
+        scheduler.committed(commit->generation, now);
+        CHECK(scheduler.executors().at("i-0").durableEnd == 1);
+    }
+}
+
 TEST_CASE("A task whose end has no room in its executor's report is not started again")
 {
     // Guards against this failure: while the store is down, no end is acknowledged. Once an executor had more ends than
