Report a partition as released only once no earlier owner can send commands

An owner that was lost may send commands for 4 s. If its successor released the partition within that time, the marker said that all had stopped, and the third owner waited too short a time for silent executors.

The marker keeps naming the releasing owner in that case, which the next one treats as a lost ownership. An acquisition that is answered while the entry stops is released at once instead of starting an owner.

--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -331,7 +331,12 @@
             return vacant ? std::optional(vacant->revision) : std::nullopt;
         },
         [this, partition](AcquisitionOutcome outcome, const Acquisition &acquisition) {
-            if (outcome == AcquisitionOutcome::Acquired) {
+            if (outcome == AcquisitionOutcome::Acquired && m_stopping) {
+                // The owners of this entry were released before this write was answered.
+                m_ownership.ownerEnded(partition, acquisition.fencingToken);
+                releasePartition(m_store, m_timers, partition, acquisition.fencingToken,
+                                 acquisition.predecessor != keys::Predecessor::Lost);
+            } else if (outcome == AcquisitionOutcome::Acquired) {
                 startOwner(partition, acquisition.fencingToken, acquisition.predecessor, acquisition.confirmedAt);
             } else if (outcome == AcquisitionOutcome::Unknown) {
                 m_ownership.acquisitionUnknown(partition, acquisition.predecessor);
@@ -408,15 +413,20 @@
 {
     const std::uint64_t token
         = partition == keys::FleetPartition ? m_fleet->fencingToken() : m_partitions.at(partition)->fencingToken();
+    bool earlierOwnersStopped = true;  // the owner of the fleet waits after any predecessor
     if (partition == keys::FleetPartition) {
         m_fleet.reset();
         m_reportsView.reset();
     } else {
+        earlierOwnersStopped = !m_partitions.at(partition)->scheduler().earlierOwnersMayCommand(bootNow());
         m_partitions.erase(partition);
     }
     m_ownership.ownerEnded(partition, token);
-    logEvent(LogLevel::Info, "share-released", {{"share", partition}, {"token", std::to_string(token)}});
-    releasePartition(m_store, m_timers, partition, token);
+    logEvent(LogLevel::Info, "share-released",
+             {{"share", partition},
+              {"token", std::to_string(token)},
+              {"earlier_owners_stopped", earlierOwnersStopped ? "yes" : "no"}});
+    releasePartition(m_store, m_timers, partition, token, earlierOwnersStopped);
 }
 
 /// Releases a partition when another entry's load with the partition, times RebalanceGain, is below this entry's load.
--- a/src/job_keys.h
+++ b/src/job_keys.h
@@ -18,8 +18,8 @@
 /// State of the previous owner of a partition when a new owner acquires it.
 enum class Predecessor {
     None,      // the partition never had an owner
-    Released,  // the previous owner stopped sending commands and then released the partition
-    Lost,      // the previous owner may not have detected yet that it lost the partition, and may still send commands
+    Released,  // all earlier owners had stopped sending commands when the previous one released the partition
+    Lost,      // an earlier owner may not have detected yet that it lost the partition, and may still send commands
 };
 
 // [1] Ownership: keys bound to leases, removed when the lease of their writer ends ------------------------------------
@@ -85,7 +85,7 @@
 {
     return jobs(partition) + "!owner";
 }
-/// Value of the marker once an owner has released the partition.
+/// Value of the marker once an owner has released the partition and no earlier owner can send commands.
 inline const std::string ReleasedMarker = "released";
 inline std::string progressOf(const std::string &partition)
 {
--- a/src/partition_ownership.h
+++ b/src/partition_ownership.h
@@ -210,19 +210,26 @@
 /// Ends the ownership with this fencing token, so that another entry can take the partition at once. The write is
 /// repeated until the store reports that it was done or that its precondition no longer holds, which means that the
 /// ownership has ended. The precondition on the token keeps a repetition from ending the ownership of a successor.
+/// `earlierOwnersStopped`: no owner before this one can send commands any more. Otherwise the marker keeps naming this
+/// owner, and the next one waits as after a lost ownership.
 template<Store S>
-void releasePartition(S &store, Timers &timers, const std::string &partition, std::uint64_t token)
+void releasePartition(S &store, Timers &timers, const std::string &partition, std::uint64_t token,
+                      bool earlierOwnersStopped)
 {
     StoreTxn txn;
     txn.expected.emplace_back(keys::owner(partition), token);
     txn.removed.push_back(keys::owner(partition));
-    txn.writes.push_back({keys::ownershipMarker(partition), keys::ReleasedMarker, 0});
-    store.commit(txn, ReleaseTimeout, [&store, &timers, partition, token](const StoreReply &reply) {
-        if (reply.outcome != StoreOutcome::Done && reply.outcome != StoreOutcome::Conflict) {
-            timers.at(steadyNow() + ReleaseRetry,
-                      [&store, &timers, partition, token] { releasePartition(store, timers, partition, token); });
-        }
-    });
+    if (earlierOwnersStopped) {
+        txn.writes.push_back({keys::ownershipMarker(partition), keys::ReleasedMarker, 0});
+    }
+    store.commit(
+        txn, ReleaseTimeout, [&store, &timers, partition, token, earlierOwnersStopped](const StoreReply &reply) {
+            if (reply.outcome != StoreOutcome::Done && reply.outcome != StoreOutcome::Conflict) {
+                timers.at(steadyNow() + ReleaseRetry, [&store, &timers, partition, token, earlierOwnersStopped] {
+                    releasePartition(store, timers, partition, token, earlierOwnersStopped);
+                });
+            }
+        });
 }
 
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -315,6 +315,11 @@
     bool needsOwnershipProof() const;
 
     // State
+    /// Whether an owner before this one may still send commands.
+    bool earlierOwnersMayCommand(TimePoint now) const
+    {
+        return now < m_predecessorLimits.commandsUntil;
+    }
     bool deposed() const
     {
         return m_deposed;
--- a/tests/run_partition_owner.cpp
+++ b/tests/run_partition_owner.cpp
@@ -408,7 +408,7 @@
         // Guards against this failure: the repetition used the present revision of the ownership key instead of the
         // releasing entry's token, and so ended the ownership of the successor.
         store.loseNextWrite(keys::jobs("orders"));
-        releasePartition(store, timers, "orders", token);
+        releasePartition(store, timers, "orders", token, true);
         runFor(20ms);
         REQUIRE(store.hasLostWrite());
         CHECK(store.applyLostWrites() == std::vector<StoreOutcome>{StoreOutcome::Done});
@@ -418,10 +418,20 @@
         CHECK(store.value(keys::owner("orders")) == "e2");
         CHECK(store.value(keys::ownershipMarker("orders")) == "e2");
     }
+    SECTION("an earlier owner may still send commands: the marker does not say that all have stopped")
+    {
+        // Guards against this failure: a partition was released soon after it was acquired from an owner that had been
+        // lost, and the next owner did not wait for the commands of that one.
+        store.put(keys::ownershipMarker("orders"), "e1");
+        releasePartition(store, timers, "orders", token, false);
+        runFor(20ms);
+        CHECK(store.value(keys::owner("orders")).empty());
+        CHECK(store.value(keys::ownershipMarker("orders")) == "e1");
+    }
     SECTION("the write is not done: it is repeated until it is done")
     {
         store.loseNextWrite(keys::jobs("orders"));
-        releasePartition(store, timers, "orders", token);
+        releasePartition(store, timers, "orders", token, true);
         runFor(20ms);
         CHECK(store.value(keys::owner("orders")) == "e1");
         runFor(ReleaseRetry + 200ms);
@@ -430,6 +440,23 @@
     }
 }
 
+TEST_CASE("An owner knows whether an earlier one may still send commands")
+{
+    const TimePoint acquiredAt = bootNow();
+    const auto mayCommand = [&](keys::Predecessor predecessor, Duration later) {
+        boost::asio::io_context io;
+        Timers timers(io);
+        UnreliableStore store(io);
+        const PartitionOwner<UnreliableStore> owner(store, timers, Partition{"orders"}, 5, predecessor,
+                                                    PartitionOwnerSettings{}, {}, acquiredAt, acquiredAt);
+        return owner.scheduler().earlierOwnersMayCommand(acquiredAt + later);
+    };
+    CHECK_FALSE(mayCommand(keys::Predecessor::None, 0s));
+    CHECK_FALSE(mayCommand(keys::Predecessor::Released, 0s));
+    CHECK(mayCommand(keys::Predecessor::Lost, 3900ms));
+    CHECK_FALSE(mayCommand(keys::Predecessor::Lost, SchedulerSettings{}.ownershipProofMaxAge));
+}
+
 TEST_CASE("A partition that another entry owns is not acquired")
 {
     boost::asio::io_context io;
