Name the sections and assumptions of the ownership records and job ids

Comments only: the first section of ownership_records.h holds vacant partitions, and the suffix of a job id's value relies on '/' not occurring in the names of partitions.

--- a/src/job_keys.h
+++ b/src/job_keys.h
@@ -61,6 +61,7 @@
     std::string partition;
     bool submitted = true;  // false: only the cancellation has arrived so far
 };
+/// No partition's name ends like this, since '/' separates the partition from the job id in keys.
 inline const std::string NotSubmittedSuffix = "/not-submitted";
 inline std::string encodeJobId(const JobIdValue &value)
 {
--- a/src/ownership_records.h
+++ b/src/ownership_records.h
@@ -8,7 +8,7 @@
 // entry can.
 //
 // Index
-// [1] Acquisitions whose reply was lost
+// [1] Vacant partitions
 // [2] Records
 
 #include "job_keys.h"
@@ -20,7 +20,7 @@
 namespace briarvane
 {
 
-// [1] Acquisitions whose reply was lost -------------------------------------------------------------------------------
+// [1] Vacant partitions -----------------------------------------------------------------------------------------------
 
 /// A partition that this entry may acquire.
 struct Vacancy
@@ -47,6 +47,7 @@
     void keyChanged(const std::string &partition, const StoreItem &item, TimePoint now);
     /// The reply to an acquisition was lost. The write may still be carried out.
     void acquisitionUnknown(const std::string &partition, keys::Predecessor predecessor);
+    /// This process runs an owner of the partition, so no earlier acquisition is open any more.
     void ownerStarted(const std::string &partition);
     /// This process runs the owner with this token no longer. Its ownership key is being removed.
     void ownerEnded(const std::string &partition, std::uint64_t fencingToken);
