--- a/src/deployment.cpp
+++ b/src/deployment.cpp
@@ -17,6 +17,22 @@
     return best;
 }
 
+const Workspace *DeploymentConfig::workspaceWithKey(const std::string &accessKey) const
+{
+    const auto found = m_workspaceByKey.find(accessKey);
+    return found == m_workspaceByKey.end() ? nullptr : &workspaces[found->second];
+}
+
+void DeploymentConfig::indexAccessKeys()
+{
+    m_workspaceByKey.clear();
+    for (std::size_t index = 0; index < workspaces.size(); ++index) {
+        for (const std::string &key : workspaces[index].accessKeys) {
+            m_workspaceByKey.emplace(key, index);
+        }
+    }
+}
+
 Result<std::set<std::string>> parseIds(const boost::json::value *list)
 {
     const Error malformed{ErrorCode::Invalid, "not a list of strings"};
--- a/src/deployment.h
+++ b/src/deployment.h
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <set>
+#include <unordered_map>
 
 namespace briarvane
 {
@@ -32,6 +33,20 @@
     double stretch = 1;  // latency objective: stretch x duration of the longest chain of steps + targetLatency
     Duration targetLatency{0};
     AdvicePolicy advice;
+    bool isPublic = false;  // callers need no access key, and the jobs belong to no workspace
+};
+
+/// A workspace shares the queues and pools of the deployment with others.
+struct Workspace
+{
+    std::string name;
+    std::vector<std::string> accessKeys;  // secrets: never logged and in no metric or error message
+    /// Share of the room, relative to the other workspaces, while a pool is full. Also the rate of jobs, per second,
+    /// up to which the workspace is owed service.
+    int weight = 1;
+    Resources quota;  // limit of what its tasks use on all executors together; 0 in a field: that field has no limit
+
+    bool operator==(const Workspace &) const = default;
 };
 
 struct PooledService
@@ -47,13 +62,21 @@
     std::int64_t version = -1;
     std::vector<Queue> queues;
     std::vector<PooledService> services;
-    std::size_t bodyLimit = 262'144;   // bytes
-    std::size_t headerLimit = 16'384;  // bytes
+    std::vector<Workspace> workspaces;  // empty: no queue requires an access key
+    std::size_t bodyLimit = 262'144;    // bytes
+    std::size_t headerLimit = 16'384;   // bytes
     Duration idleTimeout{15'000'000};
     Duration headerTimeout{3'000'000};
 
     /// Null when no queue matches.
     const Queue *queueFor(std::string_view host, std::string_view path) const;
+    /// Null when no workspace has the key. Takes the same time however many keys there are.
+    const Workspace *workspaceWithKey(const std::string &accessKey) const;
+    /// Prepares workspaceWithKey(). Called once after `workspaces` is filled in.
+    void indexAccessKeys();
+
+private:
+    std::unordered_map<std::string, std::size_t> m_workspaceByKey;  // index into `workspaces`
 };
 
 // [2] Instances and waves ---------------------------------------------------------------------------------------------
--- a/src/job.cpp
+++ b/src/job.cpp
@@ -174,7 +174,11 @@
 std::string encodeJobRecord(const JobRecord &record)
 {
     if (isFinal(record.state)) {
-        return json::serialize(json::object{{"state", toString(record.state)}, {"ended", record.endedMs}});
+        json::object object{{"state", toString(record.state)}, {"ended", record.endedMs}};
+        if (!record.spec.workspace.empty()) {
+            object["workspace"] = record.spec.workspace;
+        }
+        return json::serialize(object);
     }
     const JobSpec &spec = record.spec;
     json::array steps;
@@ -186,6 +190,9 @@
                         {"priority", spec.priority},  {"attempts", spec.maxAttempts},
                         {"stretch", spec.stretch},    {"latency_ms", spec.targetLatency.count() / 1000},
                         {"accepted", spec.acceptedMs}};
+    if (!spec.workspace.empty()) {
+        object["workspace"] = spec.workspace;
+    }
     if (spec.occurrences > 0) {
         object["occurrences"] = spec.occurrences;
         object["due"] = spec.firstDueMs;
@@ -207,6 +214,7 @@
     }
     const json::object &object = value.get_object();
     JobRecord record;
+    record.spec.workspace = fieldOr(object, "workspace", std::string());
     if (object.contains("state")) {
         const auto state = parseEnum<JobState>(fieldOr(object, "state", std::string()));
         if (!state) {
--- a/src/job.h
+++ b/src/job.h
@@ -68,9 +68,10 @@
 struct JobSpec
 {
     std::string id;
-    std::string queue;    // name of the route that accepted the job
-    std::string service;  // service whose executors run the job
-    std::string payload;  // passed unchanged to each start
+    std::string queue;      // name of the route that accepted the job
+    std::string service;    // service whose executors run the job
+    std::string workspace;  // workspace of the caller; empty: the queue is public or there are no workspaces
+    std::string payload;    // passed unchanged to each start
     std::vector<StepSpec> steps;
     int occurrences = 0;          // scheduled executions of all steps; 0: one execution, immediately
     std::int64_t firstDueMs = 0;  // Unix time of the first scheduled occurrence
@@ -129,7 +130,7 @@
 struct JobRecord
 {
     JobState state = JobState::Pending;
-    JobSpec spec;              // empty when the state is final
+    JobSpec spec;              // empty when the state is final, except for the workspace
     std::int64_t endedMs = 0;  // Unix time of the final state, for garbage collection
 };
 
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -350,6 +350,7 @@
                 JobRecord record;
                 record.state = job.state;
                 record.endedMs = wallMs;
+                record.spec.workspace = job.spec.workspace;
                 write.finalRecord = encodeJobRecord(record);
             }
         } else {
--- a/tests/core_jobs.cpp
+++ b/tests/core_jobs.cpp
@@ -30,6 +30,7 @@
     JobRecord record;
     record.spec.queue = "r-1";
     record.spec.service = "orders";
+    record.spec.workspace = "bureau";
     record.spec.payload = "text \"with\" quotes";
     record.spec.priority = 1;
     record.spec.maxAttempts = 4;
@@ -65,6 +66,7 @@
     const JobSpec &spec = parsed.value().spec;
     CHECK(spec.id == "id");
     CHECK(spec.queue == "r-1");
+    CHECK(spec.workspace == "bureau");
     CHECK(spec.payload == record.spec.payload);
     CHECK(spec.maxAttempts == 4);
     CHECK(spec.stretch == 1.6);
@@ -93,6 +95,14 @@
         REQUIRE(final);
         CHECK(final.value().state == JobState::Failed);
         CHECK(final.value().spec.steps.empty());
+        CHECK(final.value().spec.workspace == "bureau");
+    }
+    SECTION("a job of a public queue, and one that an earlier build stored, belongs to no workspace")
+    {
+        record.spec.workspace.clear();
+        const std::string text = encodeJobRecord(record);
+        CHECK(text.find("workspace") == std::string::npos);
+        CHECK(parseJobRecord("id", text).value().spec.workspace.empty());
     }
     SECTION("a damaged record is an error, not an empty job")
     {
--- a/tests/run_platform_wire.cpp
+++ b/tests/run_platform_wire.cpp
@@ -43,6 +43,35 @@
     CHECK_FALSE(decodeDeploymentConfig("not json"));
 }
 
+TEST_CASE("A configuration is decoded with its workspaces")
+{
+    // Guards against keys, weights and quotas that are lost or mixed up, so that a caller is served as another one.
+    const auto config
+        = decodeDeploymentConfig(R"({"version":7,"routes":[{"name":"r-1","host":"h","prefix":"/k/","service":"s1",
+        "public":true},{"name":"r-2","host":"h","prefix":"/l/","service":"s1","public":false}],"services":[],
+        "tenants":[{"name":"a","api_keys":["k1","k2",3],"priority":1,"weight":145,
+        "cap":{"cpu":20213363,"mem_mb":34049101,"gpu":2}},{"name":"b","api_keys":["k3"]},17]})");
+    REQUIRE(config);
+    CHECK(config.value().queues[0].isPublic);
+    CHECK_FALSE(config.value().queues[1].isPublic);
+    REQUIRE(config.value().workspaces.size() == 2);
+    CHECK(config.value().workspaces[0] == Workspace{"a", {"k1", "k2"}, 145, {20'213'363, 34'049'101, 2}});
+    CHECK(config.value().workspaces[1] == Workspace{"b", {"k3"}, 1, {}});
+
+    SECTION("each key leads to its workspace")
+    {
+        CHECK(config.value().workspaceWithKey("k2")->name == "a");
+        CHECK(config.value().workspaceWithKey("k3")->name == "b");
+        CHECK(config.value().workspaceWithKey("k4") == nullptr);
+        CHECK(config.value().workspaceWithKey("") == nullptr);
+    }
+    SECTION("a configuration without workspaces requires no keys")
+    {
+        const auto plain = decodeDeploymentConfig(R"({"version":1,"routes":[],"services":[]})");
+        CHECK(plain.value().workspaces.empty());
+    }
+}
+
 TEST_CASE("A malformed executor record is refused")
 {
     const std::string valid = R"({"service":"s1","address":"10.0.0.1:80","zone":"z","state":"ready",
