Open further connections to an executor for calls that wait

An entry had three connections to an executor. A start without an answer held one of them until its time-out, so the starts behind it were refused as not sent, and each of them left out an executor that was well for a second. A start that found no connection is no fault of the executor; one that could not connect is.

--- a/src/executor.h
+++ b/src/executor.h
@@ -102,16 +102,17 @@
     NoRoom,
     NoTicket,  // the advice ticket is missing or has expired
     Malformed,
-    Unhealthy,   // the executor refused the command, which had no effect
-    Replaced,    // another incarnation serves the address
-    NotSent,     // no byte of the command was sent
-    Unanswered,  // the executor may still carry out the command
+    Unhealthy,    // the executor refused the command, which had no effect
+    Replaced,     // another incarnation serves the address
+    NotSent,      // no byte of the command was sent, because no connection was free in time
+    Unreachable,  // no byte of the command was sent, because no connection to the executor could be established
+    Unanswered,   // the executor may still carry out the command
 };
 
 template<>
 struct EnumNames<CommandResult>
 {
-    static constexpr std::array<EnumName<CommandResult>, 11> names = {{{CommandResult::Done, "done"},
+    static constexpr std::array<EnumName<CommandResult>, 12> names = {{{CommandResult::Done, "done"},
                                                                        {CommandResult::Fenced, "fenced"},
                                                                        {CommandResult::Superseded, "superseded"},
                                                                        {CommandResult::Late, "late"},
@@ -121,6 +122,7 @@
                                                                        {CommandResult::Unhealthy, "unhealthy"},
                                                                        {CommandResult::Replaced, "replaced"},
                                                                        {CommandResult::NotSent, "not-sent"},
+                                                                       {CommandResult::Unreachable, "unreachable"},
                                                                        {CommandResult::Unanswered, "unanswered"}}};
 };
 
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -386,6 +386,12 @@
     m_metrics.set("briarvane_store_unanswered_total", {}, static_cast<double>(calls.unanswered));
     m_metrics.set("briarvane_config_version", {}, static_cast<double>(m_config.version));
     m_metrics.set("briarvane_unexpected_errors_total", {}, static_cast<double>(stoppedExceptions()));
+    const UpstreamCounts &connections = m_executors.connectionCounts();
+    m_metrics.set("briarvane_executor_connections_opened_total", {{"reason", "usual"}},
+                  static_cast<double>(connections.opened - connections.further));
+    m_metrics.set("briarvane_executor_connections_opened_total", {{"reason", "calls-waited"}},
+                  static_cast<double>(connections.further));
+    m_metrics.set("briarvane_executor_calls_unsent_total", {}, static_cast<double>(connections.unserved));
     const LogDrops drops = logDrops();
     m_metrics.set("briarvane_log_lines_dropped_total", {{"reason", "over-budget"}},
                   static_cast<double>(drops.overRateLimit));
@@ -409,6 +415,7 @@
 {
     const platform::StoreCounts &calls = m_store.counts();
     const LogDrops drops = logDrops();
+    const UpstreamCounts &executorConnections = m_executors.connectionCounts();
     logEvent(LogLevel::Info, "entry-state",
              {{"reads", std::to_string(calls.reads)},
               {"ranges", std::to_string(calls.ranges)},
@@ -419,7 +426,10 @@
               {"unanswered", std::to_string(calls.unanswered)},
               {"shares", std::to_string(ownedCount())},
               {"log_dropped", std::to_string(drops.overRateLimit + drops.outputBlocked)},
-              {"connections", std::to_string(m_callers.load().connections)}});
+              {"connections", std::to_string(m_callers.load().connections)},
+              {"executor_connections_opened", std::to_string(executorConnections.opened)},
+              {"opened_for_waiting_calls", std::to_string(executorConnections.further)},
+              {"unsent_calls", std::to_string(executorConnections.unserved)}});
     later(SummaryPeriod, [this] { logSummary(); });
 }
 
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -590,6 +590,16 @@
     return hooks;
 }
 
+/// Limit of connections to one executor of the service while calls wait. Half of the configured number is left to
+/// another entry that takes the partition over, or was its owner before.
+int JobEntry::maxConnectionsTo(const std::string &service) const
+{
+    const auto found = std::find_if(m_config.services.begin(), m_config.services.end(),
+                                    [&service](const PooledService &candidate) { return candidate.name == service; });
+    const int configured = found == m_config.services.end() ? 0 : found->connections;
+    return std::clamp(configured / 2, ExecutorConnections, MaxExecutorConnections);
+}
+
 PartitionOwnerHooks JobEntry::partitionHooks()
 {
     PartitionOwnerHooks hooks;
@@ -601,7 +611,8 @@
     };
     hooks.registerExecutor = [this](const ExecutorRecord &record) {
         m_registeredExecutors.insert(record.id);
-        m_executors.setExecutor(record.id, record.address, record.port, ExecutorConnections);
+        m_executors.setExecutor(record.id,
+                                {record.address, record.port, ExecutorConnections, maxConnectionsTo(record.service)});
     };
     hooks.listInstances = [this](auto done) { m_machines.list(std::move(done)); };
     hooks.jobFinished = [this](const Scheduler::Finished &finished) {
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -63,6 +63,7 @@
 constexpr Duration ConfigWatchWait{1'500'000};
 constexpr std::size_t MaxEntryConnections = 256;  // connections from other entries and from readers of the metrics
 constexpr int ExecutorConnections = 3;            // per executor: one for the report poll, two for starts and stops
+constexpr int MaxExecutorConnections = 16;        // per executor while calls wait for a connection
 /// Time for which callers are served after the entry reports that it is not ready. The load balancer stops
 /// sending requests after two failed readiness checks, which are a second apart.
 constexpr Duration StopLead{2'600'000};
@@ -122,6 +123,7 @@
     static MaintenanceResult toMaintenanceResult(const std::string &instance, platform::InstanceRequestResult result);
     FleetOwnerHooks fleetHooks();
     PartitionOwnerHooks partitionHooks();
+    int maxConnectionsTo(const std::string &service) const;
 
     // Executors
     void listExecutors(const std::string &after);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -53,7 +53,7 @@
     Duration placementInterval{100'000};    // time between placement passes while tasks wait and no event occurs
     Duration housekeepingInterval{40'000};  // time between checks for stops to repeat and tasks to vacate
     /// An executor gets no work for this time after repeated failed runs or unanswered starts, and after a start was
-    /// refused with CommandResult::Replaced. After Unhealthy or NotSent the time is a quarter of this.
+    /// refused with CommandResult::Replaced. After Unhealthy or Unreachable the time is a quarter of this.
     Duration ejectionTime{4'000'000};
     Duration commitBatchDelay{40'000};    // time over which changes to jobs are collected into one commit
     double clockSlowdown = 0.02;          // largest fraction by which an executor's clock may run slow
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -68,7 +68,7 @@
         }
         break;
     case CommandResult::Unhealthy:
-    case CommandResult::NotSent:
+    case CommandResult::Unreachable:
         executor.ejectedUntil = std::max(executor.ejectedUntil, now + m_settings.ejectionTime / 4);
         break;
     case CommandResult::Late:
@@ -81,7 +81,7 @@
     case CommandResult::NoTicket:
         discardTicket(name, command.executor);
         break;
-    default:
+    default:  // NotSent: the calls before it were slow, which shows nothing about the executor by itself
         break;
     }
     ++m_counts.refusedStarts;
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -61,6 +61,7 @@
     Socket socket;
     std::shared_ptr<Call> call;
     bool closed = false;
+    bool connecting = false;
     bool reused = false;
     std::array<char, SmallRead> smallBuffer;
     bool readPending = false;
@@ -87,6 +88,7 @@
     std::unordered_set<std::shared_ptr<Connection>> open;
     std::vector<std::shared_ptr<Connection>> idle;  // idle connections, the most recently used at the back
     std::deque<std::shared_ptr<Call>> waiting;
+    Timers::Key growthTimer;  // set while calls wait and more connections than usual are allowed
 };
 
 }
@@ -104,7 +106,11 @@
     }
 
     void start(const std::shared_ptr<Call> &call);
+    void open(const std::shared_ptr<Call> &call);
     void serveWaiting(Instance &instance);
+    void scheduleGrowth(const std::shared_ptr<Instance> &instance);
+    void grow(const std::shared_ptr<Instance> &instance);
+    int furtherOpen() const;
     void scheduleSweep();
     void retire(Instance &instance);
 
@@ -114,6 +120,7 @@
     std::map<InstanceId, std::shared_ptr<Instance>> instances;
     std::vector<char> readBuffer = std::vector<char>(ReadSize);
     bool sweeping = false;
+    UpstreamCounts counts;
 };
 
 struct UpstreamCall::State : std::enable_shared_from_this<UpstreamCall::State>
@@ -131,6 +138,7 @@
     std::string head;                        // request line and header fields of the request
     std::shared_ptr<const std::string> body;
     std::size_t written = 0;
+    TimePoint waitingSince;  // time since which the call has waited for a connection
     bool isHeadRequest = false;
     bool sent = false;
     bool ended = false;
@@ -229,10 +237,12 @@
     }
     socket.non_blocking(true, error);
     socket.set_option(tcp::no_delay(true), error);
+    connecting = true;
     connectTimer
         = impl->timers.at(steadyNow() + impl->settings.connectTimeout, [this] { fail(UpstreamResult::ConnectFailed); });
     socket.async_connect(endpoint, [self = shared_from_this()](const error_code &failure) {
         self->impl->timers.cancel(self->connectTimer);
+        self->connecting = false;
         if (self->closed) {
             return;
         }
@@ -524,16 +534,73 @@
         return;
     }
     if (static_cast<int>(instance.open.size()) >= std::max(1, instance.endpoint.connections)) {
+        call->waitingSince = steadyNow();
         instance.waiting.push_back(call);
+        scheduleGrowth(call->instance);
         return;
     }
+    open(call);
+}
+
+void UpstreamClient::Impl::open(const std::shared_ptr<Call> &call)
+{
+    Instance &instance = *call->instance;
     const auto connection = std::make_shared<Connection>(*this, call->instance);
+    ++counts.opened;
+    counts.further += static_cast<int>(instance.open.size()) >= std::max(1, instance.endpoint.connections) ? 1 : 0;
     instance.open.insert(connection);
     connection->assign(call);
     connection->connect();
     scheduleSweep();
 }
 
+int UpstreamClient::Impl::furtherOpen() const
+{
+    int further = 0;
+    for (const auto &[id, instance] : instances) {
+        further += std::max(0, static_cast<int>(instance->open.size()) - std::max(1, instance->endpoint.connections));
+    }
+    return further;
+}
+
+/// Checks again whether a further connection is opened once the first waiting call has waited long enough.
+void UpstreamClient::Impl::scheduleGrowth(const std::shared_ptr<Instance> &instance)
+{
+    if (instance->growthTimer.second != 0 || instance->endpoint.maxConnections <= instance->endpoint.connections) {
+        return;
+    }
+    instance->growthTimer
+        = timers.at(steadyNow() + settings.growth.maxWait, [this, weak = std::weak_ptr<Instance>(instance)] {
+              if (const auto locked = weak.lock()) {
+                  locked->growthTimer = {};
+                  grow(locked);
+              }
+          });
+}
+
+void UpstreamClient::Impl::grow(const std::shared_ptr<Instance> &instance)
+{
+    std::erase_if(instance->waiting, [](const auto &call) { return call->ended; });
+    if (instance->waiting.empty() || instance->retired) {
+        return;
+    }
+    const auto call = instance->waiting.front();
+    ConnectionQueue queue;
+    queue.usual = std::max(1, instance->endpoint.connections);
+    queue.most = instance->endpoint.maxConnections;
+    queue.open = static_cast<int>(instance->open.size());
+    queue.connecting = std::any_of(instance->open.begin(), instance->open.end(),
+                                   [](const auto &connection) { return connection->connecting; });
+    queue.waited = steadyNow() - call->waitingSince;
+    if (opensFurtherConnection(queue, furtherOpen(), settings.growth)) {
+        instance->waiting.pop_front();
+        open(call);
+    }
+    if (!instance->waiting.empty()) {
+        scheduleGrowth(instance);
+    }
+}
+
 void UpstreamClient::Impl::serveWaiting(Instance &instance)
 {
     while (!instance.waiting.empty()
@@ -574,6 +641,7 @@
 void UpstreamClient::Impl::retire(Instance &instance)
 {
     instance.retired = true;
+    timers.cancel(instance.growthTimer);
     const auto idle = instance.idle;
     for (const auto &connection : idle) {
         connection->close();
@@ -666,6 +734,7 @@
                 return;
             }
             if (expired->connection == nullptr) {
+                ++expired->impl->counts.unserved;
                 expired->end(UpstreamResult::NotSent);  // no connection became available
             } else {
                 expired->connection->fail(expired->sent ? UpstreamResult::TimedOut : UpstreamResult::ConnectFailed);
@@ -686,4 +755,9 @@
     return loads;
 }
 
+const UpstreamCounts &UpstreamClient::counts() const
+{
+    return m_impl->counts;
+}
+
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -7,6 +7,7 @@
 // [2] One call
 // [3] The client
 
+#include "connection_growth.h"
 #include "http_message.h"
 #include "routing.h"
 
@@ -25,6 +26,7 @@
     Duration connectTimeout{1'000'000};
     Duration idleTimeout{30'000'000};       // idle connections are closed after this time
     std::size_t headerLimit = 64UL << 10U;  // largest header section of a response, in bytes
+    GrowthLimits growth;
 };
 
 struct UpstreamEndpoint
@@ -34,6 +36,8 @@
     /// Maximum number of open connections from this entry to the instance. An entry sets this to the pool's limit per
     /// instance divided by the number of registered entries, but at least 1.
     int connections = 8;
+    /// Limit while calls wait for a connection, see opensFurtherConnection(); at most `connections`: no further ones.
+    int maxConnections = 0;
 
     bool operator==(const UpstreamEndpoint &) const = default;
 };
@@ -90,6 +94,14 @@
     int idle = 0;  // idle connections, which are also counted in `open`
 };
 
+/// Counts since the client was created.
+struct UpstreamCounts
+{
+    std::uint64_t opened = 0;    // connections that were opened, including those that could not be established
+    std::uint64_t further = 0;   // of these, connections above UpstreamEndpoint::connections
+    std::uint64_t unserved = 0;  // calls that got no connection before their deadline
+};
+
 class UpstreamClient
 {
 public:
@@ -110,6 +122,7 @@
     UpstreamCall send(const InstanceId &instance, const UpstreamRequest &request, TimePoint deadline,
                       UpstreamEvents events);
     std::map<InstanceId, UpstreamLoad> load() const;
+    const UpstreamCounts &counts() const;
 
     struct Impl;
 
--- a/tests/run_deployment.cpp
+++ b/tests/run_deployment.cpp
@@ -41,7 +41,7 @@
         standin::accept(storeAcceptor, store);
         standin::accept(machinesAcceptor, workers);
         standin::accept(executorAcceptor, executorHandler);
-        executors.setExecutor(FirstExecutor, "127.0.0.1", portOf(executorAcceptor), 2);
+        executors.setExecutor(FirstExecutor, {"127.0.0.1", portOf(executorAcceptor), 2});
     }
 
     static std::uint16_t portOf(const boost::asio::ip::tcp::acceptor &acceptor)
--- a/tests/run_http.cpp
+++ b/tests/run_http.cpp
@@ -547,3 +547,41 @@
         CHECK(second->ends.empty());
     }
 }
+
+TEST_CASE("Calls do not wait behind calls that get no answer", "[upstream]")
+{
+    // Guards against this failure: a few silent calls held all connections to an executor, and the starts behind them
+    // ended unsent although the executor was well.
+    ClientFixture fixture;
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    fixture.client.configure({{fixture.instance, {"127.0.0.1", fixture.listener.port(), 2, 3}}});
+    const auto silent = fixture.send();
+    const auto otherSilent = fixture.send();
+    const WirePeer peer = fixture.answer("");
+    const WirePeer otherPeer = fixture.answer("");
+    const auto third = fixture.send();
+    const auto fourth = fixture.send();
+    const auto fifth = fixture.send("POST", Duration{200'000});
+
+    SECTION("one further connection serves the waiting calls one after another")
+    {
+        WirePeer further = fixture.answer("");
+        further.discardReceived();
+        further.send(ok);
+        CHECK(further.waitFor("\r\n\r\n"));
+        CHECK(fixture.ended(third, UpstreamResult::Completed));
+        further.send(ok);
+        CHECK(fixture.ended(fourth, UpstreamResult::Completed));
+        CHECK(fixture.client.counts().further == 1);
+        CHECK(silent->ends.empty());
+    }
+    SECTION("the limit for times of waiting calls holds, and a call that gets no connection is counted")
+    {
+        const WirePeer further = fixture.answer("");
+        CHECK(fixture.ended(fifth, UpstreamResult::NotSent));
+        CHECK_FALSE(fixture.listener.pending());
+        CHECK(fixture.client.counts().opened == 3);
+        CHECK(fixture.client.counts().unserved == 1);
+    }
+    CHECK(otherSilent->ends.empty());
+}
