Send a start without an answer again and settle it at the executor

A start that got no answer was waited for during 0.8 s, then until the regular report poll returned, and its task started elsewhere after a stop and further polls. An executor carries out a run number once, so the same start is now sent again after 150 ms, or a few times the executor's usual answer time. Any accepted send settles the start. A refusal of a later send does not, since an earlier one may still be carried out: then a report and a stop decide as before, and the report is asked for beside the regular poll, which may wait for an end. The executor gets no other task until it has answered. An unanswered start counts as a failure only if a report shows that the run does not exist. A task whose start was refused by an executor that is left out starts elsewhere without a pause.

--- a/src/executor.h
+++ b/src/executor.h
@@ -143,7 +143,10 @@
     std::int64_t leaseUntilMs = 0;  // Start, RenewLeases: lease end on the executor's clock; 0: no extension
     std::uint64_t observed = 0;     // RenewLeases: acknowledges the ends up to this number, which are in the store
     Duration wait{0};               // RenewLeases: longest time that the executor delays its report to await an end
-    int percent = 0;                // Pace: percentage of full speed
+    /// RenewLeases: the poll is sent beside the regular one, which may wait for an end, to settle starts and stops. It
+    /// renews no lease and acknowledges nothing.
+    bool settles = false;
+    int percent = 0;  // Pace: percentage of full speed
     Duration timeout{0};
 };
 
--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -441,9 +441,9 @@
                 if (command.kind != CommandKind::RenewLeases) {
                     m_scheduler.answered(command, result, clockMs, now);
                 } else if (report != nullptr) {
-                    m_scheduler.reported(command.executor, *report, sentAt, now);
+                    m_scheduler.reported(command.executor, *report, sentAt, now, command.settles);
                 } else {
-                    m_scheduler.reportPollFailed(command.executor, result, now);
+                    m_scheduler.reportPollFailed(command.executor, result, now, command.settles);
                 }
                 schedulePass();
             }));
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -565,7 +565,9 @@
         executor.durableEnd = 0;
         executor.sentAcknowledgement = 0;
         executor.acknowledgedEnd = 0;
+        executor.reportClockMs = 0;
     }
+    executor.settleAt = nextSettlement(executor);
     executor.adopted = false;  // the next report gives the executor's clock and runs anew
     executor.clockReadAt = {};
     executor.leasesEndBy = now + m_settings.lease + m_settings.lease / 10;
@@ -621,14 +623,15 @@
     }
 }
 
-void Scheduler::reported(const std::string &id, const ExecutorReport &report, TimePoint sentAt, TimePoint now)
+void Scheduler::reported(const std::string &id, const ExecutorReport &report, TimePoint sentAt, TimePoint now,
+                         bool settles)
 {
     const auto found = m_executors.find(id);
     if (found == m_executors.end()) {
         return;
     }
     Executor &executor = found->second;
-    executor.reportPollPending = false;
+    (settles ? executor.settlePollPending : executor.reportPollPending) = false;
     if (executor.record.startedMs != 0 && report.startedMs != executor.record.startedMs) {
         if (report.startedMs < executor.record.startedMs) {
             return;  // the report is from a previous incarnation
@@ -639,8 +642,17 @@
     if (report.endsIncomplete && !executor.endsIncomplete) {
         logDecision("ends-incomplete", {}, "executor=" + id + " ended=" + std::to_string(report.ended.size()));
     }
+    if (!settles) {
+        executor.acknowledgedEnd = std::max(executor.acknowledgedEnd, executor.sentAcknowledgement);
+    }
+    if (sentAt < executor.lastReport && report.clockMs <= executor.reportClockMs) {
+        // The answers of the regular poll and of one that settles have overtaken each other: a newer report was
+        // handled.
+        executor.nextReportPoll = std::min(executor.nextReportPoll, now);
+        return;
+    }
+    executor.reportClockMs = report.clockMs;
     executor.endsIncomplete = report.endsIncomplete;
-    executor.acknowledgedEnd = std::max(executor.acknowledgedEnd, executor.sentAcknowledgement);
     executor.lastReport = now;
     executor.clockMs = report.clockMs;
     executor.clockReadAt = now;
@@ -648,6 +660,9 @@
     if (isNew) {
         executor.adopted = true;
         executor.adoptedAt = now;
+        if (executor.answerTime == Duration{0}) {
+            executor.answerTime = now - sentAt;  // the first report poll does not wait for an end
+        }
         executor.usableFrom = now + (m_predecessorRunsPossible ? m_settings.stopTime : Duration{0});
         m_placementNeeded = true;
         // Leases that a previous owner granted end no later than a lease that is granted now.
@@ -691,6 +706,9 @@
             run.checkpoint = row.checkpoint;
         }
         if (run.state == RunState::Unconfirmed || run.state == RunState::Starting) {
+            if (run.state == RunState::Unconfirmed || run.sends > 1) {  // its answers take longer than was expected
+                executor.answerTime = std::min(startTimeout(executor) / 2, m_settings.commandTimeout);
+            }
             run.state = RunState::Running;
             run.confirmedAt = now;
             if (const auto job = m_jobs.find(run.task.job); job != m_jobs.end()) {
@@ -712,6 +730,7 @@
             break;
         case RunState::Unconfirmed:
             if (run.sentAt < sentAt) {
+                recordOutcome(executor, false, now);
                 stopRun(executor, name, run, now, "start-unanswered");
             }
             break;
@@ -747,17 +766,26 @@
             }
         }
     }
-    executor.nextReportPoll = now + (report.ended.empty() ? Duration{0} : m_settings.reportBatchDelay);
+    if (!settles) {
+        executor.nextReportPoll = now + (report.ended.empty() ? Duration{0} : m_settings.reportBatchDelay);
+    }
+    executor.settleAt = nextSettlement(executor);
     adjustPace(executor, now);
 }
 
-void Scheduler::reportPollFailed(const std::string &id, CommandResult result, TimePoint now)
+void Scheduler::reportPollFailed(const std::string &id, CommandResult result, TimePoint now, bool settles)
 {
     const auto found = m_executors.find(id);
     if (found == m_executors.end()) {
         return;
     }
     Executor &executor = found->second;
+    if (settles) {
+        executor.settlePollPending = false;
+        executor.settleAt = std::max(nextSettlement(executor), now + StartRetryPause);
+        m_deposed = m_deposed || result == CommandResult::Fenced;
+        return;
+    }
     executor.reportPollPending = false;
     executor.nextReportPoll = now + StartRetryPause;
     executor.sentAcknowledgement = 0;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -42,7 +42,11 @@
     Duration overduePollTimeout{600'000};
     // Within this time after its last report an executor cannot have crashed, restarted and ended a new run.
     Duration freshReportAge{300'000};
-    Duration commandTimeout{800'000};  // time-out of starts, stops and pace commands
+    Duration commandTimeout{800'000};  // time-out of stops and pace commands, and longest time-out of starts
+    /// Shortest time-out of a start. A start is sent again after its time-out, which does no harm: an executor carries
+    /// out a run number once. Executors that answer slowly get a longer time-out, see startTimeout().
+    Duration minStartTimeout{150'000};
+    int maxStartSends = 3;  // after this many sends without an answer a start is settled by a report and a stop
     // An executor with runs whose last report is older than this gets no new work and no lease extensions. The time
     // allows for one lost report and its repetition.
     Duration silentAfter{1'900'000};
@@ -74,8 +78,8 @@
 enum class RunState {
     Reserved,  // long-running task: the start is sent once the executor is recorded in the store
     Starting,  // the start was sent
-    /// The start was not answered, or the executor restarted before a report listed the run. The next report shows
-    /// whether the run exists.
+    /// None of the sends of the start was answered, or the executor restarted before a report listed the run. The next
+    /// report shows whether the run exists.
     Unconfirmed,
     Running,
     Stopping,  // a stop was sent
@@ -96,7 +100,8 @@
     int pacePercent = 100;         // percentage of full speed that was last commanded
     double load = 0;               // see RunningReport
     std::string checkpoint;
-    TimePoint sentAt;       // time at which the start was sent or the reported run was adopted
+    int sends = 0;          // number of times that the start was sent
+    TimePoint sentAt;       // time at which the start was last sent or the reported run was adopted
     TimePoint confirmedAt;  // time of the answer to the start, or of the first report that lists the run
     TimePoint stopSentAt;
     TimePoint stopAnsweredAt;  // time at which the executor accepted the stop; default value: not yet
@@ -191,10 +196,15 @@
     std::uint64_t acknowledgedEnd = 0;      // highest number of an end whose acknowledgement was answered
     bool reportPollPending = false;
     TimePoint nextReportPoll;
-    std::int64_t clockMs = 0;  // executor's clock at clockReadAt
-    TimePoint clockReadAt;     // default value: the clock was not read
-    TimePoint leasesEndBy;     // all runs on the executor have ended by then unless their leases are renewed
-    double failureScore = 0;   // decaying mean of the outcomes: 0 all good, 1 all failed
+    bool settlePollPending = false;         // see ExecutorCommand::settles
+    TimePoint settleAt = TimePoint::max();  // time from which a report can settle a start or a stop
+    std::int64_t reportClockMs = 0;         // executor's clock in the last report that was handled
+    Duration answerTime{0};                 // decaying mean of the time that it takes to answer a start
+    bool startsInDoubt = false;             // as of the last placement pass: a start was not answered at its first send
+    std::int64_t clockMs = 0;               // executor's clock at clockReadAt
+    TimePoint clockReadAt;                  // default value: the clock was not read
+    TimePoint leasesEndBy;    // all runs on the executor have ended by then unless their leases are renewed
+    double failureScore = 0;  // decaying mean of the outcomes: 0 all good, 1 all failed
     Resources used;
     int runsOfUnknownSize = 0;        // runs whose resources are not counted in `used`
     std::map<std::string, Run> runs;  // by task name
@@ -240,6 +250,8 @@
     std::uint64_t late = 0;      // jobs that completed or failed after their latency objective
     std::uint64_t requeued = 0;  // runs that ended or were lost before their task was done
     std::uint64_t refusedStarts = 0;
+    std::uint64_t repeatedStarts = 0;    // sends of starts whose earlier send was not answered
+    std::uint64_t unansweredStarts = 0;  // starts that no send was answered of
 };
 
 /// Gap that a new owner leaves in the run numbers of a task without recorded progress, so that its first run number is
@@ -290,8 +302,10 @@
     std::vector<std::string> vacated() const;
 
     // Results of calls
-    void reported(const std::string &executor, const ExecutorReport &report, TimePoint sentAt, TimePoint now);
-    void reportPollFailed(const std::string &executor, CommandResult result, TimePoint now);
+    /// `settles`: see ExecutorCommand::settles.
+    void reported(const std::string &executor, const ExecutorReport &report, TimePoint sentAt, TimePoint now,
+                  bool settles = false);
+    void reportPollFailed(const std::string &executor, CommandResult result, TimePoint now, bool settles = false);
     void answered(const ExecutorCommand &command, CommandResult result, std::int64_t clockMs, TimePoint now);
     void committed(std::uint64_t generation, TimePoint now);  // the store has carried out the batch
     /// `advice` is null when the call was refused or not answered.
@@ -384,6 +398,12 @@
     bool mayCommand(TimePoint now) const;
     bool leasesOver(const Executor &executor, TimePoint now) const;
     void pollReportIfDue(Executor &executor, TimePoint now);
+    void pollToSettle(Executor &executor, TimePoint now);
+    TimePoint nextSettlement(const Executor &executor) const;
+    Duration startTimeout(const Executor &executor) const;
+    bool mayRepeatStart(const Run &run, const Executor &executor, TimePoint now) const;
+    void startUnanswered(const std::string &name, Run &run, Executor &executor, TimePoint now);
+    void leaveToReport(Run &run, Executor &executor, TimePoint now);
     void repeatStops(Executor &executor, TimePoint now);
     void vacate(Executor &executor, TimePoint now);
     void adjustPace(Executor &executor, TimePoint now);
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -41,6 +41,7 @@
         if (result == CommandResult::Done) {
             run.stopAnsweredAt = now;
             executor.nextReportPoll = std::min(executor.nextReportPoll, now);
+            executor.settleAt = std::min(executor.settleAt, now + m_settings.stopTime + m_settings.leaseExpiryMargin);
         }
         return;
     }
@@ -48,8 +49,12 @@
         return;
     }
     const TaskName name = run.task;
+    // An earlier send of the start may still be carried out, so a refusal of a later one does not rule the run out.
+    const bool mayStillStart = run.sends > 1;
     switch (result) {
     case CommandResult::Done:
+        executor.answerTime = executor.answerTime == Duration{0} ? now - run.sentAt
+                                                                 : (executor.answerTime * 3 + (now - run.sentAt)) / 4;
         run.state = RunState::Running;
         run.confirmedAt = now;
         if (const auto job = m_jobs.find(name.job); job != m_jobs.end()) {
@@ -57,13 +62,10 @@
         }
         return;
     case CommandResult::Unanswered:
-        run.state = RunState::Unconfirmed;
-        executor.nextReportPoll = std::min(executor.nextReportPoll, now);
-        recordOutcome(executor, false, now);
-        logDecision("start-unanswered", name.job, "task=" + command.task + " executor=" + command.executor);
+        startUnanswered(command.task, run, executor, now);
         return;
     case CommandResult::Superseded:
-        if (Task *task = findTask(name); task != nullptr) {
+        if (Task *task = findTask(name); task != nullptr && !mayStillStart) {
             task->run += TakeoverRunGap;
         }
         break;
@@ -86,17 +88,99 @@
     }
     ++m_counts.refusedStarts;
     logDecision("start-refused", name.job,
-                "task=" + command.task + " executor=" + command.executor + " reason=" + std::string(toString(result)));
+                "task=" + command.task + " executor=" + command.executor + " reason=" + std::string(toString(result))
+                    + " sends=" + std::to_string(run.sends));
+    if (mayStillStart) {
+        leaveToReport(run, executor, now);
+        return;
+    }
     removeRun(executor, item);
     Job *job = nullptr;
     if (Task *task = findTask(name, &job); task != nullptr && task->executor == command.executor) {
-        requeue(name, now + StartRetryPause);
+        // After these results the executor gets no task for now, so that the task can start elsewhere at once.
+        const bool goesElsewhere = result == CommandResult::Unhealthy || result == CommandResult::Unreachable
+            || result == CommandResult::Replaced || result == CommandResult::Late;
+        requeue(name, goesElsewhere ? now : now + StartRetryPause);
         if (job->spec.steps[static_cast<std::size_t>(name.step)].gang) {
             stopOtherGangMembers(*job, name, now);
         }
     }
 }
 
+/// Time-out of a start: a few times the executor's usual answer time.
+Duration Scheduler::startTimeout(const Executor &executor) const
+{
+    return std::clamp(executor.answerTime * 4, m_settings.minStartTimeout, m_settings.commandTimeout);
+}
+
+bool Scheduler::mayRepeatStart(const Run &run, const Executor &executor, TimePoint now) const
+{
+    const auto job = m_jobs.find(run.task.job);
+    if (job == m_jobs.end() || isFinal(job->second->state) || run.obsolete || run.sends >= m_settings.maxStartSends) {
+        return false;
+    }
+    const bool hasTicket = !job->second->spec.advice.required
+        || !ticketFor(*job->second, run.task.occurrence, run.task.step, executor, now).empty();
+    return mayCommand(now) && hasTicket && executor.listed && executor.adopted && !executor.record.draining
+        && !executor.vacating;
+}
+
+/// Sends the same start again. The executor carries out each run number at most once, so the answer settles the start
+/// whether or not the executor has received the earlier send. Without an answer to any send a report settles it.
+void Scheduler::startUnanswered(const std::string &name, Run &run, Executor &executor, TimePoint now)
+{
+    executor.answerTime = std::min(executor.answerTime * 2, m_settings.commandTimeout);
+    if (mayRepeatStart(run, executor, now)) {
+        sendStart(*m_jobs.at(run.task.job), name, run, executor, now);
+        return;
+    }
+    ++m_counts.unansweredStarts;
+    logDecision("start-unanswered", run.task.job,
+                "task=" + name + " executor=" + executor.record.id + " sends=" + std::to_string(run.sends));
+    leaveToReport(run, executor, now);
+}
+
+/// Lets the next report show whether the run exists.
+void Scheduler::leaveToReport(Run &run, Executor &executor, TimePoint now)
+{
+    run.state = RunState::Unconfirmed;
+    executor.nextReportPoll = std::min(executor.nextReportPoll, now);
+    executor.settleAt = std::min(executor.settleAt, now);
+}
+
+/// Earliest time from which a report can settle a start or a stop on the executor. An executor lists no run that it is
+/// stopping. If it has not listed the end within stopTime and leaseExpiryMargin after its answer to the stop, it never
+/// had the run.
+TimePoint Scheduler::nextSettlement(const Executor &executor) const
+{
+    TimePoint next = TimePoint::max();
+    for (const auto &[name, run] : executor.runs) {
+        if (run.state == RunState::Unconfirmed) {
+            next = std::min(next, run.sentAt);
+        } else if (run.state == RunState::Stopping && run.stopAnsweredAt != TimePoint{}) {
+            next = std::min(next, run.stopAnsweredAt + m_settings.stopTime + m_settings.leaseExpiryMargin);
+        }
+    }
+    return next;
+}
+
+/// Asks for a report at once while the regular poll may wait for an end.
+void Scheduler::pollToSettle(Executor &executor, TimePoint now)
+{
+    if (!executor.reportPollPending || executor.settlePollPending || executor.settleAt >= now) {
+        return;
+    }
+    executor.settleAt = TimePoint::max();
+    executor.settlePollPending = true;
+    ExecutorCommand command;
+    command.kind = CommandKind::RenewLeases;
+    command.executor = executor.record.id;
+    command.fencingToken = m_fencingToken;
+    command.settles = true;
+    command.timeout = m_settings.overduePollTimeout;
+    m_commands.push_back(std::move(command));
+}
+
 void Scheduler::pollReportIfDue(Executor &executor, TimePoint now)
 {
     const bool needed = !executor.adopted || !executor.runs.empty() || executor.durableEnd != executor.acknowledgedEnd
@@ -280,6 +364,7 @@
         }
         if (!m_deposed) {
             pollReportIfDue(executor, now);
+            pollToSettle(executor, now);
         }
     }
     if ((m_placementNeeded || now >= m_nextPlacementAt) && mayCommand(now)) {
@@ -532,6 +617,9 @@
         if (needed && !executor.reportPollPending) {
             wakeAt(std::max(executor.nextReportPoll, now));
         }
+        if (executor.reportPollPending && !executor.settlePollPending && executor.settleAt != TimePoint::max()) {
+            wakeAt(std::max(executor.settleAt + Duration{1}, now));
+        }
     }
     if (m_dirtySince != TimePoint{}) {
         wakeAt(m_dirtySince + m_settings.commitBatchDelay);
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -115,6 +115,12 @@
             < std::tuple(right.objectiveStatus, right.job->spec.priority, right.cost, right.job->spec.id);
     });
     m_unmetDemands.clear();
+    for (auto &[id, executor] : m_executors) {
+        executor.startsInDoubt = std::any_of(executor.runs.begin(), executor.runs.end(), [](const auto &item) {
+            const Run &run = item.second;
+            return run.state == RunState::Unconfirmed || (run.state == RunState::Starting && run.sends > 1);
+        });
+    }
     for (const Candidate &candidate : candidates) {
         for (auto &[number, occurrence] : candidate.job->occurrences) {
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
@@ -242,7 +248,7 @@
 {
     return executor.listed && executor.adopted && !executor.record.draining && !executor.vacating
         && executor.ejectedUntil <= now && executor.usableFrom <= now && executor.adoptedAt < m_ownershipProvenAt
-        && executor.runsOfUnknownSize == 0
+        && executor.runsOfUnknownSize == 0 && !executor.startsInDoubt
         && (executor.runs.empty() || now - executor.silentSince() < m_settings.silentAfter);
 }
 
@@ -376,7 +382,9 @@
     const Task *task = findTask(run.task);
     run.state = RunState::Starting;
     run.sentAt = now;
+    ++run.sends;
     ExecutorCommand command = commandFor(executor, CommandKind::Start, name, run.run);
+    command.timeout = startTimeout(executor);
     command.payload = job.spec.payload;
     command.checkpoint = step.checkpointing ? task->checkpoint : std::string();
     if (job.spec.advice.required) {
@@ -384,11 +392,11 @@
     }
     command.leaseUntilMs = leaseUntil(executor, now);
     extendLease(executor, command.leaseUntilMs);
-    if (executor.runs.size() == 1) {
+    if (executor.runs.size() == 1 && run.sends == 1) {
         executor.busySince = now;
     }
     executor.nextReportPoll = std::min(executor.nextReportPoll, now + m_settings.reportBatchDelay);
-    ++m_counts.starts;
+    ++(run.sends == 1 ? m_counts.starts : m_counts.repeatedStarts);
     m_commands.push_back(std::move(command));
 }
 
