Leave an executor out by what its starts and runs show, and probe it before its full load

Five failures in a row ejected an executor for 4 s, whether they came from it or from one job whose tasks fail wherever they run, and it returned with its full load. Now the failures of one job count once, and none that follows a failure of the job on another executor. An ejected executor returns with one task, twice as many after each success, and each ejection within half a minute lasts twice as long as the one before. A refused start pauses the executor for 250 ms, longer with each refusal in a row, instead of 1 s. A second restart with runs within half a minute ejects. At most a third of the listed executors is ejected at the same time.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -405,6 +405,9 @@
         m_metrics.set("briarvane_share_stops_total", labels, static_cast<double>(counts.stops));
         m_metrics.set("briarvane_share_requeued_total", labels, static_cast<double>(counts.requeued));
         m_metrics.set("briarvane_share_refused_starts_total", labels, static_cast<double>(counts.refusedStarts));
+        m_metrics.set("briarvane_share_repeated_starts_total", labels, static_cast<double>(counts.repeatedStarts));
+        m_metrics.set("briarvane_share_unanswered_starts_total", labels, static_cast<double>(counts.unansweredStarts));
+        m_metrics.set("briarvane_share_ejections_total", labels, static_cast<double>(counts.ejections));
         m_metrics.set("briarvane_share_open_jobs", labels, static_cast<double>(owner->scheduler().openJobs()));
     }
     return formatExposition(m_metrics.list());
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -7,14 +7,6 @@
 namespace briarvane
 {
 
-namespace
-{
-
-constexpr double FailureDecay = 0.8;   // per outcome, so that about the last five outcomes determine the score
-constexpr double FailureLimit = 0.66;  // three failures in a row from a clean record reach 0.49, five 0.67
-
-}
-
 Scheduler::Scheduler(SchedulerSettings settings, std::string service, std::uint64_t fencingToken,
                      PredecessorLimits predecessorLimits)
     : m_settings(settings)
@@ -264,14 +256,14 @@
     m_dirtyJobs.insert(job->spec.id);
     markStarted(*job, now);
     if (end.how == RunEnd::Done && !step.longRunning) {
-        recordOutcome(executor, true, now);
+        recordSuccess(executor, now);
         completeTask(*job, *name, *task, now);
         return;
     }
     const bool alreadyCounted
         = std::find(task->failedRuns.begin(), task->failedRuns.end(), end.run) != task->failedRuns.end();
     if (end.how == RunEnd::Failed && !alreadyCounted && !task->done) {
-        recordOutcome(executor, false, now);
+        recordFailure(executor, job->spec.id, now);
         logDecision("task-failed", job->spec.id,
                     "task=" + end.task + " run=" + std::to_string(end.run) + " executor=" + executor.record.id
                         + " failures=" + std::to_string(task->failedRuns.size() + 1));
@@ -425,6 +417,7 @@
         auto [item, isNew] = m_executors.try_emplace(record.id);
         Executor &executor = item->second;
         if (isNew) {
+            executor.health = ExecutorHealth(m_settings.health);
             executor.listedSince = now;
             executor.nextReportPoll = now;
             m_placementNeeded = true;
@@ -451,6 +444,7 @@
     if (isNew) {
         item->second.record = record;
         item->second.record.startedMs = 0;
+        item->second.health = ExecutorHealth(m_settings.health);
         item->second.nextReportPoll = now;
     }
     if (!item->second.adopted) {
@@ -529,6 +523,9 @@
                     "executor=" + executor.record.id + " runs=" + std::to_string(executor.runs.size())
                         + " why=" + std::string(why));
     }
+    if (restarted && !executor.runs.empty() && executor.health.lostRuns(now)) {
+        eject(executor, {}, "restarts", now);
+    }
     std::vector<std::string> lost;
     for (auto &[name, run] : executor.runs) {
         if (restarted && !run.reportedRunning && run.state != RunState::Reserved) {
@@ -574,13 +571,46 @@
     executor.nextReportPoll = std::min(executor.nextReportPoll, now);
 }
 
-void Scheduler::recordOutcome(Executor &executor, bool good, TimePoint now)
+void Scheduler::recordFailure(Executor &executor, const std::string &job, TimePoint now)
 {
-    executor.failureScore = executor.failureScore * FailureDecay + (good ? 0 : 1 - FailureDecay);
-    if (executor.failureScore > FailureLimit && executor.ejectedUntil <= now) {
-        executor.ejectedUntil = now + m_settings.ejectionTime;
-        executor.failureScore = FailureLimit * FailureDecay;  // two further failures in a row eject it again
-        logDecision("executor-ejected", {}, "executor=" + executor.record.id);
+    if (const auto found = m_jobs.find(job); found != m_jobs.end()) {
+        std::string &failedOn = found->second->failedOn;
+        if (!failedOn.empty() && failedOn != executor.record.id) {
+            return;  // the job fails on several executors, so the fault is likely its own
+        }
+        failedOn = executor.record.id;
+    }
+    if (executor.health.failed(job, now)) {
+        eject(executor, job, "failures", now);
+    }
+}
+
+void Scheduler::eject(Executor &executor, const std::string &job, std::string_view why, TimePoint now)
+{
+    int listed = 0;
+    int ejected = 0;
+    for (const auto &[id, other] : m_executors) {
+        listed += other.listed ? 1 : 0;
+        ejected += other.listed && other.health.ejected(now) ? 1 : 0;
+    }
+    if (ejected >= std::max(1, static_cast<int>(m_settings.maxEjectedShare * listed)) || executor.health.ejected(now)) {
+        return;
+    }
+    executor.health.eject(now);
+    ++m_counts.ejections;
+    logDecision("executor-ejected", job,
+                "executor=" + executor.record.id + " why=" + std::string(why)
+                    + " for_ms=" + std::to_string(executor.health.lastEjection().count() / 1000)
+                    + " ejected=" + std::to_string(ejected + 1) + " listed=" + std::to_string(listed));
+}
+
+void Scheduler::recordSuccess(Executor &executor, TimePoint now)
+{
+    const bool wasProbing = executor.health.probing(now);
+    executor.health.succeeded(now);
+    if (wasProbing && !executor.health.probing(now)) {
+        logDecision("executor-returned", {}, "executor=" + executor.record.id);
+        m_placementNeeded = true;
     }
 }
 
@@ -730,7 +760,7 @@
             break;
         case RunState::Unconfirmed:
             if (run.sentAt < sentAt) {
-                recordOutcome(executor, false, now);
+                recordFailure(executor, run.task.job, now);
                 stopRun(executor, name, run, now, "start-unanswered");
             }
             break;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -11,6 +11,7 @@
 // [4] The scheduler
 
 #include "executor.h"
+#include "executor_health.h"
 #include "pool_planner.h"
 
 #include <algorithm>
@@ -56,9 +57,10 @@
     Duration vacateGracePeriod{2'500'000};
     Duration placementInterval{100'000};    // time between placement passes while tasks wait and no event occurs
     Duration housekeepingInterval{40'000};  // time between checks for stops to repeat and tasks to vacate
-    /// An executor gets no work for this time after repeated failed runs or unanswered starts, and after a start was
-    /// refused with CommandResult::Replaced. After Unhealthy or Unreachable the time is a quarter of this.
-    Duration ejectionTime{4'000'000};
+    HealthSettings health;
+    /// No executor gets its work withdrawn while so large a share of the listed ones is already ejected: then the
+    /// failures are hardly theirs, and their room is needed. At least one executor may be ejected.
+    double maxEjectedShare = 1.0 / 3;
     Duration commitBatchDelay{40'000};    // time over which changes to jobs are collected into one commit
     double clockSlowdown = 0.02;          // largest fraction by which an executor's clock may run slow
     Duration leaseExpiryMargin{300'000};  // added to the computed time by which a lease has ended
@@ -166,6 +168,7 @@
     TimePoint acceptedAt;
     TimePoint firstDue;            // due time of the first occurrence of a scheduled job
     Duration latencyObjective{0};  // counted from the acceptance, or from the due time of a scheduled occurrence
+    std::string failedOn;          // executor on which a task of the job failed first
     bool misfitLogged = false;     // the log already says that no registered executor has the required size and label
 };
 
@@ -180,7 +183,7 @@
     TimePoint busySince;  // time of the last start that was sent while the executor had no other runs
     TimePoint adoptedAt;
     TimePoint listedSince;
-    TimePoint ejectedUntil;
+    ExecutorHealth health;
     TimePoint usableFrom;  // runs that a previous owner stopped may occupy resources until then, without being reported
     /// An executor without runs is not polled, so its silence counts from its first start at the earliest.
     TimePoint silentSince() const
@@ -200,11 +203,10 @@
     TimePoint settleAt = TimePoint::max();  // time from which a report can settle a start or a stop
     std::int64_t reportClockMs = 0;         // executor's clock in the last report that was handled
     Duration answerTime{0};                 // decaying mean of the time that it takes to answer a start
-    bool startsInDoubt = false;             // as of the last placement pass: a start was not answered at its first send
+    int startsAllowed = 0;                  // number of starts that the present placement pass may still send
     std::int64_t clockMs = 0;               // executor's clock at clockReadAt
     TimePoint clockReadAt;                  // default value: the clock was not read
-    TimePoint leasesEndBy;    // all runs on the executor have ended by then unless their leases are renewed
-    double failureScore = 0;  // decaying mean of the outcomes: 0 all good, 1 all failed
+    TimePoint leasesEndBy;  // all runs on the executor have ended by then unless their leases are renewed
     Resources used;
     int runsOfUnknownSize = 0;        // runs whose resources are not counted in `used`
     std::map<std::string, Run> runs;  // by task name
@@ -250,7 +252,8 @@
     std::uint64_t late = 0;      // jobs that completed or failed after their latency objective
     std::uint64_t requeued = 0;  // runs that ended or were lost before their task was done
     std::uint64_t refusedStarts = 0;
-    std::uint64_t repeatedStarts = 0;    // sends of starts whose earlier send was not answered
+    std::uint64_t repeatedStarts = 0;  // sends of starts whose earlier send was not answered
+    std::uint64_t ejections = 0;
     std::uint64_t unansweredStarts = 0;  // starts that no send was answered of
 };
 
@@ -391,7 +394,10 @@
     void eraseIfFinished(const std::string &id);
     void discardTicket(const TaskName &name, const std::string &executor);
     void discardRuns(Executor &executor, TimePoint now, std::string_view why, bool restarted = false);
-    void recordOutcome(Executor &executor, bool good, TimePoint now);
+    void recordFailure(Executor &executor, const std::string &job, TimePoint now);
+    void eject(Executor &executor, const std::string &job, std::string_view why, TimePoint now);
+    void recordSuccess(Executor &executor, TimePoint now);
+    int startsAllowed(const Executor &executor, TimePoint now) const;
     void adopt(Executor &executor, const RunningReport &row, TimePoint now);
     std::int64_t leaseUntil(const Executor &executor, TimePoint now) const;
     void extendLease(Executor &executor, std::int64_t untilMs);
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -53,6 +53,7 @@
     const bool mayStillStart = run.sends > 1;
     switch (result) {
     case CommandResult::Done:
+        executor.health.accepted();
         executor.answerTime = executor.answerTime == Duration{0} ? now - run.sentAt
                                                                  : (executor.answerTime * 3 + (now - run.sentAt)) / 4;
         run.state = RunState::Running;
@@ -71,14 +72,14 @@
         break;
     case CommandResult::Unhealthy:
     case CommandResult::Unreachable:
-        executor.ejectedUntil = std::max(executor.ejectedUntil, now + m_settings.ejectionTime / 4);
+        executor.health.refused(run.sentAt, result == CommandResult::Unreachable, now);
         break;
     case CommandResult::Late:
         executor.adopted = false;  // the executor's clock is ahead of the computed one and has to be read again
         executor.nextReportPoll = now;
         break;
     case CommandResult::Replaced:
-        executor.ejectedUntil = std::max(executor.ejectedUntil, now + m_settings.ejectionTime);
+        executor.health.pauseUntil(now + m_settings.health.ejection);  // the list soon shows the new incarnation
         break;
     case CommandResult::NoTicket:
         discardTicket(name, command.executor);
@@ -575,6 +576,7 @@
     int listed = 0;
     int adopted = 0;
     int ejected = 0;
+    int probing = 0;
     int vacating = 0;
     int silent = 0;
     std::size_t runs = 0;
@@ -583,7 +585,8 @@
     for (const auto &[id, executor] : m_executors) {
         listed += executor.listed ? 1 : 0;
         adopted += executor.adopted ? 1 : 0;
-        ejected += executor.ejectedUntil > now ? 1 : 0;
+        ejected += executor.health.ejected(now) ? 1 : 0;
+        probing += executor.health.probing(now) ? 1 : 0;
         vacating += executor.vacating || executor.record.draining ? 1 : 0;
         silent += !executor.runs.empty() && now - executor.silentSince() >= m_settings.silentAfter ? 1 : 0;
         runs += executor.runs.size();
@@ -597,9 +600,9 @@
         waiting += job->state == JobState::Pending ? 1 : 0;
     }
     return "jobs=" + std::to_string(m_jobs.size()) + " waiting=" + std::to_string(waiting)
-        + " runs=" + std::to_string(runs) + " executors=" + std::to_string(m_executors.size())
-        + " listed=" + std::to_string(listed) + " adopted=" + std::to_string(adopted)
-        + " ejected=" + std::to_string(ejected) + " leaving=" + std::to_string(vacating)
+        + " runs=" + std::to_string(runs) + " executors=" + std::to_string(m_executors.size()) + " listed="
+        + std::to_string(listed) + " adopted=" + std::to_string(adopted) + " ejected=" + std::to_string(ejected)
+        + " probing=" + std::to_string(probing) + " leaving=" + std::to_string(vacating)
         + " silent=" + std::to_string(silent) + " dark=" + std::to_string(m_unreportedExecutors.size())
         + " used_cores=" + std::to_string(used.milliCores / 1000) + "/" + std::to_string(capacity.milliCores / 1000)
         + " used_gb=" + std::to_string(used.memoryMb / 1024) + "/" + std::to_string(capacity.memoryMb / 1024)
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -116,10 +116,7 @@
     });
     m_unmetDemands.clear();
     for (auto &[id, executor] : m_executors) {
-        executor.startsInDoubt = std::any_of(executor.runs.begin(), executor.runs.end(), [](const auto &item) {
-            const Run &run = item.second;
-            return run.state == RunState::Unconfirmed || (run.state == RunState::Starting && run.sends > 1);
-        });
+        executor.startsAllowed = startsAllowed(executor, now);
     }
     for (const Candidate &candidate : candidates) {
         for (auto &[number, occurrence] : candidate.job->occurrences) {
@@ -217,11 +214,13 @@
         if (executor == nullptr) {
             break;
         }
+        --executor->startsAllowed;
         executor->used += spec.each;  // reserved while executors for the other members are chosen
         tasks[static_cast<std::size_t>(index)].executor = executor->record.id;
         chosen.push_back(executor);
     }
     for (std::size_t i = 0; i < chosen.size(); ++i) {
+        ++chosen[i]->startsAllowed;
         chosen[i]->used -= spec.each;
         tasks[static_cast<std::size_t>(waiting[i])].executor.clear();
     }
@@ -244,11 +243,26 @@
     return true;
 }
 
+/// Number of starts that a placement pass may send to the executor. None while the answer to a start is overdue.
+int Scheduler::startsAllowed(const Executor &executor, TimePoint now) const
+{
+    const int allowed = executor.health.allowedStarts(now);
+    const TimePoint countedFrom = executor.health.startsCountedFrom();
+    int started = 0;
+    for (const auto &[name, run] : executor.runs) {
+        if (run.state == RunState::Unconfirmed || (run.state == RunState::Starting && run.sends > 1)) {
+            return 0;
+        }
+        started += run.sentAt >= countedFrom ? 1 : 0;
+    }
+    return allowed == ExecutorHealth::Unlimited ? allowed : allowed - started;
+}
+
 bool Scheduler::acceptsWork(const Executor &executor, TimePoint now) const
 {
     return executor.listed && executor.adopted && !executor.record.draining && !executor.vacating
-        && executor.ejectedUntil <= now && executor.usableFrom <= now && executor.adoptedAt < m_ownershipProvenAt
-        && executor.runsOfUnknownSize == 0 && !executor.startsInDoubt
+        && executor.startsAllowed > 0 && executor.usableFrom <= now && executor.adoptedAt < m_ownershipProvenAt
+        && executor.runsOfUnknownSize == 0
         && (executor.runs.empty() || now - executor.silentSince() < m_settings.silentAfter);
 }
 
@@ -323,7 +337,7 @@
         // the pool. Above it they are spread, because tasks use more than they declare.
         constexpr double packUpTo = 0.75;
         double score = shareAfter <= packUpTo && !spec.longRunning ? packUpTo - shareAfter : usedShare;
-        score += executor.failureScore;
+        score += executor.health.failureScore();
         if (!spec.dataRack.empty() && executor.record.rack != spec.dataRack) {
             score += 4;  // a task takes several times as long on a rack without its data
         }
@@ -364,6 +378,7 @@
     run.task = name;
     run.allocated = requestedResources(step);
     executor.used += run.allocated;
+    --executor.startsAllowed;
     ++job.runs;
     const std::string text = formatTaskName(name);
     Run &added = executor.runs.insert_or_assign(text, std::move(run)).first->second;
--- a/tests/core_executor_calls.cpp
+++ b/tests/core_executor_calls.cpp
@@ -72,6 +72,7 @@
     }
 
     TimePoint now{10s};
+    std::map<std::string, int> ends;  // number of the last reported end by executor
     Scheduler scheduler{{}, "orders", 5, {TimePoint{}, TimePoint{}}};
 };
 
@@ -195,7 +196,7 @@
         fixture.report(executor, {{first[0].task, first[0].run, {}, 0, 0}});
         fixture.answer(second[0], CommandResult::Unanswered);
         CHECK(fixture.commandsOf(CommandKind::Start).empty());
-        CHECK(fixture.scheduler.executors().at(executor).failureScore == 0);
+        CHECK(fixture.scheduler.executors().at(executor).health.failureScore() == 0);
         CHECK(fixture.scheduler.counts().unansweredStarts == 0);
         fixture.submit("00000000000000bb", 1);
         const auto next = fixture.commandsOf(CommandKind::Start);
@@ -220,13 +221,13 @@
         {
             fixture.report(executor, {{first[0].task, first[0].run, {}, 0, 0}});
             CHECK(fixture.commandsOf(CommandKind::Stop).empty());
-            CHECK(fixture.scheduler.executors().at(executor).failureScore == 0);
+            CHECK(fixture.scheduler.executors().at(executor).health.failureScore() == 0);
         }
         SECTION("the run does not exist: it is ruled out by a stop, and that counts as a failure of the executor")
         {
             fixture.report(executor, {});
             CHECK(fixture.commandsOf(CommandKind::Stop).size() == 1);
-            CHECK(fixture.scheduler.executors().at(executor).failureScore > 0);
+            CHECK(fixture.scheduler.executors().at(executor).health.failureScore() > 0);
         }
     }
 }
@@ -252,3 +253,143 @@
     fixture.scheduler.reported(executor, older, olderSentAt, fixture.now, true);
     CHECK(fixture.scheduler.executors().at(executor).runs.empty());
 }
+
+TEST_CASE("An executor is left out by what its starts and runs show")
+{
+    // Guards against two errors: an executor that fails all it starts gets its full load again after each pause, and a
+    // large executor that is well is left out because of a few failures.
+    HealthSettings settings;
+    ExecutorHealth health(settings);
+    TimePoint now{10s};
+
+    SECTION("one failure among many successes costs nothing")
+    {
+        for (int i = 0; i < 40; ++i) {
+            if (i % 8 == 0) {
+                CHECK_FALSE(health.failed("job" + std::to_string(i), now));
+            }
+            health.succeeded(now);
+        }
+        CHECK(health.allowedStarts(now) == ExecutorHealth::Unlimited);
+    }
+    SECTION("a job whose tasks all fail counts once")
+    {
+        for (int i = 0; i < 20; ++i) {
+            CHECK_FALSE(health.failed("job", now));
+        }
+    }
+    SECTION("failures of several jobs in a row reach the limit; then one task probes the executor")
+    {
+        CHECK_FALSE(health.failed("a", now));
+        CHECK_FALSE(health.failed("b", now));
+        CHECK_FALSE(health.failed("c", now));
+        CHECK(health.failed("d", now));
+        health.eject(now);
+        CHECK(health.allowedStarts(now) == 0);
+        now += settings.ejection;
+        CHECK(health.allowedStarts(now) == 1);
+
+        SECTION("a failure of the probe leaves it out for twice the time")
+        {
+            CHECK(health.failed("e", now));
+            health.eject(now);
+            now += settings.ejection * 3 / 2;
+            CHECK(health.allowedStarts(now) == 0);
+            now += settings.ejection / 2;
+            CHECK(health.allowedStarts(now) == 1);
+        }
+        SECTION("successes bring its full load back in a few steps")
+        {
+            health.succeeded(now);
+            CHECK(health.allowedStarts(now) == 2);
+            for (int i = 0; i < 3; ++i) {
+                health.succeeded(now);
+            }
+            CHECK(health.allowedStarts(now) == ExecutorHealth::Unlimited);
+        }
+        SECTION("a probe that neither fails nor ends brings it back after as long a time")
+        {
+            now += settings.ejection;
+            CHECK(health.allowedStarts(now) == ExecutorHealth::Unlimited);
+        }
+    }
+    SECTION("refused starts that were sent together count once; refusals in a row lengthen the pause")
+    {
+        const TimePoint sentAt = now;
+        now += 5ms;
+        for (int i = 0; i < 10; ++i) {
+            health.refused(sentAt, false, now);
+        }
+        CHECK(health.allowedStarts(now) == 0);
+        now += settings.refusalPause;
+        CHECK(health.allowedStarts(now) == 1);
+        health.refused(now, false, now + 1ms);
+        CHECK(health.allowedStarts(now + settings.refusalPause + 2ms) == 0);
+        CHECK(health.allowedStarts(now + 2 * settings.refusalPause + 1ms) == 1);
+        health.accepted();
+        CHECK(health.allowedStarts(now + 2 * settings.refusalPause + 1ms) == ExecutorHealth::Unlimited);
+    }
+    SECTION("the second restart with runs within a short time counts, one alone does not")
+    {
+        CHECK_FALSE(health.lostRuns(now));
+        CHECK(health.lostRuns(now + 5s));
+        CHECK_FALSE(health.lostRuns(now + 5s + settings.ejectionMemory));
+    }
+}
+
+TEST_CASE("Ejections leave most executors in use")
+{
+    // Guards against this failure: jobs that fail everywhere made the scheduler leave out many executors at once, and
+    // the room for all other jobs was lost.
+    CallFixture fixture;
+    const auto failJobs = [&fixture](char first, int jobs) {
+        for (int i = 0; i < jobs; ++i) {
+            const std::string id(16, static_cast<char>(first + i));
+            fixture.submit(id, 1);
+            const auto starts = fixture.commandsOf(CommandKind::Start);
+            REQUIRE(starts.size() == 1);
+            fixture.answer(starts[0], CommandResult::Done);
+            fixture.now += 10ms;
+            fixture.report(starts[0].executor, {},
+                           {{static_cast<std::uint64_t>(++fixture.ends[starts[0].executor]),
+                             starts[0].task,
+                             starts[0].run,
+                             RunEnd::Failed,
+                             {}}});
+            fixture.scheduler.endJob(id, JobState::Cancelled, fixture.now);
+        }
+    };
+    failJobs('a', 12);
+    int usable = 0;
+    for (const auto &[id, executor] : fixture.scheduler.executors()) {
+        usable += executor.health.ejected(fixture.now) ? 0 : 1;
+    }
+    CHECK(fixture.scheduler.counts().ejections >= 1);
+    CHECK(usable == 1);
+}
+
+TEST_CASE("A job that fails on a second executor is no mark against that executor")
+{
+    CallFixture fixture;
+    fixture.submit("00000000000000aa", 1);
+    std::set<std::string> executors;
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        const auto starts = fixture.commandsOf(CommandKind::Start, 150ms);
+        REQUIRE(starts.size() == 1);
+        executors.insert(starts[0].executor);
+        fixture.answer(starts[0], CommandResult::Done);
+        fixture.now += 10ms;
+        fixture.report(starts[0].executor, {},
+                       {{static_cast<std::uint64_t>(++fixture.ends[starts[0].executor]),
+                         starts[0].task,
+                         starts[0].run,
+                         RunEnd::Failed,
+                         {}}});
+    }
+    CHECK(executors.size() == 2);
+    int marked = 0;
+    for (const auto &[id, executor] : fixture.scheduler.executors()) {
+        marked += executor.health.failureScore() > 0 ? 1 : 0;
+    }
+    CHECK(marked == 1);
+}
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -304,8 +304,8 @@
         for (const auto &[id, executor] : m_owner->scheduler.executors()) {
             all += id + " used " + std::to_string(executor.used.milliCores) + '/'
                 + std::to_string(executor.used.memoryMb) + " of " + std::to_string(executor.record.capacity.milliCores)
-                + " runs of unknown size " + std::to_string(executor.runsOfUnknownSize) + " ejected for "
-                + std::to_string((executor.ejectedUntil - m_now).count() / 1000) + " ms, reported "
+                + " runs of unknown size " + std::to_string(executor.runsOfUnknownSize) + " allowed starts "
+                + std::to_string(executor.health.allowedStarts(m_now)) + ", reported "
                 + std::to_string((m_now - executor.lastReport).count() / 1000) + " ms ago\n";
             for (const auto &[name, run] : executor.runs) {
                 all += "  " + name + " run " + std::to_string(run.run) + " state "
