--- a/src/executor.h
+++ b/src/executor.h
@@ -102,16 +102,17 @@
     NoRoom,
     NoTicket,  // the advice ticket is missing or has expired
     Malformed,
-    Unhealthy,   // the executor refused the command, which had no effect
-    Replaced,    // another incarnation serves the address
-    NotSent,     // no byte of the command was sent
-    Unanswered,  // the executor may still carry out the command
+    Unhealthy,    // the executor refused the command, which had no effect
+    Replaced,     // another incarnation serves the address
+    NotSent,      // no byte of the command was sent, because no connection was free in time
+    Unreachable,  // no byte of the command was sent, because no connection to the executor could be established
+    Unanswered,   // the executor may still carry out the command
 };
 
 template<>
 struct EnumNames<CommandResult>
 {
-    static constexpr std::array<EnumName<CommandResult>, 11> names = {{{CommandResult::Done, "done"},
+    static constexpr std::array<EnumName<CommandResult>, 12> names = {{{CommandResult::Done, "done"},
                                                                        {CommandResult::Fenced, "fenced"},
                                                                        {CommandResult::Superseded, "superseded"},
                                                                        {CommandResult::Late, "late"},
@@ -121,6 +122,7 @@
                                                                        {CommandResult::Unhealthy, "unhealthy"},
                                                                        {CommandResult::Replaced, "replaced"},
                                                                        {CommandResult::NotSent, "not-sent"},
+                                                                       {CommandResult::Unreachable, "unreachable"},
                                                                        {CommandResult::Unanswered, "unanswered"}}};
 };
 
@@ -141,7 +143,10 @@
     std::int64_t leaseUntilMs = 0;  // Start, RenewLeases: lease end on the executor's clock; 0: no extension
     std::uint64_t observed = 0;     // RenewLeases: acknowledges the ends up to this number, which are in the store
     Duration wait{0};               // RenewLeases: longest time that the executor delays its report to await an end
-    int percent = 0;                // Pace: percentage of full speed
+    /// RenewLeases: the poll is sent beside the regular one, which may wait for an end, to settle starts and stops. It
+    /// renews no lease and acknowledges nothing.
+    bool settles = false;
+    int percent = 0;  // Pace: percentage of full speed
     Duration timeout{0};
 };
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -11,6 +11,7 @@
 // [4] The scheduler
 
 #include "executor.h"
+#include "executor_health.h"
 #include "pool_planner.h"
 
 #include <algorithm>
@@ -42,7 +43,11 @@
     Duration overduePollTimeout{600'000};
     // Within this time after its last report an executor cannot have crashed, restarted and ended a new run.
     Duration freshReportAge{300'000};
-    Duration commandTimeout{800'000};  // time-out of starts, stops and pace commands
+    Duration commandTimeout{800'000};  // time-out of stops and pace commands, and longest time-out of starts
+    /// Shortest time-out of a start. A start is sent again after its time-out, which does no harm: an executor carries
+    /// out a run number once. Executors that answer slowly get a longer time-out, see startTimeout().
+    Duration minStartTimeout{150'000};
+    int maxStartSends = 3;  // after this many sends without an answer a start is settled by a report and a stop
     // An executor with runs whose last report is older than this gets no new work and no lease extensions. The time
     // allows for one lost report and its repetition.
     Duration silentAfter{1'900'000};
@@ -52,9 +57,10 @@
     Duration vacateGracePeriod{2'500'000};
     Duration placementInterval{100'000};    // time between placement passes while tasks wait and no event occurs
     Duration housekeepingInterval{40'000};  // time between checks for stops to repeat and tasks to vacate
-    /// An executor gets no work for this time after repeated failed runs or unanswered starts, and after a start was
-    /// refused with CommandResult::Replaced. After Unhealthy or NotSent the time is a quarter of this.
-    Duration ejectionTime{4'000'000};
+    HealthSettings health;
+    /// No executor gets its work withdrawn while so large a share of the listed ones is already ejected: then the
+    /// failures are hardly theirs, and their room is needed. At least one executor may be ejected.
+    double maxEjectedShare = 1.0 / 3;
     Duration commitBatchDelay{40'000};    // time over which changes to jobs are collected into one commit
     double clockSlowdown = 0.02;          // largest fraction by which an executor's clock may run slow
     Duration leaseExpiryMargin{300'000};  // added to the computed time by which a lease has ended
@@ -74,8 +80,8 @@
 enum class RunState {
     Reserved,  // long-running task: the start is sent once the executor is recorded in the store
     Starting,  // the start was sent
-    /// The start was not answered, or the executor restarted before a report listed the run. The next report shows
-    /// whether the run exists.
+    /// None of the sends of the start was answered, or the executor restarted before a report listed the run. The next
+    /// report shows whether the run exists.
     Unconfirmed,
     Running,
     Stopping,  // a stop was sent
@@ -96,7 +102,8 @@
     int pacePercent = 100;         // percentage of full speed that was last commanded
     double load = 0;               // see RunningReport
     std::string checkpoint;
-    TimePoint sentAt;       // time at which the start was sent or the reported run was adopted
+    int sends = 0;          // number of times that the start was sent
+    TimePoint sentAt;       // time at which the start was last sent or the reported run was adopted
     TimePoint confirmedAt;  // time of the answer to the start, or of the first report that lists the run
     TimePoint stopSentAt;
     TimePoint stopAnsweredAt;  // time at which the executor accepted the stop; default value: not yet
@@ -161,6 +168,7 @@
     TimePoint acceptedAt;
     TimePoint firstDue;            // due time of the first occurrence of a scheduled job
     Duration latencyObjective{0};  // counted from the acceptance, or from the due time of a scheduled occurrence
+    std::string failedOn;          // executor on which a task of the job failed first
     bool misfitLogged = false;     // the log already says that no registered executor has the required size and label
 };
 
@@ -175,7 +183,7 @@
     TimePoint busySince;  // time of the last start that was sent while the executor had no other runs
     TimePoint adoptedAt;
     TimePoint listedSince;
-    TimePoint ejectedUntil;
+    ExecutorHealth health;
     TimePoint usableFrom;  // runs that a previous owner stopped may occupy resources until then, without being reported
     /// An executor without runs is not polled, so its silence counts from its first start at the earliest.
     TimePoint silentSince() const
@@ -191,10 +199,14 @@
     std::uint64_t acknowledgedEnd = 0;      // highest number of an end whose acknowledgement was answered
     bool reportPollPending = false;
     TimePoint nextReportPoll;
-    std::int64_t clockMs = 0;  // executor's clock at clockReadAt
-    TimePoint clockReadAt;     // default value: the clock was not read
-    TimePoint leasesEndBy;     // all runs on the executor have ended by then unless their leases are renewed
-    double failureScore = 0;   // decaying mean of the outcomes: 0 all good, 1 all failed
+    bool settlePollPending = false;         // see ExecutorCommand::settles
+    TimePoint settleAt = TimePoint::max();  // time from which a report can settle a start or a stop
+    std::int64_t reportClockMs = 0;         // executor's clock in the last report that was handled
+    Duration answerTime{0};                 // decaying mean of the time that it takes to answer a start
+    int startsAllowed = 0;                  // number of starts that the present placement pass may still send
+    std::int64_t clockMs = 0;               // executor's clock at clockReadAt
+    TimePoint clockReadAt;                  // default value: the clock was not read
+    TimePoint leasesEndBy;  // all runs on the executor have ended by then unless their leases are renewed
     Resources used;
     int runsOfUnknownSize = 0;        // runs whose resources are not counted in `used`
     std::map<std::string, Run> runs;  // by task name
@@ -240,6 +252,9 @@
     std::uint64_t late = 0;      // jobs that completed or failed after their latency objective
     std::uint64_t requeued = 0;  // runs that ended or were lost before their task was done
     std::uint64_t refusedStarts = 0;
+    std::uint64_t repeatedStarts = 0;  // sends of starts whose earlier send was not answered
+    std::uint64_t ejections = 0;
+    std::uint64_t unansweredStarts = 0;  // starts that no send was answered of
 };
 
 /// Gap that a new owner leaves in the run numbers of a task without recorded progress, so that its first run number is
@@ -290,8 +305,10 @@
     std::vector<std::string> vacated() const;
 
     // Results of calls
-    void reported(const std::string &executor, const ExecutorReport &report, TimePoint sentAt, TimePoint now);
-    void reportPollFailed(const std::string &executor, CommandResult result, TimePoint now);
+    /// `settles`: see ExecutorCommand::settles.
+    void reported(const std::string &executor, const ExecutorReport &report, TimePoint sentAt, TimePoint now,
+                  bool settles = false);
+    void reportPollFailed(const std::string &executor, CommandResult result, TimePoint now, bool settles = false);
     void answered(const ExecutorCommand &command, CommandResult result, std::int64_t clockMs, TimePoint now);
     void committed(std::uint64_t generation, TimePoint now);  // the store has carried out the batch
     /// `advice` is null when the call was refused or not answered.
@@ -377,13 +394,22 @@
     void eraseIfFinished(const std::string &id);
     void discardTicket(const TaskName &name, const std::string &executor);
     void discardRuns(Executor &executor, TimePoint now, std::string_view why, bool restarted = false);
-    void recordOutcome(Executor &executor, bool good, TimePoint now);
+    void recordFailure(Executor &executor, const std::string &job, TimePoint now);
+    void eject(Executor &executor, const std::string &job, std::string_view why, TimePoint now);
+    void recordSuccess(Executor &executor, TimePoint now);
+    int startsAllowed(const Executor &executor, TimePoint now) const;
     void adopt(Executor &executor, const RunningReport &row, TimePoint now);
     std::int64_t leaseUntil(const Executor &executor, TimePoint now) const;
     void extendLease(Executor &executor, std::int64_t untilMs);
     bool mayCommand(TimePoint now) const;
     bool leasesOver(const Executor &executor, TimePoint now) const;
     void pollReportIfDue(Executor &executor, TimePoint now);
+    void pollToSettle(Executor &executor, TimePoint now);
+    TimePoint nextSettlement(const Executor &executor) const;
+    Duration startTimeout(const Executor &executor) const;
+    bool mayRepeatStart(const Run &run, const Executor &executor, TimePoint now) const;
+    void startUnanswered(const std::string &name, Run &run, Executor &executor, TimePoint now);
+    void leaveToReport(Run &run, Executor &executor, TimePoint now);
     void repeatStops(Executor &executor, TimePoint now);
     void vacate(Executor &executor, TimePoint now);
     void adjustPace(Executor &executor, TimePoint now);
