--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -662,6 +662,7 @@
     }
     Executor &executor = found->second;
     (settles ? executor.settlePollPending : executor.reportPollPending) = false;
+    countPoll(false);
     if (executor.record.startedMs != 0 && report.startedMs != executor.record.startedMs) {
         if (report.startedMs < executor.record.startedMs) {
             return;  // the report is from a previous incarnation
@@ -682,6 +683,7 @@
         return;
     }
     executor.reportClockMs = report.clockMs;
+    executor.lostPolls = 0;
     executor.endsIncomplete = report.endsIncomplete;
     executor.lastReport = now;
     executor.clockMs = report.clockMs;
@@ -803,6 +805,13 @@
     adjustPace(executor, now);
 }
 
+/// Updates the share of polls without an answer, over all executors.
+void Scheduler::countPoll(bool lost)
+{
+    constexpr double weight = 0.02;  // so that about the last fifty polls determine the share
+    m_lostPollShare += ((lost ? 1.0 : 0.0) - m_lostPollShare) * weight;
+}
+
 void Scheduler::reportPollFailed(const std::string &id, CommandResult result, TimePoint now, bool settles)
 {
     const auto found = m_executors.find(id);
@@ -817,7 +826,9 @@
         return;
     }
     executor.reportPollPending = false;
-    executor.nextReportPoll = now + StartRetryPause;
+    countPoll(result == CommandResult::Unanswered);
+    // The answer to one poll may get lost while the executor is well. A second loss in a row points to its silence.
+    executor.nextReportPoll = executor.lostPolls++ == 0 ? now : now + StartRetryPause;
     executor.sentAcknowledgement = 0;
     // The executor may have restarted, so the last report no longer counts as fresh and no end is acknowledged.
     executor.lastReport = std::min(executor.lastReport, now - m_settings.freshReportAge);
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -38,6 +38,11 @@
     /// report poll falls due within this time.
     Duration reportBatchDelay{40'000};
     Duration reportPollTimeout{1'000'000};  // added to the wait of the poll; a round trip takes only milliseconds
+    /// Longest time that an executor delays a report while polls get lost, so that the ends behind a lost answer are
+    /// learned soon.
+    Duration lossyPollWait{250'000};
+    /// Share of lost polls, as a decaying mean over all executors, from which on polls count as getting lost.
+    double lossyPollShare = 0.01;
     /// Time-out of a report poll to an executor whose report is overdue. Such a poll asks for the report at once: a
     /// report has to arrive before leases are renewed again, and the leases must not lapse meanwhile.
     Duration overduePollTimeout{600'000};
@@ -198,6 +203,7 @@
     std::uint64_t sentAcknowledgement = 0;  // number of the end that the pending report poll acknowledges
     std::uint64_t acknowledgedEnd = 0;      // highest number of an end whose acknowledgement was answered
     bool reportPollPending = false;
+    int lostPolls = 0;  // report polls without an answer since the last report
     TimePoint nextReportPoll;
     bool settlePollPending = false;         // see ExecutorCommand::settles
     TimePoint settleAt = TimePoint::max();  // time from which a report can settle a start or a stop
@@ -404,6 +410,13 @@
     bool mayCommand(TimePoint now) const;
     bool leasesOver(const Executor &executor, TimePoint now) const;
     void pollReportIfDue(Executor &executor, TimePoint now);
+    void countPoll(bool lost);
+    /// Load that this answers: executors that are well leave some calls unanswered, and the ends behind a lost answer
+    /// hold up the next steps of their jobs until the poll is repeated.
+    bool pollsGetLost() const
+    {
+        return m_lostPollShare > m_settings.lossyPollShare;
+    }
     void pollToSettle(Executor &executor, TimePoint now);
     TimePoint nextSettlement(const Executor &executor) const;
     Duration startTimeout(const Executor &executor) const;
@@ -473,6 +486,7 @@
     std::vector<Decision> m_decisions;
     std::vector<Finished> m_finished;
     SchedulerCounts m_counts;
+    double m_lostPollShare = 0;  // decaying mean over the report polls to all executors
     std::map<std::string, QueueWork> m_workPerQueue;
 
     /// A demand that no executor could meet in the present placement pass.
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -198,7 +198,8 @@
     command.fencingToken = m_fencingToken;
     // While the outcome of a start or stop is open, reports are polled often. Otherwise a long wait does no harm,
     // because the executor reports a new end at once.
-    Duration wait = executor.adopted && !executor.runs.empty() ? m_settings.reportPollWait : Duration{0};
+    const Duration longestWait = pollsGetLost() ? m_settings.lossyPollWait : m_settings.reportPollWait;
+    Duration wait = executor.adopted && !executor.runs.empty() ? longestWait : Duration{0};
     for (const auto &[name, run] : executor.runs) {
         if (run.state == RunState::Unconfirmed) {
             wait = Duration{0};
@@ -209,7 +210,8 @@
     const bool overdue
         = !executor.runs.empty() && now - executor.silentSince() > m_settings.reportPollWait + StartRetryPause;
     command.wait = overdue ? Duration{0} : wait;
-    command.timeout = overdue ? m_settings.overduePollTimeout : command.wait + m_settings.reportPollTimeout;
+    command.timeout = overdue ? m_settings.overduePollTimeout
+                              : command.wait + (pollsGetLost() ? startTimeout(executor) : m_settings.reportPollTimeout);
     // A silent executor may carry out an unanswered lease renewal late, so its leases are left to expire.
     const bool responsive = now - executor.silentSince() < m_settings.silentAfter;
     if (mayCommand(now) && responsive && !executor.runs.empty()) {
--- a/tests/core_executor_calls.cpp
+++ b/tests/core_executor_calls.cpp
@@ -393,3 +393,59 @@
     }
     CHECK(marked == 1);
 }
+
+TEST_CASE("Ends behind a lost report are learned soon while reports get lost")
+{
+    // Guards against this failure: an answer to a report poll was lost and the poll waited for up to 1.8 s before it
+    // was repeated. Meanwhile the tasks had ended, and the next steps of their jobs missed their latency objective.
+    CallFixture fixture;
+    fixture.submit("00000000000000aa", 1);
+    const auto start = fixture.commandsOf(CommandKind::Start);
+    REQUIRE(start.size() == 1);
+    fixture.answer(start.front(), CommandResult::Done);
+    const std::string executor = start.front().executor;
+    fixture.report(executor, {{start.front().task, 1, {}, 10, 0}});
+    const auto poll = [&fixture, &executor] {
+        const auto sent = fixture.commandsOf(CommandKind::RenewLeases);
+        REQUIRE(sent.size() == 1);
+        CHECK(sent.front().executor == executor);
+        return sent.front();
+    };
+    const ExecutorCommand calm = poll();
+
+    SECTION("while every report arrives, a poll waits long for an end")
+    {
+        CHECK(calm.wait == 800ms);
+        CHECK(calm.timeout == 1800ms);
+    }
+    SECTION("after a lost report the poll is repeated at once, and polls wait for less")
+    {
+        fixture.now += calm.timeout;
+        fixture.scheduler.reportPollFailed(executor, CommandResult::Unanswered, fixture.now);
+        const ExecutorCommand repeated = poll();
+        CHECK(repeated.timeout <= 600ms);
+        fixture.report(executor, {{start.front().task, 1, {}, 20, 0}});
+        const ExecutorCommand next = poll();
+        CHECK(next.wait == 250ms);
+        CHECK(next.timeout <= 500ms);
+
+        SECTION("until reports have arrived for a while")
+        {
+            for (int report = 0; report < 50; ++report) {
+                fixture.report(executor, {{start.front().task, 1, {}, 30, 0}});
+                poll();
+            }
+            fixture.report(executor, {{start.front().task, 1, {}, 40, 0}});
+            CHECK(poll().wait == 800ms);
+        }
+    }
+    SECTION("an executor that stays silent is polled with a pause")
+    {
+        for (int lost = 0; lost < 3; ++lost) {
+            fixture.now += 1s;
+            fixture.scheduler.reportPollFailed(executor, CommandResult::Unanswered, fixture.now);
+            fixture.commands();
+        }
+        CHECK(fixture.commandsOf(CommandKind::RenewLeases).empty());
+    }
+}
