Send one start to an executor that was vacated until it accepts one

An instance that leaves its pool stays in the list of executors for some seconds. It now gets one start until it has accepted one.

--- a/src/executor_health.cpp
+++ b/src/executor_health.cpp
@@ -85,6 +85,12 @@
     m_refusals = 0;
 }
 
+void ExecutorHealth::requireProbe(TimePoint now)
+{
+    m_refusals = std::max(1, m_refusals);
+    m_refusedAt = now;
+}
+
 void ExecutorHealth::pauseUntil(TimePoint time)
 {
     m_pausedUntil = std::max(m_pausedUntil, time);
--- a/src/executor_health.h
+++ b/src/executor_health.h
@@ -43,7 +43,8 @@
     /// A start that was sent at `sentAt` was refused, or no connection to the executor could be established.
     /// Refusals of starts that were sent together count as one.
     void refused(TimePoint sentAt, bool connectFailed, TimePoint now);
-    void accepted();  // the executor has accepted a start
+    void accepted();                   // the executor has accepted a start
+    void requireProbe(TimePoint now);  // the executor may be gone: it gets one start until it has accepted one
     void pauseUntil(TimePoint time);
 
     // State
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -458,6 +458,9 @@
         const bool vacating = ids.contains(id);
         if (vacating && !executor.vacating) {
             executor.vacatingSince = now;
+        } else if (!vacating && executor.vacating) {
+            executor.health.requireProbe(
+                now);  // its instance has usually left the pool, some time before the list shows it
         }
         m_placementNeeded = m_placementNeeded || vacating != executor.vacating;
         executor.vacating = vacating;
--- a/tests/core_executor_calls.cpp
+++ b/tests/core_executor_calls.cpp
@@ -138,6 +138,39 @@
     }
 }
 
+TEST_CASE("An executor that was vacated gets one start before it gets more")
+{
+    // Guards against this failure: an instance that had left the pool stayed in the list of executors for seconds. Each
+    // second all starts of a pass were sent to it, and none could connect.
+    CallFixture fixture;
+    fixture.scheduler.setVacating({"i-0"}, fixture.now);
+    fixture.commands();
+    fixture.scheduler.setVacating({}, fixture.now);
+    fixture.submit("00000000000000aa", 20, 6000);
+    int probes = 0;
+    ExecutorCommand probe;
+    for (const ExecutorCommand &start : fixture.commandsOf(CommandKind::Start)) {
+        if (start.executor == "i-0") {
+            probe = start;
+            ++probes;
+        } else {
+            fixture.answer(start, CommandResult::Done);
+        }
+    }
+    CHECK(probes == 1);
+
+    SECTION("it has left: the next start is sent much later")
+    {
+        fixture.answer(probe, CommandResult::Unreachable);
+        CHECK(fixture.commandsOf(CommandKind::Start, 1s).empty());
+    }
+    SECTION("it has stayed: it gets its full load")
+    {
+        fixture.answer(probe, CommandResult::Done);
+        CHECK(fixture.commandsOf(CommandKind::Start, 110ms).size() > 1);
+    }
+}
+
 TEST_CASE("A start without an answer is sent again to the same executor and settled there")
 {
     // Guards against this failure: a start that got no answer was waited for during the whole time-out of commands,
