Start tasks of speculative steps elsewhere while their executor does not answer

The tasks of a crashed executor waited until its leases had ended, some six seconds, although the steps of some allow several runs at once. The first run that ends counts and stops the other.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -408,6 +408,7 @@
         m_metrics.set("briarvane_share_repeated_starts_total", labels, static_cast<double>(counts.repeatedStarts));
         m_metrics.set("briarvane_share_unanswered_starts_total", labels, static_cast<double>(counts.unansweredStarts));
         m_metrics.set("briarvane_share_ejections_total", labels, static_cast<double>(counts.ejections));
+        m_metrics.set("briarvane_share_copies_total", labels, static_cast<double>(counts.copies));
         m_metrics.set("briarvane_share_open_jobs", labels, static_cast<double>(owner->scheduler().openJobs()));
     }
     return formatExposition(m_metrics.list());
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -309,6 +309,14 @@
             }
             doneTask.executor.clear();
         }
+        if (spec.speculative && !spec.gang) {  // runs that copyRuns() has left on executors without an answer
+            const std::string text = formatTaskName({name.job, name.occurrence, name.step, index});
+            for (auto &[id, executor] : m_executors) {
+                if (const auto run = executor.runs.find(text); run != executor.runs.end()) {
+                    stopRun(executor, text, run->second, now, "task-done");
+                }
+            }
+        }
         ++occurrence.done[step];
     };
     if (spec.gang) {  // the success of one member counts for the whole gang
@@ -685,6 +693,7 @@
         return;
     }
     executor.reportClockMs = report.clockMs;
+    executor.unreachable = false;
     executor.endsIncomplete = report.endsIncomplete;
     executor.lastReport = now;
     executor.clockMs = report.clockMs;
@@ -820,6 +829,7 @@
         return;
     }
     executor.reportPollPending = false;
+    executor.unreachable = result == CommandResult::Unreachable;
     executor.nextReportPoll = now + StartRetryPause;
     executor.sentAcknowledgement = 0;
     // The executor may have restarted, so the last report no longer counts as fresh and no end is acknowledged.
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -94,7 +94,9 @@
     TaskName task;
     Resources allocated;  // counted in Executor::used until the run is removed from the executor
     RunState state = RunState::Starting;
-    bool obsolete = false;  // no task needs this run any more
+    /// No task waits for this run any more: it is not needed, or its task has started elsewhere as well (see
+    /// copyRuns()).
+    bool obsolete = false;
     /// The job of the run is unknown, and thus also its resources. The executor gets no new work while it has the run.
     bool resourcesUnknown = false;
     bool reportedRunning = false;  // a report has listed the run as running
@@ -199,6 +201,7 @@
     std::uint64_t acknowledgedEnd = 0;      // highest number of an end whose acknowledgement was answered
     bool reportPollPending = false;
     TimePoint nextReportPoll;
+    bool unreachable = false;               // the last report poll could not connect
     bool settlePollPending = false;         // see ExecutorCommand::settles
     TimePoint settleAt = TimePoint::max();  // time from which a report can settle a start or a stop
     std::int64_t reportClockMs = 0;         // executor's clock in the last report that was handled
@@ -254,6 +257,7 @@
     std::uint64_t refusedStarts = 0;
     std::uint64_t repeatedStarts = 0;  // sends of starts whose earlier send was not answered
     std::uint64_t ejections = 0;
+    std::uint64_t copies = 0;            // tasks of speculative steps that were started again while their run may go on
     std::uint64_t unansweredStarts = 0;  // starts that no send was answered of
 };
 
@@ -412,6 +416,8 @@
     void leaveToReport(Run &run, Executor &executor, TimePoint now);
     void repeatStops(Executor &executor, TimePoint now);
     void vacate(Executor &executor, TimePoint now);
+    void copyRuns(Executor &executor, TimePoint now);
+    bool silent(const Executor &executor, TimePoint now) const;
     void adjustPace(Executor &executor, TimePoint now);
     int unavailableInStep(const Job &job, const TaskName &name, TimePoint now) const;
     void placeWaitingTasks(TimePoint now);
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -289,6 +289,38 @@
     }
 }
 
+bool Scheduler::silent(const Executor &executor, TimePoint now) const
+{
+    return executor.unreachable || now - executor.silentSince() >= m_settings.silentAfter;
+}
+
+/// Starts the tasks of speculative steps elsewhere while their executor does not answer. The runs there may go on; the
+/// first run of a task that ends counts. Without copies these tasks would wait for the end of the executor's leases.
+void Scheduler::copyRuns(Executor &executor, TimePoint now)
+{
+    if (executor.runs.empty() || !silent(executor, now)) {
+        return;
+    }
+    for (auto &[name, run] : executor.runs) {
+        const StepSpec *spec = findStep(run.task);
+        Task *task = findTask(run.task);
+        const bool started = run.state == RunState::Running || run.state == RunState::Unconfirmed;
+        if (!started || run.obsolete || spec == nullptr || !spec->speculative || spec->gang || spec->longRunning
+            || task == nullptr || task->executor != executor.record.id) {
+            continue;
+        }
+        run.obsolete = true;
+        if (!run.checkpoint.empty()) {
+            task->checkpoint = run.checkpoint;
+        }
+        ++m_counts.copies;
+        logDecision("task-copied", run.task.job,
+                    "task=" + name + " run=" + std::to_string(run.run) + " executor=" + executor.record.id
+                        + " silent_ms=" + std::to_string((now - executor.silentSince()).count() / 1000));
+        requeue(run.task, now);
+    }
+}
+
 /// Slows tasks that use idle processor time while a task on the same executor misses its latency target or is close to
 /// it, and speeds them up again once all are well below their targets.
 void Scheduler::adjustPace(Executor &executor, TimePoint now)
@@ -362,6 +394,7 @@
         if (housekeepingDue) {
             repeatStops(executor, now);
             vacate(executor, now);
+            copyRuns(executor, now);
         }
         if (!m_deposed) {
             pollReportIfDue(executor, now);
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -246,7 +246,7 @@
 /// Number of starts that a placement pass may send to the executor. None while the answer to a start is overdue.
 int Scheduler::startsAllowed(const Executor &executor, TimePoint now) const
 {
-    const int allowed = executor.health.allowedStarts(now);
+    const int allowed = executor.unreachable ? 0 : executor.health.allowedStarts(now);
     const TimePoint countedFrom = executor.health.startsCountedFrom();
     int started = 0;
     for (const auto &[name, run] : executor.runs) {
--- a/tests/core_executor_calls.cpp
+++ b/tests/core_executor_calls.cpp
@@ -426,3 +426,42 @@
     }
     CHECK(marked == 1);
 }
+
+TEST_CASE("A task of a speculative step does not wait for the leases of an executor without an answer")
+{
+    // Guards against this failure: all tasks on a crashed executor waited until its leases had ended, although some of
+    // them may have two runs at once.
+    SimulationSettings settings;
+    settings.failedRunRate = 0;
+    Simulation simulation(settings);
+    simulation.takeOver(true);
+    StepSpec step = makeStep(4, 1000, 1s);
+    step.speculative = GENERATE(true, false);
+    simulation.submit(makeJob("a", {step}));
+    simulation.run(600ms);
+    int used = 0;
+    while (simulation.runsAt(used) == 0) {
+        ++used;
+    }
+
+    SECTION("it crashes: the tasks start elsewhere at once where copies are allowed")
+    {
+        simulation.crash(used);
+        simulation.run(4500ms);
+        CHECK(simulation.state("a") == (step.speculative ? JobState::Completed : JobState::Pending));
+        simulation.run(6s);
+        CHECK(simulation.state("a") == JobState::Completed);
+    }
+    SECTION("it comes back: the first run of each task that ends counts, and the other is stopped")
+    {
+        simulation.executor(used).unreachable = true;
+        simulation.run(2500ms);
+        simulation.executor(used).unreachable = false;
+        simulation.run(3s);
+        CHECK(simulation.state("a") == JobState::Completed);
+        for (int i = 0; i < 6; ++i) {
+            CHECK(simulation.runsAt(i) == 0);
+        }
+    }
+    CHECK(simulation.violations().empty());
+}
