Copy only with a fresh proof of ownership, and repeat a lost report poll before its executor counts as silent

A search over random faults with speculative steps found a deposed owner that copied a task which the next owner had completed: a copy now needs a proof of ownership of the last 0.8 s. A poll now times out 0.5 s after its wait, and the first repetition follows at once.

--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -694,6 +694,7 @@
     }
     executor.reportClockMs = report.clockMs;
     executor.unreachable = false;
+    executor.failedPolls = 0;
     executor.endsIncomplete = report.endsIncomplete;
     executor.lastReport = now;
     executor.clockMs = report.clockMs;
@@ -830,7 +831,7 @@
     }
     executor.reportPollPending = false;
     executor.unreachable = result == CommandResult::Unreachable;
-    executor.nextReportPoll = now + StartRetryPause;
+    executor.nextReportPoll = executor.failedPolls++ == 0 ? now : now + StartRetryPause;
     executor.sentAcknowledgement = 0;
     // The executor may have restarted, so the last report no longer counts as fresh and no end is acknowledged.
     executor.lastReport = std::min(executor.lastReport, now - m_settings.freshReportAge);
@@ -862,6 +863,11 @@
     return !m_deposed && now - m_ownershipProvenAt < m_settings.ownershipProofMaxAge;
 }
 
+bool Scheduler::mayStart(const Task &task, TimePoint now) const
+{
+    return mayCommand(now) && (!task.copied || now - m_ownershipProvenAt < m_settings.copyProofMaxAge);
+}
+
 /// End of a lease that is granted now, on the executor's clock. Zero while that clock is not known.
 std::int64_t Scheduler::leaseUntil(const Executor &executor, TimePoint now) const
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -32,12 +32,17 @@
     // From this age of the last proof of ownership on, the scheduler starts no tasks, extends no leases, sets no paces,
     // repeats no stops and does not vacate executors.
     Duration ownershipProofMaxAge{4'000'000};
+    /// Limit of that age for starts of tasks that have another run. Its end may have been handled by a new owner, after
+    /// which the task must not start for longer than about a second.
+    Duration copyProofMaxAge{800'000};
     /// Longest time that an executor delays a report. Report polls renew leases, so this is far below `lease`.
     Duration reportPollWait{800'000};
     /// Pause after a report with ends, so that the next report carries several ends. After a start or a stop the next
     /// report poll falls due within this time.
     Duration reportBatchDelay{40'000};
-    Duration reportPollTimeout{1'000'000};  // added to the wait of the poll; a round trip takes only milliseconds
+    /// Added to the wait of the poll. A round trip takes only milliseconds, and a poll whose answer is lost has to be
+    /// repeated before `silentAfter`.
+    Duration reportPollTimeout{500'000};
     /// Time-out of a report poll to an executor whose report is overdue. Such a poll asks for the report at once: a
     /// report has to arrive before leases are renewed again, and the leases must not lapse meanwhile.
     Duration overduePollTimeout{600'000};
@@ -116,6 +121,7 @@
     int run = 0;                  // highest run number that was used
     std::vector<int> failedRuns;  // run numbers
     bool done = false;
+    bool copied = false;           // has been started again while an earlier run may go on
     bool hasProgress = false;      // the task's state is written to the store with the job's progress
     std::string executor;          // executor of the task's run; empty: the task has no run
     std::string recordedExecutor;  // long-running tasks: executor on which a previous owner may have started the task
@@ -202,6 +208,7 @@
     bool reportPollPending = false;
     TimePoint nextReportPoll;
     bool unreachable = false;               // the last report poll could not connect
+    int failedPolls = 0;                    // report polls in a row that failed
     bool settlePollPending = false;         // see ExecutorCommand::settles
     TimePoint settleAt = TimePoint::max();  // time from which a report can settle a start or a stop
     std::int64_t reportClockMs = 0;         // executor's clock in the last report that was handled
@@ -406,12 +413,13 @@
     std::int64_t leaseUntil(const Executor &executor, TimePoint now) const;
     void extendLease(Executor &executor, std::int64_t untilMs);
     bool mayCommand(TimePoint now) const;
+    bool mayStart(const Task &task, TimePoint now) const;
     bool leasesOver(const Executor &executor, TimePoint now) const;
     void pollReportIfDue(Executor &executor, TimePoint now);
     void pollToSettle(Executor &executor, TimePoint now);
     TimePoint nextSettlement(const Executor &executor) const;
     Duration startTimeout(const Executor &executor) const;
-    bool mayRepeatStart(const Run &run, const Executor &executor, TimePoint now) const;
+    bool mayRepeatStart(const Run &run, const Executor &executor, TimePoint now);
     void startUnanswered(const std::string &name, Run &run, Executor &executor, TimePoint now);
     void leaveToReport(Run &run, Executor &executor, TimePoint now);
     void repeatStops(Executor &executor, TimePoint now);
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -114,16 +114,17 @@
     return std::clamp(executor.answerTime * 4, m_settings.minStartTimeout, m_settings.commandTimeout);
 }
 
-bool Scheduler::mayRepeatStart(const Run &run, const Executor &executor, TimePoint now) const
+bool Scheduler::mayRepeatStart(const Run &run, const Executor &executor, TimePoint now)
 {
+    const Task *task = findTask(run.task);
     const auto job = m_jobs.find(run.task.job);
     if (job == m_jobs.end() || isFinal(job->second->state) || run.obsolete || run.sends >= m_settings.maxStartSends) {
         return false;
     }
     const bool hasTicket = !job->second->spec.advice.required
         || !ticketFor(*job->second, run.task.occurrence, run.task.step, executor, now).empty();
-    return mayCommand(now) && hasTicket && executor.listed && executor.adopted && !executor.record.draining
-        && !executor.vacating;
+    return task != nullptr && mayStart(*task, now) && hasTicket && executor.listed && executor.adopted
+        && !executor.record.draining && !executor.vacating;
 }
 
 /// Sends the same start again. The executor carries out each run number at most once, so the answer settles the start
@@ -310,6 +311,7 @@
             continue;
         }
         run.obsolete = true;
+        task->copied = true;
         if (!run.checkpoint.empty()) {
             task->checkpoint = run.checkpoint;
         }
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -178,8 +178,9 @@
         if (!task.done && task.executor.empty() && !mayHaveUnknownRun(job, step, task)) {
             // A retry delay follows a refused start. The scheduler had recorded enough room on the executor, so the
             // task only waits for the delay to pass.
-            retryLater = retryLater || task.retryAt > now;
-            if (task.retryAt <= now) {
+            const bool mayStartNow = task.retryAt <= now && mayStart(task, now);
+            retryLater = retryLater || !mayStartNow;
+            if (mayStartNow) {
                 waiting.push_back(index);
             }
         }
--- a/tests/core_executor_calls.cpp
+++ b/tests/core_executor_calls.cpp
@@ -427,6 +427,27 @@
     CHECK(marked == 1);
 }
 
+TEST_CASE("One lost report does not make an executor silent")
+{
+    // Guards against this failure: a lost report poll was repeated only after the executor counted as silent, so it got
+    // no tasks and its tasks were copied although it was well.
+    CallFixture fixture;
+    fixture.submit("00000000000000aa", 1);
+    const auto starts = fixture.commandsOf(CommandKind::Start);
+    REQUIRE(starts.size() == 1);
+    fixture.answer(starts[0], CommandResult::Done);
+    const auto polls = fixture.commandsOf(CommandKind::RenewLeases, 40ms);
+    REQUIRE(polls.size() == 1);
+    fixture.now += polls[0].timeout;
+    fixture.scheduler.reportPollFailed(polls[0].executor, CommandResult::Unanswered, fixture.now);
+    const auto repeated = fixture.commandsOf(CommandKind::RenewLeases);
+    REQUIRE(repeated.size() == 1);
+    CHECK(repeated[0].wait == Duration{0});
+    CHECK(repeated[0].leaseUntilMs > 0);
+    const Executor &executor = fixture.scheduler.executors().at(polls[0].executor);
+    CHECK(fixture.now - executor.silentSince() < SchedulerSettings().silentAfter - 500ms);
+}
+
 TEST_CASE("A task of a speculative step does not wait for the leases of an executor without an answer")
 {
     // Guards against this failure: all tasks on a crashed executor waited until its leases had ended, although some of
