--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -309,6 +309,14 @@
             }
             doneTask.executor.clear();
         }
+        if (spec.speculative && !spec.gang) {  // runs that copyRuns() has left on executors without an answer
+            const std::string text = formatTaskName({name.job, name.occurrence, name.step, index});
+            for (auto &[id, executor] : m_executors) {
+                if (const auto run = executor.runs.find(text); run != executor.runs.end()) {
+                    stopRun(executor, text, run->second, now, "task-done");
+                }
+            }
+        }
         ++occurrence.done[step];
     };
     if (spec.gang) {  // the success of one member counts for the whole gang
@@ -458,6 +466,9 @@
         const bool vacating = ids.contains(id);
         if (vacating && !executor.vacating) {
             executor.vacatingSince = now;
+        } else if (!vacating && executor.vacating) {
+            executor.health.requireProbe(
+                now);  // its instance has usually left the pool, some time before the list shows it
         }
         m_placementNeeded = m_placementNeeded || vacating != executor.vacating;
         executor.vacating = vacating;
@@ -683,7 +694,8 @@
         return;
     }
     executor.reportClockMs = report.clockMs;
-    executor.lostPolls = 0;
+    executor.unreachable = false;
+    executor.failedPolls = 0;
     executor.endsIncomplete = report.endsIncomplete;
     executor.lastReport = now;
     executor.clockMs = report.clockMs;
@@ -826,9 +838,10 @@
         return;
     }
     executor.reportPollPending = false;
+    executor.unreachable = result == CommandResult::Unreachable;
     countPoll(result == CommandResult::Unanswered);
     // The answer to one poll may get lost while the executor is well. A second loss in a row points to its silence.
-    executor.nextReportPoll = executor.lostPolls++ == 0 ? now : now + StartRetryPause;
+    executor.nextReportPoll = executor.failedPolls++ == 0 ? now : now + StartRetryPause;
     executor.sentAcknowledgement = 0;
     // The executor may have restarted, so the last report no longer counts as fresh and no end is acknowledged.
     executor.lastReport = std::min(executor.lastReport, now - m_settings.freshReportAge);
@@ -860,6 +873,11 @@
     return !m_deposed && now - m_ownershipProvenAt < m_settings.ownershipProofMaxAge;
 }
 
+bool Scheduler::mayStart(const Task &task, TimePoint now) const
+{
+    return mayCommand(now) && (!task.copied || now - m_ownershipProvenAt < m_settings.copyProofMaxAge);
+}
+
 /// End of a lease that is granted now, on the executor's clock. Zero while that clock is not known.
 std::int64_t Scheduler::leaseUntil(const Executor &executor, TimePoint now) const
 {
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -32,12 +32,17 @@
     // From this age of the last proof of ownership on, the scheduler starts no tasks, extends no leases, sets no paces,
     // repeats no stops and does not vacate executors.
     Duration ownershipProofMaxAge{4'000'000};
+    /// Limit of that age for starts of tasks that have another run. Its end may have been handled by a new owner, after
+    /// which the task must not start for longer than about a second.
+    Duration copyProofMaxAge{800'000};
     /// Longest time that an executor delays a report. Report polls renew leases, so this is far below `lease`.
     Duration reportPollWait{800'000};
     /// Pause after a report with ends, so that the next report carries several ends. After a start or a stop the next
     /// report poll falls due within this time.
     Duration reportBatchDelay{40'000};
-    Duration reportPollTimeout{1'000'000};  // added to the wait of the poll; a round trip takes only milliseconds
+    /// Added to the wait of the poll. A round trip takes only milliseconds, and a poll whose answer is lost has to be
+    /// repeated before `silentAfter`.
+    Duration reportPollTimeout{500'000};
     /// Longest time that an executor delays a report while polls get lost, so that the ends behind a lost answer are
     /// learned soon.
     Duration lossyPollWait{250'000};
@@ -99,7 +104,9 @@
     TaskName task;
     Resources allocated;  // counted in Executor::used until the run is removed from the executor
     RunState state = RunState::Starting;
-    bool obsolete = false;  // no task needs this run any more
+    /// No task waits for this run any more: it is not needed, or its task has started elsewhere as well (see
+    /// copyRuns()).
+    bool obsolete = false;
     /// The job of the run is unknown, and thus also its resources. The executor gets no new work while it has the run.
     bool resourcesUnknown = false;
     bool reportedRunning = false;  // a report has listed the run as running
@@ -119,6 +126,7 @@
     int run = 0;                  // highest run number that was used
     std::vector<int> failedRuns;  // run numbers
     bool done = false;
+    bool copied = false;           // has been started again while an earlier run may go on
     bool hasProgress = false;      // the task's state is written to the store with the job's progress
     std::string executor;          // executor of the task's run; empty: the task has no run
     std::string recordedExecutor;  // long-running tasks: executor on which a previous owner may have started the task
@@ -203,8 +211,9 @@
     std::uint64_t sentAcknowledgement = 0;  // number of the end that the pending report poll acknowledges
     std::uint64_t acknowledgedEnd = 0;      // highest number of an end whose acknowledgement was answered
     bool reportPollPending = false;
-    int lostPolls = 0;  // report polls without an answer since the last report
     TimePoint nextReportPoll;
+    bool unreachable = false;               // the last report poll could not connect
+    int failedPolls = 0;                    // report polls in a row that failed
     bool settlePollPending = false;         // see ExecutorCommand::settles
     TimePoint settleAt = TimePoint::max();  // time from which a report can settle a start or a stop
     std::int64_t reportClockMs = 0;         // executor's clock in the last report that was handled
@@ -260,6 +269,7 @@
     std::uint64_t refusedStarts = 0;
     std::uint64_t repeatedStarts = 0;  // sends of starts whose earlier send was not answered
     std::uint64_t ejections = 0;
+    std::uint64_t copies = 0;            // tasks of speculative steps that were started again while their run may go on
     std::uint64_t unansweredStarts = 0;  // starts that no send was answered of
 };
 
@@ -408,6 +418,7 @@
     std::int64_t leaseUntil(const Executor &executor, TimePoint now) const;
     void extendLease(Executor &executor, std::int64_t untilMs);
     bool mayCommand(TimePoint now) const;
+    bool mayStart(const Task &task, TimePoint now) const;
     bool leasesOver(const Executor &executor, TimePoint now) const;
     void pollReportIfDue(Executor &executor, TimePoint now);
     void countPoll(bool lost);
@@ -420,11 +431,13 @@
     void pollToSettle(Executor &executor, TimePoint now);
     TimePoint nextSettlement(const Executor &executor) const;
     Duration startTimeout(const Executor &executor) const;
-    bool mayRepeatStart(const Run &run, const Executor &executor, TimePoint now) const;
+    bool mayRepeatStart(const Run &run, const Executor &executor, TimePoint now);
     void startUnanswered(const std::string &name, Run &run, Executor &executor, TimePoint now);
     void leaveToReport(Run &run, Executor &executor, TimePoint now);
     void repeatStops(Executor &executor, TimePoint now);
     void vacate(Executor &executor, TimePoint now);
+    void copyRuns(Executor &executor, TimePoint now);
+    bool silent(const Executor &executor, TimePoint now) const;
     void adjustPace(Executor &executor, TimePoint now);
     int unavailableInStep(const Job &job, const TaskName &name, TimePoint now) const;
     void placeWaitingTasks(TimePoint now);
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -178,8 +178,9 @@
         if (!task.done && task.executor.empty() && !mayHaveUnknownRun(job, step, task)) {
             // A retry delay follows a refused start. The scheduler had recorded enough room on the executor, so the
             // task only waits for the delay to pass.
-            retryLater = retryLater || task.retryAt > now;
-            if (task.retryAt <= now) {
+            const bool mayStartNow = task.retryAt <= now && mayStart(task, now);
+            retryLater = retryLater || !mayStartNow;
+            if (mayStartNow) {
                 waiting.push_back(index);
             }
         }
@@ -246,7 +247,7 @@
 /// Number of starts that a placement pass may send to the executor. None while the answer to a start is overdue.
 int Scheduler::startsAllowed(const Executor &executor, TimePoint now) const
 {
-    const int allowed = executor.health.allowedStarts(now);
+    const int allowed = executor.unreachable ? 0 : executor.health.allowedStarts(now);
     const TimePoint countedFrom = executor.health.startsCountedFrom();
     int started = 0;
     for (const auto &[name, run] : executor.runs) {
--- a/tests/core_executor_calls.cpp
+++ b/tests/core_executor_calls.cpp
@@ -138,6 +138,39 @@
     }
 }
 
+TEST_CASE("An executor that was vacated gets one start before it gets more")
+{
+    // Guards against this failure: an instance that had left the pool stayed in the list of executors for seconds. Each
+    // second all starts of a pass were sent to it, and none could connect.
+    CallFixture fixture;
+    fixture.scheduler.setVacating({"i-0"}, fixture.now);
+    fixture.commands();
+    fixture.scheduler.setVacating({}, fixture.now);
+    fixture.submit("00000000000000aa", 20, 6000);
+    int probes = 0;
+    ExecutorCommand probe;
+    for (const ExecutorCommand &start : fixture.commandsOf(CommandKind::Start)) {
+        if (start.executor == "i-0") {
+            probe = start;
+            ++probes;
+        } else {
+            fixture.answer(start, CommandResult::Done);
+        }
+    }
+    CHECK(probes == 1);
+
+    SECTION("it has left: the next start is sent much later")
+    {
+        fixture.answer(probe, CommandResult::Unreachable);
+        CHECK(fixture.commandsOf(CommandKind::Start, 1s).empty());
+    }
+    SECTION("it has stayed: it gets its full load")
+    {
+        fixture.answer(probe, CommandResult::Done);
+        CHECK(fixture.commandsOf(CommandKind::Start, 110ms).size() > 1);
+    }
+}
+
 TEST_CASE("A start without an answer is sent again to the same executor and settled there")
 {
     // Guards against this failure: a start that got no answer was waited for during the whole time-out of commands,
@@ -416,7 +449,7 @@
     SECTION("while every report arrives, a poll waits long for an end")
     {
         CHECK(calm.wait == 800ms);
-        CHECK(calm.timeout == 1800ms);
+        CHECK(calm.timeout == 1300ms);
     }
     SECTION("after a lost report the poll is repeated at once, and polls wait for less")
     {
@@ -449,3 +482,63 @@
         CHECK(fixture.commandsOf(CommandKind::RenewLeases).empty());
     }
 }
+
+TEST_CASE("One lost report does not make an executor silent")
+{
+    // Guards against this failure: a lost report poll was repeated only after the executor counted as silent, so it
+    // got no tasks and its tasks were copied although it was well.
+    CallFixture fixture;
+    fixture.submit("00000000000000aa", 1);
+    const auto starts = fixture.commandsOf(CommandKind::Start);
+    REQUIRE(starts.size() == 1);
+    fixture.answer(starts[0], CommandResult::Done);
+    const auto polls = fixture.commandsOf(CommandKind::RenewLeases, 40ms);
+    REQUIRE(polls.size() == 1);
+    fixture.now += polls[0].timeout;
+    fixture.scheduler.reportPollFailed(polls[0].executor, CommandResult::Unanswered, fixture.now);
+    const auto repeated = fixture.commandsOf(CommandKind::RenewLeases);
+    REQUIRE(repeated.size() == 1);
+    CHECK(repeated[0].wait == Duration{0});
+    CHECK(repeated[0].leaseUntilMs > 0);
+    const Executor &executor = fixture.scheduler.executors().at(polls[0].executor);
+    CHECK(fixture.now - executor.silentSince() < SchedulerSettings().silentAfter - 500ms);
+}
+
+TEST_CASE("A task of a speculative step does not wait for the leases of an executor without an answer")
+{
+    // Guards against this failure: all tasks on a crashed executor waited until its leases had ended, although some
+    // of them may have two runs at once.
+    SimulationSettings settings;
+    settings.failedRunRate = 0;
+    Simulation simulation(settings);
+    simulation.takeOver(true);
+    StepSpec step = makeStep(4, 1000, 1s);
+    step.speculative = GENERATE(true, false);
+    simulation.submit(makeJob("a", {step}));
+    simulation.run(600ms);
+    int used = 0;
+    while (simulation.runsAt(used) == 0) {
+        ++used;
+    }
+
+    SECTION("it crashes: the tasks start elsewhere at once where copies are allowed")
+    {
+        simulation.crash(used);
+        simulation.run(4500ms);
+        CHECK(simulation.state("a") == (step.speculative ? JobState::Completed : JobState::Pending));
+        simulation.run(6s);
+        CHECK(simulation.state("a") == JobState::Completed);
+    }
+    SECTION("it comes back: the first run of each task that ends counts, and the other is stopped")
+    {
+        simulation.executor(used).unreachable = true;
+        simulation.run(2500ms);
+        simulation.executor(used).unreachable = false;
+        simulation.run(3s);
+        CHECK(simulation.state("a") == JobState::Completed);
+        for (int i = 0; i < 6; ++i) {
+            CHECK(simulation.runsAt(i) == 0);
+        }
+    }
+    CHECK(simulation.violations().empty());
+}
