--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -309,6 +309,14 @@
             }
             doneTask.executor.clear();
         }
+        if (spec.speculative && !spec.gang) {  // runs that copyRuns() has left on executors without an answer
+            const std::string text = formatTaskName({name.job, name.occurrence, name.step, index});
+            for (auto &[id, executor] : m_executors) {
+                if (const auto run = executor.runs.find(text); run != executor.runs.end()) {
+                    stopRun(executor, text, run->second, now, "task-done");
+                }
+            }
+        }
         ++occurrence.done[step];
     };
     if (spec.gang) {  // the success of one member counts for the whole gang
@@ -458,6 +466,9 @@
         const bool vacating = ids.contains(id);
         if (vacating && !executor.vacating) {
             executor.vacatingSince = now;
+        } else if (!vacating && executor.vacating) {
+            executor.health.requireProbe(
+                now);  // its instance has usually left the pool, some time before the list shows it
         }
         m_placementNeeded = m_placementNeeded || vacating != executor.vacating;
         executor.vacating = vacating;
@@ -662,6 +673,7 @@
     }
     Executor &executor = found->second;
     (settles ? executor.settlePollPending : executor.reportPollPending) = false;
+    countPoll(false);
     if (executor.record.startedMs != 0 && report.startedMs != executor.record.startedMs) {
         if (report.startedMs < executor.record.startedMs) {
             return;  // the report is from a previous incarnation
@@ -682,6 +694,8 @@
         return;
     }
     executor.reportClockMs = report.clockMs;
+    executor.unreachable = false;
+    executor.failedPolls = 0;
     executor.endsIncomplete = report.endsIncomplete;
     executor.lastReport = now;
     executor.clockMs = report.clockMs;
@@ -803,6 +817,13 @@
     adjustPace(executor, now);
 }
 
+/// Updates the share of polls without an answer, over all executors.
+void Scheduler::countPoll(bool lost)
+{
+    constexpr double weight = 0.02;  // so that about the last fifty polls determine the share
+    m_lostPollShare += ((lost ? 1.0 : 0.0) - m_lostPollShare) * weight;
+}
+
 void Scheduler::reportPollFailed(const std::string &id, CommandResult result, TimePoint now, bool settles)
 {
     const auto found = m_executors.find(id);
@@ -817,7 +838,10 @@
         return;
     }
     executor.reportPollPending = false;
-    executor.nextReportPoll = now + StartRetryPause;
+    executor.unreachable = result == CommandResult::Unreachable;
+    countPoll(result == CommandResult::Unanswered);
+    // The answer to one poll may get lost while the executor is well. A second loss in a row points to its silence.
+    executor.nextReportPoll = executor.failedPolls++ == 0 ? now : now + StartRetryPause;
     executor.sentAcknowledgement = 0;
     // The executor may have restarted, so the last report no longer counts as fresh and no end is acknowledged.
     executor.lastReport = std::min(executor.lastReport, now - m_settings.freshReportAge);
@@ -849,6 +873,11 @@
     return !m_deposed && now - m_ownershipProvenAt < m_settings.ownershipProofMaxAge;
 }
 
+bool Scheduler::mayStart(const Task &task, TimePoint now) const
+{
+    return mayCommand(now) && (!task.copied || now - m_ownershipProvenAt < m_settings.copyProofMaxAge);
+}
+
 /// End of a lease that is granted now, on the executor's clock. Zero while that clock is not known.
 std::int64_t Scheduler::leaseUntil(const Executor &executor, TimePoint now) const
 {
