--- a/tests/run_job_api.cpp
+++ b/tests/run_job_api.cpp
@@ -461,7 +461,7 @@
         CHECK(callerReply->outcome == JobApiOutcome::Done);
         CHECK(callerReply->state == JobState::Cancelled);
     }
-    SECTION("the cancellation's write is lost, and the job is stored before the next attempt: it is cancelled")
+    SECTION("its write is lost, and the job is stored before the next attempt: it is cancelled")
     {
         api.cancel("orders", "a", {}, storeReply);
         readUnknown();
@@ -503,7 +503,7 @@
         store.answer("commit", StoreOutcome::Refused);
         CHECK(callerReply->outcome == JobApiOutcome::Unknown);
     }
-    SECTION("the queue is assigned to another service between cancellation and submission: the job stays cancelled")
+    SECTION("the queue gets another service in between: the job stays cancelled")
     {
         api.submit(job("a"), "stems", {}, storeReply);
         store.answer("commit", StoreOutcome::Conflict, {item("id/a", keys::encodeJobId({"orders", false}), 7)});
