--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -9,6 +9,7 @@
 #include "job_entry.h"
 
 #include "advice_routes.h"
+#include "caller_access.h"
 #include "clients.h"
 #include "fleet_owner.h"
 #include "http.h"
@@ -17,6 +18,7 @@
 #include "ownership_records.h"
 #include "partition_owner.h"
 #include "settings_file.h"
+#include "standstill.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -60,7 +62,9 @@
 constexpr Duration SettingsPeriod{2'000'000};
 /// Longest wait of a watch of the operators' configuration. A dead connection must be detected before a new
 /// configuration must be in force.
-constexpr Duration ConfigWatchWait{1'500'000};
+constexpr Duration ConfigWatchWait{1'400'000};
+/// Wait of the watch after one that failed, so that the entry soon knows whether its configuration is the latest.
+constexpr Duration ConfigRecheckWait{50'000};
 constexpr std::size_t MaxEntryConnections = 256;  // connections from other entries and from readers of the metrics
 constexpr int ExecutorConnections = 3;            // per executor: one for the report poll, two for starts and stops
 constexpr int MaxExecutorConnections = 16;        // per executor while calls wait for a connection
@@ -69,6 +73,12 @@
 constexpr Duration StopLead{2'600'000};
 constexpr Duration StopSlack{700'000};  // the process exits this long before SIGKILL would be sent
 
+/// Standstill of the process after which requests that it reads may be older than the ids of cancelled jobs are kept.
+/// It is far below `finalStateRetention`, and far above the pauses of a busy machine.
+constexpr Duration StandstillLimit{30'000'000};
+/// Time after a standstill within which the requests that waited are read or their connections have timed out.
+constexpr Duration StandstillDrain{10'000'000};
+
 // [2] The process of `briarvane serve` --------------------------------------------------------------------------------
 
 /// The process behind `briarvane serve`. All its functions run on the I/O thread.
@@ -132,8 +142,10 @@
 
     // Callers
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
-    void submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const std::string &id,
-                const std::string &partition);
+    void refuseCaller(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, AccessOutcome outcome);
+    void serveCaller(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const CallerScope &scope);
+    void submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const CallerScope &scope,
+                const std::string &id, const std::string &partition);
     void reply(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &body);
     void replyWithError(const std::shared_ptr<HttpExchange> &exchange, const JobApiReply &result);
     bool canAcceptJobs();
@@ -172,6 +184,7 @@
     std::optional<HttpServer> m_metricsServer;
     boost::asio::signal_set m_signals;
     SettingsFile m_settingsFile;
+    StandstillDetector m_standstill{StandstillLimit, StandstillDrain};
     Metrics m_metrics;
 
     DeploymentConfig m_config;
