Divide quotas of workspaces among partitions: decisions without a network

Owners of several partitions start tasks of one workspace at the same time, so each needs a part of the quota that nobody else uses. QuotaDivider gives a part only what the quota has left after all that the partitions may still use; QuotaLedger counts what a workspace has running in one partition. A property test plays random histories with late and lost reports, paused and replaced owners, late writes and changed quotas. It found that parts grew up to former bounds after a lower quota while others still ran more than theirs; no part grows now until the bounds fit the quota.

--- /dev/null
+++ b/src/workspace_quota.cpp
@@ -0,0 +1,485 @@
+#include "workspace_quota.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace briarvane
+{
+
+namespace
+{
+
+constexpr std::array<int Resources::*, 3> Fields = {&Resources::milliCores, &Resources::memoryMb, &Resources::gpus};
+
+/// A part that is smaller than the quota by this factor and the number of partitions is kept by a partition without
+/// demand, so that the first tasks of a burst need not wait for a division.
+constexpr int IdlePartDivisor = 8;
+/// Parts that could grow by less than this fraction of the quota stay, unless the growth ends a wait.
+constexpr int GrowthDivisor = 64;
+constexpr int HeadroomDivisor = 4;       // of the wanted resources; a partition with less left gets a larger part
+constexpr int ReportChangeDivisor = 8;   // of the reported value; smaller changes are not reported
+constexpr int ReportChangeMinimum = 50;  // in the unit of the field
+
+int add(int left, int right)
+{
+    return static_cast<int>(std::min<std::int64_t>(NoLimit, std::int64_t{left} + right));
+}
+
+Resources add(const Resources &left, const Resources &right)
+{
+    return {add(left.milliCores, right.milliCores), add(left.memoryMb, right.memoryMb), add(left.gpus, right.gpus)};
+}
+
+Resources larger(const Resources &left, const Resources &right)
+{
+    return {std::max(left.milliCores, right.milliCores), std::max(left.memoryMb, right.memoryMb),
+            std::max(left.gpus, right.gpus)};
+}
+
+Resources smaller(const Resources &left, const Resources &right)
+{
+    return {std::min(left.milliCores, right.milliCores), std::min(left.memoryMb, right.memoryMb),
+            std::min(left.gpus, right.gpus)};
+}
+
+/// One field of one workspace in one partition.
+struct Row
+{
+    int part = 0;
+    int bound = 0;  // limit of what the partition may still use
+    int wanted = 0;
+    bool known = true;  // the stored parts have the row
+    int desired = 0;
+    int next = 0;
+};
+
+/// Sets `desired` so that the sum is at most the quota: what each partition wants and an equal share of what is left,
+/// or, if the quota is too small for that, equal shares up to what each one wants.
+void divide(std::vector<Row> &rows, int quota)
+{
+    const auto count = static_cast<std::int64_t>(rows.size());
+    const int idlePart = quota / static_cast<int>(count * IdlePartDivisor);
+    std::vector<Row *> open;
+    std::int64_t left = quota;
+    std::int64_t wanted = 0;
+    for (Row &row : rows) {
+        row.desired = 0;
+        wanted += std::max(row.wanted, idlePart);
+        open.push_back(&row);
+    }
+    if (wanted <= quota) {
+        for (Row &row : rows) {
+            row.desired = static_cast<int>(std::max(row.wanted, idlePart) + (quota - wanted) / count);
+        }
+        return;
+    }
+    std::sort(open.begin(), open.end(), [](const Row *a, const Row *b) { return a->wanted < b->wanted; });
+    for (std::size_t i = 0; i < open.size(); ++i) {
+        const std::int64_t share = left / static_cast<std::int64_t>(open.size() - i);
+        open[i]->desired = static_cast<int>(std::min<std::int64_t>(share, std::max(open[i]->wanted, idlePart)));
+        left -= open[i]->desired;
+    }
+}
+
+/// Sets `next` of all rows. Returns whether the parts should be stored.
+bool nextParts(std::vector<Row> &rows, int quota)
+{
+    if (quota == 0) {
+        bool changed = false;
+        for (Row &row : rows) {
+            row.next = NoLimit;
+            changed = changed || !row.known || row.part != NoLimit;
+        }
+        return changed;
+    }
+    divide(rows, quota);
+    std::int64_t bounds = 0;
+    std::int64_t parts = 0;
+    bool changed = false;
+    for (Row &row : rows) {
+        bounds += row.bound;
+        parts += row.part;
+        changed = changed || !row.known || row.part == NoLimit;
+        row.next = std::min(row.part, row.desired);
+    }
+    changed = changed || parts > quota;
+    const int growth = std::max(1, quota / GrowthDivisor);
+    std::int64_t left = std::max<std::int64_t>(0, quota - bounds);
+    bool someoneWaits = false;
+    std::int64_t taken = 0;
+    std::vector<Row *> growing;
+    for (Row &row : rows) {
+        taken += row.part - row.next;
+        if (row.desired > row.part) {
+            growing.push_back(&row);
+        }
+    }
+    // Those that lack the largest part of what they want come first.
+    std::sort(growing.begin(), growing.end(),
+              [](const Row *a, const Row *b) { return a->part - a->wanted < b->part - b->wanted; });
+    for (Row *row : growing) {
+        if (bounds > quota) {
+            row->next = row->part;  // the quota was lowered, and some partitions may still use more than their parts
+            continue;
+        }
+        // Up to the bound a part costs nothing, since the partition may use that much anyway.
+        const auto above = static_cast<int>(std::clamp<std::int64_t>(row->desired - row->bound, 0, left));
+        row->next = std::max(row->part, std::min(row->desired, add(row->bound, above)));
+        left -= std::max(0, row->next - row->bound);
+        const bool lacks = std::int64_t{row->wanted} + row->wanted / HeadroomDivisor > row->part;
+        const bool endsWait = row->part < row->wanted && row->next >= row->wanted;
+        someoneWaits = someoneWaits || (lacks && (row->desired >= row->part + growth || row->wanted > row->part));
+        changed = changed || (lacks && (endsWait || row->next >= row->part + growth));
+    }
+    return changed || (someoneWaits && taken >= growth);
+}
+
+boost::json::array toJson(const Resources &resources)
+{
+    return {resources.milliCores, resources.memoryMb, resources.gpus};
+}
+
+using ResourcesRow = std::array<int, 3>;
+using PairRow = std::array<ResourcesRow, 2>;
+
+Resources fromRow(const ResourcesRow &row)
+{
+    return {row[0], row[1], row[2]};
+}
+
+bool valid(const PairRow &row)
+{
+    return std::all_of(row.begin(), row.end(), [](const ResourcesRow &resources) {
+        return std::all_of(resources.begin(), resources.end(), [](int value) { return value >= 0; });
+    });
+}
+
+Error malformed(std::string_view what)
+{
+    return Error{ErrorCode::Invalid, std::string(what) + " cannot be read"};
+}
+
+}
+
+// Parts and reports ---------------------------------------------------------------------------------------------------
+
+Resources equalPart(const Resources &quota, int partitions)
+{
+    Resources part;
+    for (const auto field : Fields) {
+        part.*field = quota.*field == 0 ? NoLimit : partitions == 0 ? 0 : quota.*field / partitions;
+    }
+    return part;
+}
+
+std::string encodeQuotaParts(const QuotaParts &parts)
+{
+    boost::json::object workspaces;
+    for (const auto &[workspace, partitions] : parts.workspaces) {
+        boost::json::object rows;
+        for (const auto &[partition, row] : partitions) {
+            rows[partition] = boost::json::array{toJson(row.part), toJson(row.bound)};
+        }
+        workspaces[workspace] = std::move(rows);
+    }
+    return boost::json::serialize(workspaces);
+}
+
+Result<QuotaParts> parseQuotaParts(std::string_view text, std::uint64_t revision)
+{
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(text, error);
+    if (error || !value.is_object()) {
+        return malformed("the parts of quotas");
+    }
+    QuotaParts parts;
+    parts.revision = revision;
+    for (const auto &[workspace, partitions] : value.get_object()) {
+        if (!partitions.is_object()) {
+            return malformed("the parts of quotas");
+        }
+        for (const auto &[partition, element] : partitions.get_object()) {
+            const auto row = boost::json::try_value_to<PairRow>(element);
+            if (!row || !valid(*row)) {
+                return malformed("the parts of quotas");
+            }
+            const Resources part = fromRow((*row)[0]);
+            parts.workspaces[workspace][partition] = {part, larger(part, fromRow((*row)[1]))};
+        }
+    }
+    return parts;
+}
+
+std::string encodeQuotaReport(const QuotaReport &report)
+{
+    boost::json::object workspaces;
+    for (const auto &[workspace, use] : report.workspaces) {
+        workspaces[workspace] = boost::json::array{toJson(use.running), toJson(use.wanted)};
+    }
+    return boost::json::serialize(
+        boost::json::object{{"revision", report.revision}, {"workspaces", std::move(workspaces)}});
+}
+
+Result<QuotaReport> parseQuotaReport(std::string_view text)
+{
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(text, error);
+    const boost::json::object *object = error ? nullptr : value.if_object();
+    const boost::json::value *revision = object == nullptr ? nullptr : object->if_contains("revision");
+    const boost::json::value *workspaces = object == nullptr ? nullptr : object->if_contains("workspaces");
+    if (revision == nullptr || workspaces == nullptr || !workspaces->is_object()) {
+        return malformed("the report on quotas");
+    }
+    const auto number = boost::json::try_value_to<std::uint64_t>(*revision);
+    if (!number) {
+        return malformed("the report on quotas");
+    }
+    QuotaReport report;
+    report.revision = *number;
+    for (const auto &[workspace, element] : workspaces->get_object()) {
+        const auto row = boost::json::try_value_to<PairRow>(element);
+        if (!row || !valid(*row)) {
+            return malformed("the report on quotas");
+        }
+        report.workspaces[workspace] = {fromRow((*row)[0]), fromRow((*row)[1])};
+    }
+    return report;
+}
+
+bool reportsDiffer(const QuotaReport &left, const QuotaReport &right)
+{
+    const auto differ = [](int a, int b) {
+        const int difference = a > b ? a - b : b - a;
+        return difference > std::max(ReportChangeMinimum, std::max(a, b) / ReportChangeDivisor)
+            || (difference > 0 && std::min(a, b) == 0);
+    };
+    const auto useDiffers = [&differ](const QuotaUse &a, const QuotaUse &b) {
+        return std::any_of(Fields.begin(), Fields.end(), [&](const auto field) {
+            return differ(a.running.*field, b.running.*field) || differ(a.wanted.*field, b.wanted.*field);
+        });
+    };
+    const auto useOf = [](const QuotaReport &report, const std::string &workspace) {
+        const auto found = report.workspaces.find(workspace);
+        return found == report.workspaces.end() ? QuotaUse{} : found->second;
+    };
+    const auto anyDiffers = [&](const QuotaReport &from, const QuotaReport &to) {
+        return std::any_of(from.workspaces.begin(), from.workspaces.end(),
+                           [&](const auto &item) { return useDiffers(item.second, useOf(to, item.first)); });
+    };
+    return anyDiffers(left, right) || anyDiffers(right, left);
+}
+
+// Division of the quotas ----------------------------------------------------------------------------------------------
+
+void QuotaDivider::setQuotas(Quotas quotas, std::vector<std::string> partitions)
+{
+    m_quotas = std::move(quotas);
+    m_partitions = std::move(partitions);
+}
+
+void QuotaDivider::setStored(QuotaParts stored)
+{
+    m_stored = std::move(stored);
+}
+
+void QuotaDivider::setReport(const std::string &partition, const QuotaReport &report)
+{
+    QuotaReport &last = m_reports[partition];
+    if (report.revision >= last.revision) {
+        last = report;
+    }
+}
+
+/// What a partition without a stored row may use: its equal part before the first division, else nothing.
+QuotaPart QuotaDivider::storedPart(const std::string &workspace, const std::string &partition) const
+{
+    if (m_stored.revision == 0) {
+        const Resources part = equalPart(m_quotas.at(workspace), static_cast<int>(m_partitions.size()));
+        return {part, part};
+    }
+    const auto rows = m_stored.workspaces.find(workspace);
+    if (rows == m_stored.workspaces.end()) {
+        return {};
+    }
+    const auto row = rows->second.find(partition);
+    return row == rows->second.end() ? QuotaPart{} : row->second;
+}
+
+std::optional<QuotaParts> QuotaDivider::next() const
+{
+    if (m_partitions.empty()) {
+        return std::nullopt;
+    }
+    QuotaParts result;
+    bool changed = m_stored.revision == 0 && !m_quotas.empty();
+    for (const auto &[workspace, partitions] : m_stored.workspaces) {
+        changed = changed || !m_quotas.contains(workspace);
+    }
+    for (const auto &[workspace, quota] : m_quotas) {
+        // Partitions of services that the configuration has no more keep what they may use.
+        std::set<std::string> names(m_partitions.begin(), m_partitions.end());
+        const auto storedRows = m_stored.workspaces.find(workspace);
+        if (storedRows != m_stored.workspaces.end()) {
+            for (const auto &[partition, row] : storedRows->second) {
+                names.insert(partition);
+            }
+        }
+        std::map<std::string, QuotaPart> &parts = result.workspaces[workspace];
+        std::map<std::string, QuotaPart> present;  // with the bound that the last report leaves
+        std::map<std::string, QuotaUse> use;
+        for (const std::string &name : names) {
+            QuotaPart row = storedPart(workspace, name);
+            const auto report = m_reports.find(name);
+            if (report != m_reports.end()) {
+                const auto found = report->second.workspaces.find(workspace);
+                use[name] = found == report->second.workspaces.end() ? QuotaUse{} : found->second;
+                // A partition that has applied the parts starts nothing above its part, so what it has running above
+                // it only shrinks.
+                const bool applied = m_stored.revision != 0 && report->second.revision >= m_stored.revision;
+                row.bound = larger(applied ? row.part : row.bound, use[name].running);
+            }
+            present[name] = row;
+            parts[name] = row;
+        }
+        for (const auto field : Fields) {
+            std::vector<Row> rows;
+            for (const std::string &name : names) {
+                Row row;
+                row.part = present[name].part.*field;
+                row.bound = present[name].bound.*field;
+                row.wanted = std::max(use[name].wanted.*field, use[name].running.*field);
+                row.known = m_stored.revision == 0
+                    || (storedRows != m_stored.workspaces.end() && storedRows->second.contains(name));
+                rows.push_back(row);
+            }
+            if (!nextParts(rows, quota.*field)) {
+                continue;
+            }
+            changed = true;
+            std::size_t index = 0;
+            for (const std::string &name : names) {
+                QuotaPart &row = parts[name];
+                row.part.*field = rows[index].next;
+                row.bound.*field = std::max(rows[index].bound, rows[index].next);
+                ++index;
+            }
+        }
+    }
+    return changed ? std::optional(std::move(result)) : std::nullopt;
+}
+
+// Use of the quotas in one partition ----------------------------------------------------------------------------------
+
+void QuotaLedger::setQuotas(Quotas quotas, int partitions)
+{
+    m_quotas = std::move(quotas);
+    m_partitions = partitions;
+}
+
+bool QuotaLedger::setParts(std::uint64_t revision, std::map<std::string, QuotaPart> parts)
+{
+    if (m_partsKnown && revision <= m_revision) {
+        return false;
+    }
+    m_partsKnown = true;
+    m_revision = revision;
+    m_parts = std::move(parts);
+    return true;
+}
+
+void QuotaLedger::started(const std::string &workspace, const Resources &resources)
+{
+    if (!workspace.empty()) {
+        m_running[workspace] += resources;
+    }
+}
+
+void QuotaLedger::ended(const std::string &workspace, const Resources &resources)
+{
+    if (!workspace.empty()) {
+        m_running[workspace] -= resources;
+    }
+}
+
+void QuotaLedger::setUnreported(std::map<std::string, Resources> unreported, const Resources &unknown)
+{
+    m_unreported = std::move(unreported);
+    m_unknown = unknown;
+}
+
+Resources QuotaLedger::running(const std::string &workspace) const
+{
+    Resources sum = m_unknown;
+    if (const auto found = m_running.find(workspace); found != m_running.end()) {
+        sum = add(sum, found->second);
+    }
+    if (const auto found = m_unreported.find(workspace); found != m_unreported.end()) {
+        sum = add(sum, found->second);
+    }
+    return sum;
+}
+
+Resources QuotaLedger::part(const std::string &workspace) const
+{
+    const auto quota = m_quotas.find(workspace);
+    if (quota == m_quotas.end()) {
+        return {NoLimit, NoLimit, NoLimit};
+    }
+    if (!m_partsKnown) {
+        return {};
+    }
+    if (m_revision == 0) {
+        return equalPart(quota->second, m_partitions);
+    }
+    const auto found = m_parts.find(workspace);
+    return found == m_parts.end() ? Resources{} : found->second.part;
+}
+
+bool QuotaLedger::fits(const std::string &workspace, const Resources &resources) const
+{
+    return !limits(workspace) || add(running(workspace), resources).fitsInto(part(workspace));
+}
+
+void QuotaLedger::beginPass()
+{
+    m_waiting.clear();
+}
+
+void QuotaLedger::addWaiting(const std::string &workspace, const Resources &resources)
+{
+    Resources &sum = m_waiting[workspace];
+    sum = add(sum, resources);
+}
+
+QuotaReport QuotaLedger::report(const Resources &room) const
+{
+    QuotaReport report;
+    report.revision = m_revision;
+    // Workspaces without a quota are reported as well: the next configuration may set one.
+    std::set<std::string> names;
+    for (const auto *workspaces : {&m_running, &m_unreported, &m_waiting}) {
+        for (const auto &[name, resources] : *workspaces) {
+            names.insert(name);
+        }
+    }
+    for (const std::string &name : names) {
+        QuotaUse use;
+        use.running = running(name);
+        const auto waits = m_waiting.find(name);
+        use.wanted = waits == m_waiting.end() ? use.running : add(use.running, smaller(waits->second, room));
+        if (!(use == QuotaUse{})) {
+            report.workspaces[name] = use;
+        }
+    }
+    return report;
+}
+
+bool QuotaLedger::reportNeeded() const
+{
+    return !m_waiting.empty() || std::any_of(m_parts.begin(), m_parts.end(), [](const auto &item) {
+        return !(item.second.bound == item.second.part);
+    });
+}
+
+}
--- /dev/null
+++ b/tests/core_workspace_quota.cpp
@@ -0,0 +1,530 @@
+// Tests of the division of quotas among partitions and of the use of a quota in one partition.
+
+#include "workspace_quota.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <numeric>
+
+using namespace briarvane;
+
+namespace
+{
+
+const std::string Workspace = "north";
+
+Resources cores(int number)
+{
+    return {number * 1000, number * 2000, 0};
+}
+
+QuotaReport reportOf(std::uint64_t revision, int running, int wanted)
+{
+    return {revision, {{Workspace, {cores(running), cores(wanted)}}}};
+}
+
+/// Stores the next parts under a new revision; returns whether there were any.
+bool store(QuotaDivider &divider, QuotaParts &stored)
+{
+    auto next = divider.next();
+    if (!next) {
+        return false;
+    }
+    next->revision = stored.revision + 1;
+    stored = std::move(*next);
+    divider.setStored(stored);
+    return true;
+}
+
+int milliCoresOf(const QuotaParts &parts, const std::string &partition)
+{
+    return parts.workspaces.at(Workspace).at(partition).part.milliCores;
+}
+
+int partOf(const QuotaParts &parts, const std::string &partition)
+{
+    return milliCoresOf(parts, partition) / 1000;
+}
+
+// A model of several partitions, the store and the owners of the fleet partition
+// ---------------------------------------
+
+/// Runs of one partition. They outlive the owner that started them.
+struct ModelPartition
+{
+    std::string name;
+    std::vector<int> runs;     // cores of the runs on the executors
+    std::vector<int> waiting;  // cores of the tasks that wait
+    QuotaLedger ledger;        // of the present owner
+    bool paused = false;
+    std::optional<QuotaReport> written;  // report in the store
+};
+
+class Model
+{
+public:
+    Model(int partitions, int quota)
+        : m_quota(quota)
+        , m_allowed(quota)
+    {
+        m_versions.emplace_back();
+        for (int i = 0; i < partitions; ++i) {
+            m_names.push_back("p" + std::to_string(i));
+        }
+        m_partitions.resize(m_names.size());
+        for (std::size_t i = 0; i < m_names.size(); ++i) {
+            m_partitions[i].name = m_names[i];
+            replaceOwner(i);
+        }
+        replaceFleetOwner();
+    }
+
+    /// The successor reads the parts after it has acquired the partition, and counts the runs that executors report.
+    void replaceOwner(std::size_t index)
+    {
+        ModelPartition &partition = m_partitions[index];
+        partition.paused = false;
+        partition.ledger = QuotaLedger();
+        partition.ledger.setQuotas({{Workspace, cores(m_quota)}}, static_cast<int>(m_names.size()));
+        apply(partition);
+        for (const int run : partition.runs) {
+            partition.ledger.started(Workspace, cores(run));
+        }
+    }
+    void setPaused(std::size_t index)
+    {
+        m_partitions[index].paused = true;
+    }
+    /// The watches deliver the newest configuration and parts.
+    void deliver(std::size_t index)
+    {
+        ModelPartition &partition = m_partitions[index];
+        if (!partition.paused) {
+            partition.ledger.setQuotas({{Workspace, cores(m_quota)}}, static_cast<int>(m_names.size()));
+            apply(partition);
+        }
+    }
+    void report(std::size_t index)
+    {
+        ModelPartition &partition = m_partitions[index];
+        if (!partition.paused) {
+            partition.ledger.beginPass();
+            for (const int task : partition.waiting) {
+                partition.ledger.addWaiting(Workspace, cores(task));
+            }
+            partition.written = partition.ledger.report(cores(100'000));
+        }
+    }
+    void addTask(std::size_t index, int size)
+    {
+        m_partitions[index].waiting.push_back(size);
+    }
+    void startTasks(std::size_t index)
+    {
+        ModelPartition &partition = m_partitions[index];
+        while (!partition.paused && !partition.waiting.empty()
+               && partition.ledger.fits(Workspace, cores(partition.waiting.back()))) {
+            const int size = partition.waiting.back();
+            partition.waiting.pop_back();
+            partition.runs.push_back(size);
+            partition.ledger.started(Workspace, cores(size));
+            // What ran when the quota was lowered may stay, but nothing may be added to it.
+            RC_ASSERT(running() <= m_allowed);
+        }
+    }
+    void endRuns(std::size_t index, std::size_t number)
+    {
+        ModelPartition &partition = m_partitions[index];
+        for (; number > 0 && !partition.paused && !partition.runs.empty(); --number) {
+            partition.ledger.ended(Workspace, cores(partition.runs.back()));
+            partition.runs.pop_back();
+        }
+    }
+    /// Former quotas limit the starts only while parts from them may be in force, or what they allowed still runs.
+    void settle()
+    {
+        int sum = 0;
+        for (const ModelPartition &partition : m_partitions) {
+            int bound = std::max(std::accumulate(partition.runs.begin(), partition.runs.end(), 0),
+                                 partition.ledger.part(Workspace).milliCores / 1000);
+            for (const QuotaParts &version : m_versions) {
+                if (version.revision > partition.ledger.revision()) {
+                    bound = std::max(bound, partOf(version, partition.name));
+                }
+            }
+            for (const auto &[expected, version] : m_lateWrites) {
+                if (expected == m_versions.back().revision) {
+                    bound = std::max(bound, partOf(version, partition.name));
+                }
+            }
+            sum += bound;
+        }
+        m_allowed = std::max(m_quota, std::min(m_allowed, sum));
+    }
+    /// The new owner starts from the stored parts. Writes of the former one that are still on the way fail on their
+    /// precondition.
+    void replaceFleetOwner()
+    {
+        m_divider = QuotaDivider();
+        m_divider.setStored(m_versions.back());
+        m_divider.setQuotas({{Workspace, cores(m_quota)}}, m_names);
+        m_lateWrites.clear();
+    }
+    /// The first division follows the start of the fleet partition's owner at once. The model leaves out a quota that
+    /// changes before it.
+    void setQuota(int quota)
+    {
+        if (m_versions.back().revision == 0) {
+            return;
+        }
+        m_quota = quota;
+        m_allowed = std::max(m_allowed, quota);
+        m_divider.setQuotas({{Workspace, cores(m_quota)}}, m_names);
+    }
+    void readReport(std::size_t index)
+    {
+        if (m_partitions[index].written) {
+            m_divider.setReport(m_names[index], *m_partitions[index].written);
+        }
+    }
+    enum class Write { Done, ReplyLost, Late };
+    void divide(Write write)
+    {
+        auto next = m_divider.next();
+        if (!next) {
+            return;
+        }
+        if (write == Write::Late) {
+            m_lateWrites.push_back({m_versions.back().revision, std::move(*next)});
+            return;
+        }
+        commit(std::move(*next));
+        m_divider.setStored(m_versions.back());  // after a lost reply the owner reads the parts
+    }
+    /// The precondition of a late write is the revision that its writer had read.
+    void applyLateWrite()
+    {
+        if (!m_lateWrites.empty()) {
+            auto [expected, parts] = std::move(m_lateWrites.front());
+            m_lateWrites.pop_front();
+            if (expected == m_versions.back().revision) {
+                commit(std::move(parts));
+                m_divider.setStored(m_versions.back());
+            }
+        }
+    }
+
+    int running() const
+    {
+        int sum = 0;
+        for (const ModelPartition &partition : m_partitions) {
+            sum = std::accumulate(partition.runs.begin(), partition.runs.end(), sum);
+        }
+        return sum;
+    }
+    int quota() const
+    {
+        return m_quota;
+    }
+    bool anyWaits() const
+    {
+        return std::any_of(m_partitions.begin(), m_partitions.end(),
+                           [](const ModelPartition &partition) { return !partition.waiting.empty(); });
+    }
+    std::size_t size() const
+    {
+        return m_partitions.size();
+    }
+    /// One round in which everything answers.
+    void calmRound()
+    {
+        applyLateWrite();
+        for (std::size_t i = 0; i < size(); ++i) {
+            if (m_partitions[i].paused) {
+                replaceOwner(i);
+            }
+            deliver(i);
+            startTasks(i);
+            report(i);
+            readReport(i);
+        }
+        divide(Write::Done);
+    }
+
+private:
+    void apply(ModelPartition &partition)
+    {
+        std::map<std::string, QuotaPart> own;
+        const QuotaParts &version = m_versions.back();
+        if (const auto rows = version.workspaces.find(Workspace); rows != version.workspaces.end()) {
+            own[Workspace] = rows->second.at(partition.name);
+        }
+        partition.ledger.setParts(version.revision, std::move(own));
+    }
+    void commit(QuotaParts parts)
+    {
+        parts.revision = m_versions.back().revision + 1;
+        m_versions.push_back(std::move(parts));
+    }
+    int m_quota;
+    int m_allowed;  // the highest quota that parts in force may come from
+    std::vector<std::string> m_names;
+    std::vector<ModelPartition> m_partitions;
+    std::vector<QuotaParts> m_versions;
+    QuotaDivider m_divider;
+    std::deque<std::pair<std::uint64_t, QuotaParts>> m_lateWrites;
+};
+
+}
+
+TEST_CASE("A quota follows the demand of the partitions and is never exceeded", "[quota]")
+{
+    QuotaDivider divider;
+    divider.setQuotas({{Workspace, cores(80)}}, {"a", "b", "c", "d"});
+    QuotaParts stored;
+
+    SECTION("without demand equal parts are stored once, and then nothing is written")
+    {
+        REQUIRE(store(divider, stored));
+        CHECK(partOf(stored, "c") == 20);
+        divider.setReport("c", reportOf(stored.revision, 9, 9));
+        CHECK_FALSE(divider.next().has_value());
+    }
+    SECTION("a burst in one partition")
+    {
+        divider.setReport("a", reportOf(0, 20, 60));
+        REQUIRE(store(divider, stored));
+        CHECK(partOf(stored, "a") == 20);  // guards against giving away room that others may still use
+        CHECK(partOf(stored, "b") < 20);
+        CHECK(stored.workspaces.at(Workspace).at("b").bound.milliCores == 20'000);
+        const int idlePart = milliCoresOf(stored, "b");
+        CHECK(idlePart > 0);  // guards against a round of messages before the first task of a burst
+
+        SECTION("the part grows by what each of the others has given up, also if one of them never answers")
+        {
+            divider.setReport("b", reportOf(stored.revision, 0, 0));
+            divider.setReport("c", reportOf(stored.revision, 0, 0));
+            REQUIRE(store(divider, stored));
+            CHECK(milliCoresOf(stored, "a") == 20'000 + 2 * (20'000 - idlePart));
+        }
+        SECTION("a late report of the parts before frees nothing")
+        {
+            divider.setReport("b", reportOf(0, 0, 0));
+            divider.setReport("c", reportOf(0, 0, 0));
+            CHECK_FALSE(divider.next().has_value());
+        }
+        SECTION("a partition with more than its part still running frees only the rest")
+        {
+            divider.setReport("b", reportOf(stored.revision, 18, 18));
+            REQUIRE(store(divider, stored));
+            CHECK(partOf(stored, "a") <= 22);
+        }
+        SECTION("a new owner of the fleet partition counts what the partitions may still use")
+        {
+            QuotaDivider successor;
+            successor.setQuotas({{Workspace, cores(80)}}, {"a", "b", "c", "d"});
+            successor.setStored(stored);
+            successor.setReport("a", reportOf(stored.revision, 20, 60));
+            successor.setReport("b", reportOf(0, 0, 0));
+            CHECK_FALSE(successor.next().has_value());
+            successor.setReport("b", reportOf(stored.revision, 0, 0));
+            CHECK(successor.next().has_value());
+        }
+    }
+    SECTION("a lower quota shrinks the parts at once, whatever is running")
+    {
+        REQUIRE(store(divider, stored));
+        divider.setReport("a", reportOf(stored.revision, 20, 40));
+        divider.setReport("b", reportOf(stored.revision, 20, 20));
+        divider.setQuotas({{Workspace, cores(24)}}, {"a", "b", "c", "d"});
+        REQUIRE(store(divider, stored));
+        int parts = 0;
+        for (const std::string name : {"a", "b", "c", "d"}) {
+            parts += partOf(stored, name);
+        }
+        CHECK(parts <= 24);
+        CHECK(partOf(stored, "a") + partOf(stored, "b") >= 16);
+
+        SECTION("and no part grows until what is running fits")
+        {
+            divider.setReport("b", reportOf(stored.revision, 20, 60));
+            for (const std::string name : {"a", "c", "d"}) {
+                divider.setReport(name, reportOf(stored.revision, 6, 6));
+            }
+            CHECK_FALSE(divider.next().has_value());
+            divider.setReport("b", reportOf(stored.revision, 2, 60));
+            for (const std::string name : {"a", "c", "d"}) {
+                divider.setReport(name, reportOf(stored.revision, 0, 0));
+            }
+            CHECK(divider.next().has_value());
+        }
+    }
+    SECTION("a quota that the configuration no longer has leaves the record")
+    {
+        divider.setReport("a", reportOf(0, 20, 60));
+        REQUIRE(store(divider, stored));
+        divider.setQuotas({}, {"a", "b", "c", "d"});
+        REQUIRE(store(divider, stored));
+        CHECK(stored.workspaces.empty());
+    }
+    SECTION("partitions that are not known yet get no parts")
+    {
+        divider.setQuotas({{Workspace, cores(80)}}, {});
+        CHECK_FALSE(divider.next().has_value());
+    }
+}
+
+TEST_CASE("Records of quotas are read as they were written", "[quota]")
+{
+    QuotaParts parts;
+    parts.revision = 7;
+    parts.workspaces[Workspace]["a"] = {{1000, NoLimit, 0}, {3000, NoLimit, 2}};
+    const auto read = parseQuotaParts(encodeQuotaParts(parts), 7);
+    REQUIRE(read);
+    CHECK(read.value().workspaces == parts.workspaces);
+    CHECK(read.value().revision == 7);
+    const QuotaReport report{9, {{Workspace, {cores(2), cores(3)}}}};
+    const auto readReport = parseQuotaReport(encodeQuotaReport(report));
+    REQUIRE(readReport);
+    CHECK(readReport.value().revision == 9);
+    CHECK(readReport.value().workspaces == report.workspaces);
+
+    // Guards against a damaged record being taken for an empty one, which would free everything.
+    for (const char *text :
+         {"", "[]", "{\"north\":5}", "{\"north\":{\"a\":[[1,2,3]]}}", "{\"north\":{\"a\":[[1,2,-3],[1,2,3]]}}"}) {
+        CHECK_FALSE(parseQuotaParts(text, 1).has_value());
+    }
+    for (const char *text : {"", "{}", "{\"revision\":1}", "{\"revision\":-1,\"workspaces\":{}}",
+                             "{\"revision\":1,\"workspaces\":{\"north\":[1,2,3]}}"}) {
+        CHECK_FALSE(parseQuotaReport(text).has_value());
+    }
+}
+
+TEST_CASE("A partition starts no task above its part", "[quota]")
+{
+    QuotaLedger ledger;
+    ledger.setQuotas({{Workspace, {40'000, 0, 0}}}, 4);
+    SECTION("before the parts were read nothing fits, except for workspaces without a quota")
+    {
+        CHECK_FALSE(ledger.fits(Workspace, cores(1)));
+        CHECK(ledger.fits("south", cores(1000)));
+        CHECK(ledger.fits("", cores(1000)));
+    }
+    SECTION("before the first division the part is an equal one")
+    {
+        REQUIRE(ledger.setParts(0, {}));
+        CHECK(ledger.fits(Workspace, cores(10)));
+        CHECK_FALSE(ledger.fits(Workspace, cores(11)));
+        ledger.started(Workspace, cores(4));
+        CHECK(ledger.fits(Workspace, cores(6)));
+        CHECK_FALSE(ledger.fits(Workspace, cores(7)));
+        ledger.ended(Workspace, cores(4));
+        CHECK(ledger.fits(Workspace, cores(10)));
+
+        SECTION("stored parts replace it, and older ones come too late")
+        {
+            const Resources part{3000, NoLimit, NoLimit};
+            REQUIRE(ledger.setParts(5, {{Workspace, {part, part}}}));
+            CHECK_FALSE(ledger.setParts(4, {{Workspace, {cores(9), cores(9)}}}));
+            CHECK(ledger.fits(Workspace, cores(3)));
+            CHECK_FALSE(ledger.fits(Workspace, cores(4)));
+            CHECK_FALSE(ledger.reportNeeded());
+            REQUIRE(ledger.setParts(6, {}));  // guards against a missing row being read as no limit
+            CHECK_FALSE(ledger.fits(Workspace, cores(1)));
+        }
+        SECTION("what a predecessor may have started counts as running")
+        {
+            ledger.setUnreported({{Workspace, cores(4)}}, cores(3));
+            CHECK(ledger.fits(Workspace, cores(3)));
+            CHECK_FALSE(ledger.fits(Workspace, cores(4)));
+            CHECK(ledger.report({}).workspaces.at(Workspace).running == cores(7));
+        }
+        SECTION("tasks that wait for the quota are reported up to the room on the executors")
+        {
+            ledger.started(Workspace, cores(9));
+            ledger.addWaiting(Workspace, cores(50));
+            CHECK(ledger.reportNeeded());
+            CHECK(ledger.report(cores(20)).workspaces.at(Workspace).wanted == cores(29));
+            ledger.beginPass();
+            CHECK(ledger.report(cores(20)).workspaces.at(Workspace).wanted == cores(9));
+        }
+    }
+}
+
+// Guards against any order of messages, losses and changes of owners that lets two partitions use the same room.
+TEST_CASE("In random histories starts never exceed the quota, and room does not stay idle", "[quota]")
+{
+    const auto holds = rc::check("quota kept and used", [] {
+        const auto number
+            = [](int begin, int end) { return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(begin, end)); };
+        Model model(number(2, 7), number(40, 200));
+        const int events = number(20, 300);
+        for (int i = 0; i < events; ++i) {
+            const auto index = static_cast<std::size_t>(number(0, static_cast<int>(model.size())));
+            switch (number(0, 14)) {
+            case 0:
+            case 1:
+                for (int count = number(1, 12); count > 0; --count) {
+                    model.addTask(index, number(1, 6));
+                }
+                break;
+            case 2:
+            case 3:
+                model.startTasks(index);
+                break;
+            case 4:
+                model.endRuns(index, static_cast<std::size_t>(number(1, 12)));
+                break;
+            case 5:
+            case 6:
+                model.deliver(index);
+                break;
+            case 7:
+            case 8:
+                model.report(index);
+                break;
+            case 9:
+            case 10:
+                model.readReport(index);
+                break;
+            case 11:
+                model.divide(static_cast<Model::Write>(number(0, 3)));
+                model.applyLateWrite();
+                break;
+            case 12:
+                model.setPaused(index);
+                break;
+            default:
+                switch (number(0, 4)) {
+                case 0:
+                    model.replaceOwner(index);
+                    break;
+                case 1:
+                    model.replaceFleetOwner();
+                    break;
+                case 2:
+                    model.setQuota(number(20, 300));
+                    break;
+                default:
+                    model.calmRound();
+                }
+            }
+            model.settle();
+        }
+        constexpr int rounds = 8;
+        for (int i = 0; i < rounds; ++i) {
+            model.calmRound();
+        }
+        // Each partition may lack less than its next task, and growth below a 64th of the quota is not worth a write.
+        constexpr int largestTask = 5;
+        const int idle = model.quota() - model.running();
+        const int tolerated = static_cast<int>(model.size()) * (largestTask + model.quota() / 64 + 1)
+            + model.quota() / 8;  // the parts of partitions without demand
+        if (model.anyWaits()) {
+            RC_ASSERT(idle <= tolerated);
+        }
+    });
+    REQUIRE(holds);
+}
