Count runs per workspace and start no task above the partition's part of its quota

Nothing limited what a workspace has running, so one that sent many times its usual took the executors of the others. The scheduler counts each run from its start until its end is reported, also while it is being stopped, and what a predecessor may have started on executors that have not reported. A job that waits for its quota does not hold up others, a gang starts whole or not at all, and a job that could never run within its quota is refused with the reason. The fleet's owner writes the parts (f/quota), the partitions' owners report beside their load (g/quota/PARTITION) and read the parts before the first start.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -116,6 +116,7 @@
             }
             m_fleet->setSparePools(std::move(spare));
         }
+        updateQuotas();
         return;
     }
     if (item.key.starts_with(platform::WavePrefix)) {
@@ -304,6 +305,16 @@
         reply(exchange, 400, platform::encodeError(spec.error().message));
         return;
     }
+    if (const auto refusal = quotaRefusal(spec.value(), quotas())) {
+        logEvent(LogLevel::Info, "job-submitted",
+                 {{"job", id},
+                  {"queue", queue.name},
+                  {"config_version", std::to_string(m_config.version)},
+                  {"outcome", "refused"},
+                  {"why", *refusal}});
+        reply(exchange, 400, platform::encodeError(*refusal));
+        return;
+    }
     const TimePoint arrived = bootNow();
     m_jobApi.submit(
         std::move(spec.value()), partition,
@@ -400,6 +411,17 @@
         m_metrics.set("briarvane_share_requeued_total", labels, static_cast<double>(counts.requeued));
         m_metrics.set("briarvane_share_refused_starts_total", labels, static_cast<double>(counts.refusedStarts));
         m_metrics.set("briarvane_share_open_jobs", labels, static_cast<double>(owner->scheduler().openJobs()));
+        const QuotaLedger &ledger = owner->scheduler().quotaLedger();
+        for (const auto &[workspace, quota] : ledger.quotas()) {
+            const auto setCores = [&](std::string_view name, int milliCores) {
+                m_metrics.set(std::string(name), {{"share", partition}, {"workspace", workspace}}, milliCores / 1000.0);
+            };
+            const auto waiting = ledger.waiting().find(workspace);
+            setCores("briarvane_quota_part_cores", ledger.part(workspace).milliCores);
+            setCores("briarvane_quota_running_cores", ledger.running(workspace).milliCores);
+            setCores("briarvane_quota_waiting_cores",
+                     waiting == ledger.waiting().end() ? 0 : waiting->second.milliCores);
+        }
     }
     return formatExposition(m_metrics.list());
 }
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -92,6 +92,7 @@
             return;
         }
         m_partitionCounts.try_emplace(service, *count);
+        updateQuotas();
         logEvent(LogLevel::Info, "partition-count", {{"service", service}, {"partitions", item.value}});
         return;
     }
@@ -374,6 +375,10 @@
             m_fleet->addWave(wave);
         }
         m_fleet->start();
+        m_quotaOwner = std::make_unique<QuotaOwner<Client>>(
+            m_store, m_timers, fencingToken, QuotaOwnerSettings(),
+            [this](std::string_view why) { dropOwner(keys::FleetPartition, why); });
+        updateQuotas();
         startFleetViews();
         updateVacating();
         return;
@@ -391,6 +396,7 @@
         owner->setExecutors(m_executorList);
     }
     owner->setMaxAdviceCalls(m_adviceRoutes.maxPendingCalls());
+    owner->setWorkspaces(quotas(), static_cast<int>(quotaPartitions().size()));
     owner->start();
     m_partitions[partition] = std::move(owner);
 }
@@ -416,6 +422,7 @@
     bool earlierOwnersStopped = true;  // the owner of the fleet waits after any predecessor
     if (partition == keys::FleetPartition) {
         m_fleet.reset();
+        m_quotaOwner.reset();
         m_reportsView.reset();
     } else {
         earlierOwnersStopped = !m_partitions.at(partition)->scheduler().earlierOwnersMayCommand(bootNow());
@@ -465,7 +472,7 @@
             view->start();
         }
     };
-    watch(m_vacatingView, keys::FleetVacating, Duration{0});
+    watch(m_vacatingView, keys::FleetPrefix, Duration{0});
     if (m_fleet) {
         watch(m_reportsView, keys::FleetReports, FleetReportPause);
     }
@@ -488,6 +495,24 @@
         }
         return;
     }
+    if (item.key == keys::FleetQuotaParts) {
+        auto parts = parseQuotaParts(item.value, item.revision);
+        if (parts) {
+            m_quotaParts = std::move(parts.value());
+        } else {
+            logEvent(LogLevel::Error, "quota-parts-unreadable", {{"why", parts.error().message}});
+        }
+        return;
+    }
+    if (item.key.starts_with(keys::FleetQuotaReports)) {
+        auto report = parseQuotaReport(item.value);
+        if (report) {
+            m_quotaReports[item.key.substr(keys::FleetQuotaReports.size())] = std::move(report.value());
+        } else if (!item.removed) {
+            logEvent(LogLevel::Error, "quota-report-unreadable", {{"key", item.key}});
+        }
+        return;
+    }
     if (item.key.starts_with(keys::FleetVacated)) {
         const auto report = item.removed ? Result<VacatedReport>(VacatedReport()) : parseVacatedReport(item.value);
         if (report) {
@@ -514,6 +539,12 @@
 {
     for (const auto &[partition, owner] : m_partitions) {
         owner->setVacating(m_vacating, m_vacatingRevision);
+        owner->setQuotaParts(m_quotaParts);
+    }
+    if (m_quotaOwner) {
+        for (const auto &[partition, report] : m_quotaReports) {
+            m_quotaOwner->setReport(partition, report);
+        }
     }
     if (m_fleet) {
         std::map<std::string, std::uint64_t> vacated;
@@ -540,6 +571,42 @@
     }
 }
 
+/// Quotas of the configuration in force.
+Quotas JobEntry::quotas() const
+{
+    Quotas quotas;
+    for (const Workspace &workspace : m_config.workspaces) {
+        if (!(workspace.quota == Resources{})) {
+            quotas[workspace.name] = workspace.quota;
+        }
+    }
+    return quotas;
+}
+
+/// All partitions that start tasks; empty until the number of partitions of each service is stored.
+std::vector<std::string> JobEntry::quotaPartitions() const
+{
+    const bool known
+        = std::all_of(m_config.services.begin(), m_config.services.end(),
+                      [this](const PooledService &service) { return m_partitionCounts.contains(service.name); });
+    std::vector<std::string> partitions = known ? neededPartitions() : std::vector<std::string>();
+    std::erase(partitions, keys::FleetPartition);
+    return partitions;
+}
+
+/// Passes the quotas and the partitions on after a change of the configuration or of the numbers of partitions.
+void JobEntry::updateQuotas()
+{
+    const Quotas inForce = quotas();
+    const std::vector<std::string> partitions = quotaPartitions();
+    for (const auto &[name, owner] : m_partitions) {
+        owner->setWorkspaces(inForce, static_cast<int>(partitions.size()));
+    }
+    if (m_quotaOwner) {
+        m_quotaOwner->setQuotas(inForce, partitions);
+    }
+}
+
 MaintenanceResult JobEntry::toMaintenanceResult(const std::string &instance, platform::InstanceRequestResult result)
 {
     using Outcome = platform::InstanceRequestResult;
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -16,6 +16,7 @@
 #include "metrics.h"
 #include "ownership_records.h"
 #include "partition_owner.h"
+#include "quota_owner.h"
 #include "settings_file.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -119,6 +120,9 @@
     void startFleetViews();
     void fleetItemChanged(const StoreItem &item);
     void updateVacating();
+    Quotas quotas() const;
+    std::vector<std::string> quotaPartitions() const;
+    void updateQuotas();
     static MaintenanceResult toMaintenanceResult(const std::string &instance, platform::InstanceRequestResult result);
     FleetOwnerHooks fleetHooks();
     PartitionOwnerHooks partitionHooks();
@@ -188,16 +192,19 @@
     std::set<std::string> m_acquiring;
     std::map<std::string, std::unique_ptr<PartitionOwner<Client>>> m_partitions;
     std::unique_ptr<FleetOwner<Client>> m_fleet;
+    std::unique_ptr<QuotaOwner<Client>> m_quotaOwner;  // set while this entry owns the fleet partition
     TimePoint m_rebalancedAt;
     std::vector<ExecutorRecord> m_pendingExecutorList;  // pages read so far of the list in progress
     std::vector<ExecutorRecord> m_executorList;         // last complete list
     bool m_executorListComplete = false;
     std::set<std::string> m_registeredExecutors;  // executors that m_executors has an endpoint for
     std::unordered_set<std::string> m_vacating;
-    std::uint64_t m_vacatingRevision = 0;            // revision of the list of vacating executors in the store
-    std::map<std::string, VacatedReport> m_vacated;  // last report by partition
-    std::map<std::string, PoolLoad> m_loads;         // last load by partition
-    std::set<std::string> m_changedLoads;            // services with a load that m_fleet has not received yet
+    std::uint64_t m_vacatingRevision = 0;               // revision of the list of vacating executors in the store
+    std::map<std::string, VacatedReport> m_vacated;     // last report by partition
+    std::map<std::string, PoolLoad> m_loads;            // last load by partition
+    QuotaParts m_quotaParts;                            // last parts of the quotas that a watch has delivered
+    std::map<std::string, QuotaReport> m_quotaReports;  // last report by partition
+    std::set<std::string> m_changedLoads;               // services with a load that m_fleet has not received yet
 };
 
 }
--- a/src/job_keys.h
+++ b/src/job_keys.h
@@ -121,6 +121,13 @@
 {
     return FleetLoads + partition;
 }
+inline const std::string FleetPrefix = "f/";           // written by the fleet's owner
+inline const std::string FleetQuotaParts = "f/quota";  // division of the quotas; watched by owners of partitions
+inline const std::string FleetQuotaReports = "g/quota/";
+inline std::string quotaReport(const std::string &partition)
+{
+    return FleetQuotaReports + partition;
+}
 inline const std::string FleetMaintenanceBegun = "f/done";  // instances whose maintenance has begun, per wave
 
 }
--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -44,6 +44,8 @@
     Duration loadPeriod{250'000};
     /// Time between requests for the instance list while recorded executors do not answer.
     Duration instanceListPeriod{1'000'000};
+    /// Time between reports on the use of quotas while nothing waits for them.
+    Duration quotaReportPeriod{1'000'000};
     Duration loadRefresh{1'500'000};              // an unchanged load is published again after this time
     Duration summaryPeriod{1'000'000};            // between log lines with the resources that placement can use
     Duration recordedExecutorsPeriod{1'000'000};  // shortest time between two removals from the recorded executors
@@ -119,6 +121,24 @@
         schedulePass();
     }
 
+    /// Sets the quotas in force and the number of all partitions; 0: not known yet. The parts are read from the store
+    /// before the first start of a workspace with a quota: the watch of this entry may be behind the parts that a
+    /// predecessor has applied and reported.
+    void setWorkspaces(const Quotas &quotas, int partitions)
+    {
+        guarded([&] { m_scheduler.setWorkspaces(quotas, partitions); })();
+        if (!quotas.empty() && !std::exchange(m_quotaPartsRequested, true)) {
+            readQuotaParts();
+        }
+        schedulePass();
+    }
+    void setQuotaParts(const QuotaParts &parts)
+    {
+        if (m_quotaPartsRead && parts.revision != 0) {
+            applyQuotaParts(parts);
+        }
+    }
+
     void setMaxAdviceCalls(int calls)
     {
         m_scheduler.setMaxAdviceCalls(calls);
@@ -230,6 +250,40 @@
         }
     }
 
+    void readQuotaParts()
+    {
+        m_store.read(keys::FleetQuotaParts, m_settings.storeTimeout, guarded([this](const StoreReply &reply) {
+                         const bool exists = reply.outcome == StoreOutcome::Done && !reply.items.empty();
+                         if (!exists && reply.outcome != StoreOutcome::NotFound) {
+                             later(m_settings.retryPause, [this] { readQuotaParts(); });
+                             return;
+                         }
+                         const auto parts = exists
+                             ? parseQuotaParts(reply.items.front().value, reply.items.front().revision)
+                             : Result<QuotaParts>(QuotaParts());
+                         if (!parts) {
+                             logRepeated(LogLevel::Error, "quota-parts-unreadable", m_partition,
+                                         {{"why", parts.error().message}});
+                             later(m_settings.retryPause, [this] { readQuotaParts(); });
+                             return;
+                         }
+                         m_quotaPartsRead = true;
+                         applyQuotaParts(parts.value());
+                     }));
+    }
+
+    void applyQuotaParts(const QuotaParts &parts)
+    {
+        std::map<std::string, QuotaPart> own;
+        for (const auto &[workspace, rows] : parts.workspaces) {
+            if (const auto row = rows.find(m_partition); row != rows.end()) {
+                own[workspace] = row->second;
+            }
+        }
+        guarded([&] { m_scheduler.setQuotaParts(parts.revision, std::move(own)); })();
+        schedulePass();
+    }
+
     void jobChanged(const StoreItem &item)
     {
         const std::string id = item.key.substr(keys::jobs(m_partition).size());
@@ -255,6 +309,11 @@
             const std::int64_t wall = wallNowMs();
             const std::int64_t age = std::clamp<std::int64_t>(wall - record.value().endedMs, 0, 600'000);
             m_finalJobs.emplace_back(now - std::chrono::milliseconds(age), id);
+            // The predecessor may not have seen all runs of the job end.
+            const Duration lease = m_settings.scheduler.lease + m_settings.scheduler.ownershipProofMaxAge;
+            if (!m_loaded && record.value().state != JobState::Completed && std::chrono::milliseconds(age) < lease) {
+                m_scheduler.addStoppedJob(record.value().spec.workspace);
+            }
             return;
         }
         const auto progress = m_loadedProgress.find(id);
@@ -601,21 +660,49 @@
             cores = roundUp(cores);
         }
         std::string text = encodePoolLoad(load);
-        if (text == m_publishedLoad && now - m_loadAt < m_settings.loadRefresh) {
+        const std::optional<QuotaReport> quotaReport = dueQuotaReport(now);
+        const bool loadDue = text != m_publishedLoad || now - m_loadAt >= m_settings.loadRefresh;
+        if (!loadDue && !quotaReport) {
             later(m_settings.loadPeriod, [this] { publishLoad(); });
             return;
         }
         StoreTxn txn;
-        txn.writes.push_back({keys::load(m_partition), text, 0});
-        write(std::move(txn), [this, text = std::move(text), now](const StoreReply &reply) {
-            if (reply.outcome == StoreOutcome::Done) {
+        if (loadDue) {
+            txn.writes.push_back({keys::load(m_partition), text, 0});
+        }
+        if (quotaReport) {
+            txn.writes.push_back({keys::quotaReport(m_partition), encodeQuotaReport(*quotaReport), 0});
+        }
+        write(std::move(txn), [this, text = std::move(text), now, loadDue, quotaReport](const StoreReply &reply) {
+            if (reply.outcome == StoreOutcome::Done && loadDue) {
                 m_publishedLoad = text;
                 m_loadAt = now;
             }
+            if (reply.outcome == StoreOutcome::Done && quotaReport) {
+                m_quotaReport = quotaReport;
+                m_quotaReportAt = now;
+            }
             later(m_settings.loadPeriod, [this] { publishLoad(); });
         });
     }
 
+    /// Report on the quotas, if the published one differs much. It is urgent while the division waits for it.
+    std::optional<QuotaReport> dueQuotaReport(TimePoint now)
+    {
+        const QuotaLedger &ledger = m_scheduler.quotaLedger();
+        if (ledger.empty() || !m_quotaPartsRead) {
+            return std::nullopt;
+        }
+        const bool urgent = !m_quotaReport || ledger.reportNeeded(m_quotaReport->revision);
+        if (!urgent && now - m_quotaReportAt < m_settings.quotaReportPeriod) {
+            return std::nullopt;
+        }
+        QuotaReport report = m_scheduler.quotaReport(now);
+        const bool due = !m_quotaReport || reportsDiffer(report, *m_quotaReport)
+            || (urgent && report.revision != m_quotaReport->revision);
+        return due ? std::optional(std::move(report)) : std::nullopt;
+    }
+
     void logSummary()
     {
         logEvent(LogLevel::Info, "share-state", {{"share", m_partition}, {"state", m_scheduler.summary(bootNow())}});
@@ -712,6 +799,8 @@
     std::string m_publishedCounts;
     std::string m_publishedLoad;
     TimePoint m_loadAt;
+    std::optional<QuotaReport> m_quotaReport;  // last published report; none: no report yet
+    TimePoint m_quotaReportAt;
     TimePoint m_executorsRecordedAt;
     Timers::Key m_passTimer{};
     Timers::Key m_confirmTimer{};
@@ -722,6 +811,8 @@
     bool m_executorListReceived = false;
     bool m_recordingExecutors = false;
     bool m_publishingVacated = false;
+    bool m_quotaPartsRequested = false;
+    bool m_quotaPartsRead = false;
     bool m_passScheduled = false;
     bool m_ownershipLost = false;
 };
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -228,6 +228,7 @@
 void Scheduler::removeRun(Executor &executor, std::map<std::string, Run>::iterator item)
 {
     executor.used -= item->second.allocated;
+    m_quotaLedger.ended(item->second.workspace, item->second.quotaUse);
     executor.runsOfUnknownSize -= item->second.resourcesUnknown ? 1 : 0;
     const std::string id = item->second.task.job;
     executor.runs.erase(item);
@@ -602,6 +603,9 @@
     if (job != nullptr) {
         const StepSpec &step = job->spec.steps[static_cast<std::size_t>(run.task.step)];
         run.allocated = requestedResources(step);
+        run.workspace = job->spec.workspace;
+        run.quotaUse = step.each;
+        m_quotaLedger.started(run.workspace, run.quotaUse);
         ++job->runs;
     } else {
         run.resourcesUnknown = true;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -12,6 +12,7 @@
 
 #include "executor.h"
 #include "pool_planner.h"
+#include "workspace_quota.h"
 
 #include <algorithm>
 #include <memory>
@@ -86,7 +87,9 @@
 {
     int run = 0;  // run number
     TaskName task;
-    Resources allocated;  // counted in Executor::used until the run is removed from the executor
+    Resources allocated;    // counted in Executor::used until the run is removed from the executor
+    std::string workspace;  // workspace whose quota counts the run; empty: none
+    Resources quotaUse;     // counted in that quota until the run is removed from the executor
     RunState state = RunState::Starting;
     bool obsolete = false;  // no task needs this run any more
     /// The job of the run is unknown, and thus also its resources. The executor gets no new work while it has the run.
@@ -270,6 +273,9 @@
                 std::int64_t wallMs);
     void endJob(const std::string &id, JobState state, TimePoint now);  // ends the job on a caller's request
     bool hasJob(const std::string &id) const;
+    /// A job of the workspace was cancelled or failed shortly before this owner acquired the partition. Its runs may
+    /// still be stopping, and their sizes are not known.
+    void addStoppedJob(const std::string &workspace);
 
     // Executors
     /// Sets the complete list of registered executors.
@@ -294,6 +300,10 @@
     void reportPollFailed(const std::string &executor, CommandResult result, TimePoint now);
     void answered(const ExecutorCommand &command, CommandResult result, std::int64_t clockMs, TimePoint now);
     void committed(std::uint64_t generation, TimePoint now);  // the store has carried out the batch
+    /// Sets the quotas in force and the number of all partitions; 0: not known yet.
+    void setWorkspaces(Quotas quotas, int partitions);
+    /// Sets the parts of the quotas that this partition may use, see QuotaLedger::setParts().
+    void setQuotaParts(std::uint64_t revision, std::map<std::string, QuotaPart> parts);
     /// `advice` is null when the call was refused or not answered.
     void advised(const AdviceRequest &request, const Advice *advice, TimePoint sentAt, TimePoint now);
     void confirmed(TimePoint provenAt);  // a call sent at `provenAt` proved the ownership
@@ -348,6 +358,11 @@
     /// By queue: number of jobs without a schedule of which no task has started.
     std::map<std::string, int> waitingPerQueue() const;
     PoolLoad load(TimePoint now) const;
+    QuotaReport quotaReport(TimePoint now);
+    const QuotaLedger &quotaLedger() const
+    {
+        return m_quotaLedger;
+    }
     std::string summary(TimePoint now) const;  // log line with the state that placement depends on
     /// A job that completed or failed.
     struct Finished
@@ -403,6 +418,11 @@
     void startTask(Job &job, const TaskName &name, Executor &executor, TimePoint now);
     void sendStart(Job &job, const std::string &name, Run &run, Executor &executor, TimePoint now);
     bool mayHaveUnknownRun(const Job &job, int step, const Task &task) const;
+    void countUnreportedRuns();
+    Resources unreportedTasks(const Job &job) const;
+    Resources unreportedCapacity() const;
+    bool fitsQuota(const Job &job, const StepSpec &step, int tasks, int waiting);
+    void logQuotaWaits();
     void logDecision(std::string event, std::string job, std::string detail);
 
     SchedulerSettings m_settings;
@@ -448,6 +468,9 @@
     std::vector<Finished> m_finished;
     SchedulerCounts m_counts;
     std::map<std::string, QueueWork> m_workPerQueue;
+    QuotaLedger m_quotaLedger;
+    std::set<std::string> m_workspacesWithStoppedJobs;  // see addStoppedJob()
+    std::set<std::string> m_waitingForQuota;  // workspaces with tasks that waited for the quota in the last pass
 
     /// A demand that no executor could meet in the present placement pass.
     struct UnmetDemand
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -115,6 +115,8 @@
             < std::tuple(right.objectiveStatus, right.job->spec.priority, right.cost, right.job->spec.id);
     });
     m_unmetDemands.clear();
+    countUnreportedRuns();
+    m_quotaLedger.beginPass();
     for (const Candidate &candidate : candidates) {
         for (auto &[number, occurrence] : candidate.job->occurrences) {
             for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
@@ -126,6 +128,7 @@
             }
         }
     }
+    logQuotaWaits();
 }
 
 /// Whether the step demands at least as much as another step that found no executor in this pass. Free resources only
@@ -163,7 +166,7 @@
 }
 
 /// Starts the waiting tasks of a step on executors with enough room. A gang starts only as a whole. Returns false if a
-/// waiting task found no executor.
+/// waiting task found no executor or does not fit its workspace's quota.
 bool Scheduler::placeStep(Job &job, int number, int step, TimePoint now)
 {
     auto &tasks = job.occurrences[number].steps[static_cast<std::size_t>(step)];
@@ -188,7 +191,11 @@
         return false;
     }
     if (!spec.gang) {
-        for (const int index : waiting) {
+        for (std::size_t i = 0; i < waiting.size(); ++i) {
+            const int index = waiting[i];
+            if (!fitsQuota(job, spec, 1, static_cast<int>(waiting.size() - i))) {
+                return false;
+            }
             Executor *executor = pickExecutor(job, number, step, now);
             if (executor == nullptr) {
                 handleNoRoom(job, number, step, now);
@@ -205,6 +212,9 @@
     if (static_cast<int>(waiting.size()) < spec.count) {
         return true;  // some members have a run, or may not start yet
     }
+    if (!fitsQuota(job, spec, spec.count, spec.count)) {
+        return false;
+    }
     std::vector<Executor *> chosen;
     for (const int index : waiting) {
         Executor *executor = pickExecutor(job, number, step, now);
@@ -357,9 +367,15 @@
     run.run = task->run;
     run.task = name;
     run.allocated = requestedResources(step);
+    run.workspace = job.spec.workspace;
+    run.quotaUse = step.each;
+    m_quotaLedger.started(run.workspace, run.quotaUse);
     executor.used += run.allocated;
     ++job.runs;
     const std::string text = formatTaskName(name);
+    if (const auto former = executor.runs.find(text); former != executor.runs.end()) {
+        m_quotaLedger.ended(former->second.workspace, former->second.quotaUse);
+    }
     Run &added = executor.runs.insert_or_assign(text, std::move(run)).first->second;
     if (step.longRunning) {
         added.state = RunState::Reserved;
--- a/src/workspace_quota.cpp
+++ b/src/workspace_quota.cpp
@@ -270,6 +270,29 @@
     return anyDiffers(left, right) || anyDiffers(right, left);
 }
 
+std::optional<std::string> quotaRefusal(const JobSpec &job, const Quotas &quotas)
+{
+    const auto quota = quotas.find(job.workspace);
+    if (quota == quotas.end()) {
+        return std::nullopt;
+    }
+    constexpr std::array<std::string_view, 3> names = {"milli-cores", "MB of memory", "GPUs"};
+    for (std::size_t step = 0; step < job.steps.size(); ++step) {
+        const StepSpec &spec = job.steps[step];
+        for (std::size_t i = 0; i < Fields.size(); ++i) {
+            const std::int64_t needed = std::int64_t{spec.each.*Fields[i]} * (spec.gang ? spec.count : 1);
+            const int limit = quota->second.*Fields[i];
+            if (limit != 0 && needed > limit) {
+                return std::string(spec.gang ? "the tasks of step " : "a task of step ") + std::to_string(step)
+                    + (spec.gang ? " must run together and need " : " needs ") + std::to_string(needed) + ' '
+                    + std::string(names[i]) + ", and the quota of workspace " + job.workspace + " is "
+                    + std::to_string(limit);
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 // Division of the quotas ----------------------------------------------------------------------------------------------
 
 void QuotaDivider::setQuotas(Quotas quotas, std::vector<std::string> partitions)
@@ -475,10 +498,11 @@
     return report;
 }
 
-bool QuotaLedger::reportNeeded() const
+bool QuotaLedger::reportNeeded(std::uint64_t reportedRevision) const
 {
-    return !m_waiting.empty() || std::any_of(m_parts.begin(), m_parts.end(), [](const auto &item) {
-        return !(item.second.bound == item.second.part);
+    return !m_waiting.empty() || std::any_of(m_parts.begin(), m_parts.end(), [&](const auto &item) {
+        const QuotaPart &row = item.second;
+        return (reportedRevision != m_revision && !(row.bound == row.part)) || !running(item.first).fitsInto(row.part);
     });
 }
 
--- a/src/workspace_quota.h
+++ b/src/workspace_quota.h
@@ -68,6 +68,9 @@
 std::string encodeQuotaReport(const QuotaReport &report);
 Result<QuotaReport> parseQuotaReport(std::string_view text);
 
+/// Why the job could never run within its workspace's quota: a task, or a gang as a whole, exceeds it. None if it can.
+std::optional<std::string> quotaRefusal(const JobSpec &job, const Quotas &quotas);
+
 // [2] Division of the quotas ------------------------------------------------------------------------------------------
 
 class QuotaDivider
@@ -137,8 +140,9 @@
     }
     /// `room`: free resources of the partition's executors, an upper limit of what can start.
     QuotaReport report(const Resources &room) const;
-    /// Whether the division waits for a report: this partition's bound is above its part, or tasks wait for the quota.
-    bool reportNeeded() const;
+    /// Whether the division may wait for a report: tasks wait for the quota, more than the part is running, or the last
+    /// report does not show yet that a smaller part is applied.
+    bool reportNeeded(std::uint64_t reportedRevision) const;
 
 private:
     Quotas m_quotas;
--- a/tests/core_workspace_quota.cpp
+++ b/tests/core_workspace_quota.cpp
@@ -430,8 +430,11 @@
             CHECK_FALSE(ledger.setParts(4, {{Workspace, {cores(9), cores(9)}}}));
             CHECK(ledger.fits(Workspace, cores(3)));
             CHECK_FALSE(ledger.fits(Workspace, cores(4)));
-            CHECK_FALSE(ledger.reportNeeded());
-            REQUIRE(ledger.setParts(6, {}));  // guards against a missing row being read as no limit
+            CHECK_FALSE(ledger.reportNeeded(0));
+            REQUIRE(ledger.setParts(6, {{Workspace, {part, cores(9)}}}));
+            CHECK(ledger.reportNeeded(5));  // guards against a division that waits for an applied smaller part
+            CHECK_FALSE(ledger.reportNeeded(6));
+            REQUIRE(ledger.setParts(7, {}));  // guards against a missing row being read as no limit
             CHECK_FALSE(ledger.fits(Workspace, cores(1)));
         }
         SECTION("what a predecessor may have started counts as running")
@@ -445,7 +448,7 @@
         {
             ledger.started(Workspace, cores(9));
             ledger.addWaiting(Workspace, cores(50));
-            CHECK(ledger.reportNeeded());
+            CHECK(ledger.reportNeeded(0));
             CHECK(ledger.report(cores(20)).workspaces.at(Workspace).wanted == cores(29));
             ledger.beginPass();
             CHECK(ledger.report(cores(20)).workspaces.at(Workspace).wanted == cores(9));
@@ -528,3 +531,32 @@
     });
     REQUIRE(holds);
 }
+
+// Guards against an accepted job that waits for ever.
+TEST_CASE("A job that can never run within its quota is refused with the reason", "[quota]")
+{
+    const Quotas quotas{{Workspace, {8000, 0, 2}}};
+    StepSpec step;
+    step.count = 4;
+    step.each = {2000, 900'000, 0};
+    JobSpec job;
+    job.workspace = Workspace;
+    job.steps = {step, step};
+    CHECK_FALSE(quotaRefusal(job, quotas).has_value());
+    SECTION("a task above the quota")
+    {
+        job.steps[1].each.milliCores = 8001;
+        CHECK(quotaRefusal(job, quotas)
+              == "a task of step 1 needs 8001 milli-cores, and the quota of workspace north is 8000");
+        job.workspace = "south";
+        CHECK_FALSE(quotaRefusal(job, quotas).has_value());
+    }
+    SECTION("a gang above the quota")
+    {
+        job.steps[0].gang = true;
+        CHECK_FALSE(quotaRefusal(job, quotas).has_value());
+        job.steps[0].each.gpus = 1;
+        CHECK(quotaRefusal(job, quotas)
+              == "the tasks of step 0 must run together and need 4 GPUs, and the quota of workspace north is 2");
+    }
+}
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -37,6 +37,8 @@
     std::uint64_t revision = 1;
     std::uint64_t owner = 0;  // fencing token of the present owner; 0: none
     bool down = false;
+    std::map<std::string, QuotaPart> quotaParts;  // parts of the partition, by workspace
+    std::uint64_t quotaRevision = 0;
 };
 
 // [2] Settings and job specifications ---------------------------------------------------------------------------------
@@ -158,7 +160,14 @@
         for (const auto &[id, record] : m_store.recordedExecutors) {
             m_owner->scheduler.addRecordedExecutor(record, m_now);
         }
+        if (!m_store.quotaParts.empty()) {
+            m_owner->scheduler.setWorkspaces(quotas(), 1);
+            m_owner->scheduler.setQuotaParts(m_store.quotaRevision, m_store.quotaParts);
+        }
         for (const auto &[id, record] : m_store.jobs) {
+            if (record.job.state == JobState::Cancelled || record.job.state == JobState::Failed) {
+                m_owner->scheduler.addStoppedJob(record.job.spec.workspace);
+            }
             if (!isFinal(record.job.state)) {
                 const auto progress = m_store.progress.find(id);
                 m_owner->scheduler.addJob(record.job.spec, record.revision,
@@ -168,6 +177,36 @@
         }
     }
 
+    /// Stores a part of the workspace's quota for the partition. The present owner learns it `delay` later.
+    void setQuotaPart(const std::string &workspace, const Resources &part, Duration delay = 0ms)
+    {
+        m_store.quotaParts[workspace] = {part, part};
+        m_store.quotaRevision = ++m_store.revision;
+        schedule(delay, [this, token = m_store.owner, revision = m_store.quotaRevision, parts = m_store.quotaParts] {
+            if (Scheduler *scheduler = schedulerOf(token)) {
+                scheduler->setWorkspaces(quotas(), 1);
+                scheduler->setQuotaParts(revision, parts);
+            }
+        });
+    }
+    Resources runningOf(const std::string &workspace) const
+    {
+        Resources sum;
+        for (const auto &[id, modelExecutor] : m_executors) {
+            for (const auto &[task, run] : modelExecutor.runs) {
+                const auto name = parseTaskName(task);
+                const JobSpec &spec = m_specs.at(name->job);
+                sum += spec.workspace == workspace ? spec.steps[static_cast<std::size_t>(name->step)].each
+                                                   : Resources{};
+            }
+        }
+        return sum;
+    }
+    QuotaReport quotaReport()
+    {
+        return m_owner->scheduler.quotaReport(m_now);
+    }
+
     ModelExecutor &executor(int index)
     {
         return m_executors.at("i-" + std::to_string(index));
@@ -586,6 +625,7 @@
             recordViolation("start beyond the capacity of the executor: " + command.task + " on "
                             + modelExecutor.record.id);
         }
+        checkQuota(spec.workspace, step.each, command);
         if (step.perExecutorLimit > 0 && runsOfStep >= step.perExecutorLimit) {
             recordViolation("more runs on one executor than the step allows: " + command.task);
         }
@@ -610,6 +650,41 @@
         }
     }
 
+    /// The parts that an owner has applied may be older than the stored ones, and a start may arrive after its owner
+    /// has applied a smaller part. The largest counts.
+    void checkQuota(const std::string &workspace, const Resources &each, const ExecutorCommand &command)
+    {
+        const auto stored = m_store.quotaParts.find(workspace);
+        if (stored == m_store.quotaParts.end()) {
+            return;
+        }
+        Resources part = stored->second.part;
+        if (const auto sent = m_partsAtStart.find({command.task, command.run}); sent != m_partsAtStart.end()) {
+            part = sent->second;
+        }
+        for (const Owner *owner : {m_owner.get(), m_formerOwner.get()}) {
+            if (owner != nullptr) {
+                const Resources applied = owner->scheduler.quotaLedger().part(workspace);
+                part = {std::max(part.milliCores, applied.milliCores), std::max(part.memoryMb, applied.memoryMb),
+                        std::max(part.gpus, applied.gpus)};
+            }
+        }
+        Resources used = runningOf(workspace);
+        used += each;
+        if (!used.fitsInto(part)) {
+            recordViolation("start beyond the quota of " + workspace + ": " + command.task + " with "
+                            + std::to_string(used.milliCores) + " of " + std::to_string(part.milliCores));
+        }
+    }
+    Quotas quotas() const
+    {
+        Quotas quotas;
+        for (const auto &[workspace, row] : m_store.quotaParts) {
+            quotas[workspace] = row.part;
+        }
+        return quotas;
+    }
+
     ExecutorReport reportOf(ModelExecutor &modelExecutor, const ExecutorCommand &command)
     {
         addTrace("report poll at " + modelExecutor.record.id + ". token " + std::to_string(command.fencingToken)
@@ -717,6 +792,10 @@
         const std::uint64_t token = owner.token;
         const TimePoint sentAt = m_now;
         const Duration latency = randomDuration(1ms, 5ms);
+        if (command.kind == CommandKind::Start) {
+            const std::string &job = parseTaskName(command.task)->job;
+            m_partsAtStart[{command.task, command.run}] = owner.scheduler.quotaLedger().part(m_specs.at(job).workspace);
+        }
         if (randomFraction() < m_settings.lostCommandRate) {
             // The command is carried out late, but only if the executor's incarnation is still the same then.
             schedule(randomDuration(2s, 12s),
@@ -891,6 +970,7 @@
     int m_refusedTickets = 0;
     bool m_adviceDown = false;
     int m_starts = 0;
+    std::map<std::pair<std::string, int>, Resources> m_partsAtStart;  // by task and run, when the start was sent
     bool m_deliveringLate = false;  // a command that was not answered is being carried out late
 };
 
