--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -422,7 +422,7 @@
     Resources unreportedTasks(const Job &job) const;
     Resources unreportedCapacity() const;
     bool fitsQuota(const Job &job, const StepSpec &step, int tasks, int waiting);
-    void logQuotaWaits();
+    void logQuotaWaits(TimePoint now);
     void logDecision(std::string event, std::string job, std::string detail);
 
     SchedulerSettings m_settings;
@@ -469,8 +469,8 @@
     SchedulerCounts m_counts;
     std::map<std::string, QueueWork> m_workPerQueue;
     QuotaLedger m_quotaLedger;
-    std::set<std::string> m_workspacesWithStoppedJobs;  // see addStoppedJob()
-    std::set<std::string> m_waitingForQuota;  // workspaces with tasks that waited for the quota in the last pass
+    std::set<std::string> m_workspacesWithStoppedJobs;   // see addStoppedJob()
+    std::map<std::string, TimePoint> m_quotaWaitLogged;  // by workspace: time of the last log line
 
     /// A demand that no executor could meet in the present placement pass.
     struct UnmetDemand
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -128,7 +128,7 @@
             }
         }
     }
-    logQuotaWaits();
+    logQuotaWaits(now);
 }
 
 /// Whether the step demands at least as much as another step that found no executor in this pass. Free resources only
--- a/src/scheduler_quota.cpp
+++ b/src/scheduler_quota.cpp
@@ -118,27 +118,22 @@
     return false;
 }
 
-/// Logs the workspaces whose tasks began or ceased to wait for the quota.
-void Scheduler::logQuotaWaits()
+/// Logs each workspace with tasks that wait for the quota, again only after a pause.
+void Scheduler::logQuotaWaits(TimePoint now)
 {
-    std::set<std::string> waiting;
+    constexpr Duration logPause{5'000'000};
     for (const auto &[workspace, resources] : m_quotaLedger.waiting()) {
-        waiting.insert(workspace);
-        if (!m_waitingForQuota.contains(workspace)) {
-            const Resources part = m_quotaLedger.part(workspace);
-            logDecision("quota-reached", {},
-                        "workspace=" + workspace + " part_cores=" + std::to_string(part.milliCores)
-                            + "m running_cores=" + std::to_string(m_quotaLedger.running(workspace).milliCores)
-                            + "m waiting_cores=" + std::to_string(resources.milliCores)
-                            + "m parts_revision=" + std::to_string(m_quotaLedger.revision()));
+        const auto [logged, isNew] = m_quotaWaitLogged.try_emplace(workspace, now);
+        if (!isNew && now - logged->second < logPause) {
+            continue;
         }
+        logged->second = now;
+        logDecision("quota-reached", {},
+                    "workspace=" + workspace + " part_cores=" + std::to_string(m_quotaLedger.part(workspace).milliCores)
+                        + "m running_cores=" + std::to_string(m_quotaLedger.running(workspace).milliCores)
+                        + "m waiting_cores=" + std::to_string(resources.milliCores)
+                        + "m parts_revision=" + std::to_string(m_quotaLedger.revision()));
     }
-    for (const std::string &workspace : m_waitingForQuota) {
-        if (!waiting.contains(workspace)) {
-            logDecision("quota-free", {}, "workspace=" + workspace);
-        }
-    }
-    m_waitingForQuota = std::move(waiting);
 }
 
 QuotaReport Scheduler::quotaReport(TimePoint now)
--- a/src/workspace_quota.cpp
+++ b/src/workspace_quota.cpp
@@ -502,7 +502,11 @@
 {
     return !m_waiting.empty() || std::any_of(m_parts.begin(), m_parts.end(), [&](const auto &item) {
         const QuotaPart &row = item.second;
-        return (reportedRevision != m_revision && !(row.bound == row.part)) || !running(item.first).fitsInto(row.part);
+        Resources used = running(item.first);
+        for (const auto field : Fields) {
+            used.*field = add(used.*field, used.*field / HeadroomDivisor);
+        }
+        return (reportedRevision != m_revision && !(row.bound == row.part)) || !used.fitsInto(row.part);
     });
 }
 
--- a/src/workspace_quota.h
+++ b/src/workspace_quota.h
@@ -140,7 +140,7 @@
     }
     /// `room`: free resources of the partition's executors, an upper limit of what can start.
     QuotaReport report(const Resources &room) const;
-    /// Whether the division may wait for a report: tasks wait for the quota, more than the part is running, or the last
+    /// Whether the division may wait for a report: tasks wait for the quota, the part is almost used up, or the last
     /// report does not show yet that a smaller part is applied.
     bool reportNeeded(std::uint64_t reportedRevision) const;
 
