--- a/tests/run_partition_owner.cpp
+++ b/tests/run_partition_owner.cpp
@@ -3,6 +3,7 @@
 
 #include "ownership_records.h"
 #include "partition_owner.h"
+#include "quota_owner.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -656,3 +657,206 @@
         CHECK(owned);
     }
 }
+
+TEST_CASE("The owner of the fleet partition divides quotas and never gives the same room away twice", "[quota]")
+{
+    boost::asio::io_context io;
+    Timers timers(io);
+    UnreliableStore store(io);
+    const std::uint64_t token = store.put(keys::owner(keys::FleetPartition), "e1");
+    std::string whyLost;
+    const QuotaOwnerSettings settings{.writePause = 5ms, .retryPause = 10ms};
+    std::optional<QuotaOwner<UnreliableStore>> owner;
+    owner.emplace(store, timers, token, settings, [&whyLost](std::string_view why) { whyLost = why; });
+    const auto runFor = [&io](Duration time) {
+        io.restart();
+        io.run_for(std::chrono::microseconds(time.count()));
+    };
+    const auto revision = [&store] { return store.item(keys::FleetQuotaParts).revision; };
+    const auto parts = [&store, &revision] {
+        return parseQuotaParts(store.value(keys::FleetQuotaParts), revision()).value().workspaces.at("north");
+    };
+    const auto report = [&owner](const std::string &partition, std::uint64_t applied, int running, int wanted) {
+        owner->setReport(partition, {applied, {{"north", {{running * 1000, 0, 0}, {wanted * 1000, 0, 0}}}}});
+    };
+    const Quotas quotas{{"north", {16'000, 0, 0}}};
+
+    SECTION("without quotas the store sees no call")
+    {
+        owner->setQuotas({}, {"orders", "orders!2"});
+        report("orders", 0, 1, 9);
+        runFor(50ms);
+        CHECK(store.value(keys::FleetQuotaParts).empty());
+        return;
+    }
+    owner->setQuotas(quotas, {"orders", "orders!2"});
+    runFor(100ms);
+    REQUIRE(parts().at("orders").part.milliCores == 8000);
+
+    SECTION("a burst takes what the other partition has given up")
+    {
+        report("orders", revision(), 8, 14);
+        runFor(50ms);
+        CHECK(parts().at("orders").part.milliCores == 8000);
+        const int rest = parts().at("orders!2").part.milliCores;
+        CHECK(rest < 8000);
+        report("orders!2", revision(), 0, 0);
+        runFor(50ms);
+        CHECK(parts().at("orders").part.milliCores == 16'000 - rest);
+    }
+    SECTION("a write gets no reply and is applied late")
+    {
+        // Guards against a late division that replaces a newer one, whose parts are in use by then.
+        store.loseNextWrite(keys::FleetQuotaParts);
+        report("orders", revision(), 8, 14);
+        runFor(100ms);
+        REQUIRE(store.hasLostWrite());
+        const auto before = parts();
+        CHECK(before.at("orders!2").part.milliCores < 8000);  // read again and written again
+        CHECK(store.applyLostWrites() == std::vector<StoreOutcome>{StoreOutcome::Conflict});
+        CHECK(parts() == before);
+    }
+    SECTION("the store is away: nothing changes hands, and the division goes on afterwards")
+    {
+        const std::string before = store.value(keys::FleetQuotaParts);
+        store.setBusy(true);
+        report("orders", revision(), 8, 14);
+        report("orders!2", revision(), 0, 0);
+        runFor(300ms);
+        CHECK(store.value(keys::FleetQuotaParts) == before);
+        store.setBusy(false);
+        runFor(100ms);
+        CHECK(parts().at("orders").part.milliCores > 8000);
+    }
+    SECTION("a successor starts from the stored parts")
+    {
+        report("orders", revision(), 8, 14);
+        runFor(50ms);
+        const auto before = parts();
+        const std::uint64_t successorToken = store.put(keys::owner(keys::FleetPartition), "e2");
+        report("orders!2", revision(), 0, 0);
+        runFor(50ms);
+        CHECK(whyLost == "precondition");
+        CHECK(parts() == before);  // guards against a deposed owner that goes on dividing
+        owner.emplace(store, timers, successorToken, settings, [](std::string_view) {});
+        owner->setQuotas(quotas, {"orders", "orders!2"});
+        report("orders", 0, 8, 14);
+        report("orders!2", 0, 0, 0);  // a late report
+        runFor(50ms);
+        CHECK(parts() == before);
+        report("orders!2", revision(), 0, 0);
+        runFor(50ms);
+        CHECK(parts().at("orders").part.milliCores > 8000);
+    }
+}
+
+TEST_CASE("The owner of a partition reads its parts of the quotas before the first start", "[quota]")
+{
+    OwnerFixture fixture;
+    std::map<std::string, int> started;
+    JobSpec spec;
+    spec.id = "00000000000000bb";
+    spec.queue = "q";
+    spec.service = "supplies";
+    spec.workspace = "north";
+    spec.maxAttempts = 9;
+    spec.steps.resize(1);
+    spec.steps[0].count = 4;
+    spec.steps[0].each = {1000, 100, 0};
+    JobRecord record;
+    record.spec = spec;
+    fixture.store.put(keys::job("supplies", spec.id), encodeJobRecord(record));
+    const auto partsOf = [](int cores) {
+        const Resources part{cores * 1000, NoLimit, NoLimit};
+        QuotaParts parts;
+        parts.workspaces["north"]["supplies"] = {part, part};
+        return parts;
+    };
+    const auto storeParts = [&](int cores) {
+        QuotaParts parts = partsOf(cores);
+        parts.revision = fixture.store.put(keys::FleetQuotaParts, encodeQuotaParts(parts));
+        return parts;
+    };
+    PartitionOwnerHooks hooks;
+    hooks.sendCommand = [&](const ExecutorCommand &command, PartitionOwnerHooks::CommandDone done) {
+        if (command.kind == CommandKind::Start) {
+            started[command.task] = command.run;
+        }
+        fixture.timers.at(steadyNow() + 5ms, [&started, kind = command.kind, done = std::move(done)] {
+            ExecutorReport report;
+            report.clockMs = 1000;
+            report.startedMs = 1;
+            for (const auto &[task, run] : started) {
+                report.running.push_back({task, run, {}, 100, 0});
+            }
+            done(CommandResult::Done, report.clockMs, kind == CommandKind::RenewLeases ? &report : nullptr);
+        });
+    };
+    hooks.requestAdvice = [](const AdviceRequest &, const PartitionOwnerHooks::AdviceDone &) {};
+    hooks.registerExecutor = [](const ExecutorRecord &) {};
+    hooks.listInstances = [](const auto &) {};
+    hooks.jobFinished = [](const Scheduler::Finished &) {};
+    hooks.ownershipLost = [](const std::string &, std::string_view) {};
+    const std::uint64_t token = fixture.store.put(keys::owner("supplies"), "e1");
+    PartitionOwner<UnreliableStore> owner(fixture.store, fixture.timers, Partition{"supplies"}, token,
+                                          keys::Predecessor::None, PartitionOwnerSettings{}, std::move(hooks),
+                                          bootNow(), bootNow());
+    ExecutorRecord executor;
+    executor.id = "i-1";
+    executor.service = "supplies";
+    executor.capacity = {8000, 8000, 0};
+    const auto runFor = [&fixture](Duration time) {
+        bool waited = false;
+        fixture.timers.at(steadyNow() + time, [&] { waited = true; });
+        fixture.runUntil([&] { return waited; });
+    };
+    const Quotas quotas{{"north", {40'000, 0, 0}}};
+
+    SECTION("the watch of this entry is behind the stored parts")
+    {
+        // Guards against this failure: a predecessor has applied and reported a smaller part, the rest is given away,
+        // and the successor starts with the former part.
+        QuotaParts former = partsOf(8);
+        former.revision = 50;
+        storeParts(2);
+        owner.setWorkspaces(quotas, 4);
+        owner.setQuotaParts(former);
+        owner.start();
+        owner.setExecutors({executor});
+        fixture.runUntil([&] { return started.size() == 2; });
+        owner.setQuotaParts(former);
+        runFor(400ms);
+        CHECK(started.size() == 2);
+
+        SECTION("the report shows what waits, and a larger part takes effect")
+        {
+            const auto wanted = [&] {
+                const auto report = parseQuotaReport(fixture.store.value(keys::quotaReport("supplies")));
+                return report && report.value().workspaces.contains("north")
+                    ? report.value().workspaces.at("north").wanted.milliCores
+                    : 0;
+            };
+            fixture.runUntil([&] { return wanted() == 4000; });
+            owner.setQuotaParts(storeParts(3));
+            fixture.runUntil([&] { return started.size() == 3; });
+        }
+    }
+    SECTION("nothing is stored: the part is an equal one")
+    {
+        owner.setWorkspaces({{"north", {12'000, 0, 0}}}, 4);
+        owner.start();
+        owner.setExecutors({executor});
+        fixture.runUntil([&] { return started.size() == 3; });
+        runFor(200ms);
+        CHECK(started.size() == 3);
+    }
+    SECTION("the workspace has no quota: all tasks start, and nothing is reported")
+    {
+        owner.setWorkspaces({}, 4);
+        owner.start();
+        owner.setExecutors({executor});
+        fixture.runUntil([&] { return started.size() == 4; });
+        runFor(600ms);
+        CHECK(fixture.store.value(keys::quotaReport("supplies")).empty());
+    }
+}
