--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -184,7 +184,8 @@
     if (job.state == JobState::Pending) {
         job.state = JobState::Running;
         logDecision("job-started", job.spec.id,
-                    "queue=" + job.spec.queue + " wait_ms=" + std::to_string((now - job.acceptedAt).count() / 1000));
+                    "queue=" + job.spec.queue + " wait_ms=" + std::to_string((now - job.acceptedAt).count() / 1000)
+                        + (job.spec.workspace.empty() ? std::string() : " workspace=" + job.spec.workspace));
     }
 }
 
