--- a/tests/core_workspace_quota.cpp
+++ b/tests/core_workspace_quota.cpp
@@ -462,15 +462,16 @@
     const auto holds = rc::check("quota kept and used", [] {
         const auto number
             = [](int begin, int end) { return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(begin, end)); };
-        Model model(number(2, 7), number(40, 200));
-        const int events = number(20, 300);
+        Model model(number(2, 6), number(20, 80));
+        const int events = number(20, 400);
+        const int largestTask = number(1, 6);
         for (int i = 0; i < events; ++i) {
             const auto index = static_cast<std::size_t>(number(0, static_cast<int>(model.size())));
             switch (number(0, 14)) {
             case 0:
             case 1:
-                for (int count = number(1, 12); count > 0; --count) {
-                    model.addTask(index, number(1, 6));
+                for (int count = number(1, 40); count > 0; --count) {
+                    model.addTask(index, number(1, largestTask + 1));
                 }
                 break;
             case 2:
@@ -508,7 +509,7 @@
                     model.replaceFleetOwner();
                     break;
                 case 2:
-                    model.setQuota(number(20, 300));
+                    model.setQuota(number(10, 120));
                     break;
                 default:
                     model.calmRound();
@@ -521,7 +522,6 @@
             model.calmRound();
         }
         // Each partition may lack less than its next task, and growth below a 64th of the quota is not worth a write.
-        constexpr int largestTask = 5;
         const int idle = model.quota() - model.running();
         const int tolerated = static_cast<int>(model.size()) * (largestTask + model.quota() / 64 + 1)
             + model.quota() / 8;  // the parts of partitions without demand
