--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -117,6 +117,7 @@
             }
             m_fleet->setSparePools(std::move(spare));
         }
+        updateQuotas();
         return;
     }
     if (item.key.starts_with(platform::WavePrefix)) {
@@ -351,6 +352,16 @@
     if (!queue.isPublic) {
         spec.value().workspace = scope.workspace;
     }
+    if (const auto refusal = quotaRefusal(spec.value(), quotas())) {
+        logEvent(LogLevel::Info, "job-submitted",
+                 {{"job", id},
+                  {"queue", queue.name},
+                  {"config_version", std::to_string(m_config.version)},
+                  {"outcome", "refused"},
+                  {"why", *refusal}});
+        reply(exchange, 400, platform::encodeError(*refusal));
+        return;
+    }
     m_jobApi.submit(
         std::move(spec.value()), partition, scope,
         [this, exchange, id, arrived, name = queue.name, workspace = scope.workspace,
@@ -458,6 +469,17 @@
         m_metrics.set("briarvane_share_ejections_total", labels, static_cast<double>(counts.ejections));
         m_metrics.set("briarvane_share_copies_total", labels, static_cast<double>(counts.copies));
         m_metrics.set("briarvane_share_open_jobs", labels, static_cast<double>(owner->scheduler().openJobs()));
+        const QuotaLedger &ledger = owner->scheduler().quotaLedger();
+        for (const auto &[workspace, quota] : ledger.quotas()) {
+            const auto setCores = [&](std::string_view name, int milliCores) {
+                m_metrics.set(std::string(name), {{"share", partition}, {"workspace", workspace}}, milliCores / 1000.0);
+            };
+            const auto waiting = ledger.waiting().find(workspace);
+            setCores("briarvane_quota_part_cores", ledger.part(workspace).milliCores);
+            setCores("briarvane_quota_running_cores", ledger.running(workspace).milliCores);
+            setCores("briarvane_quota_waiting_cores",
+                     waiting == ledger.waiting().end() ? 0 : waiting->second.milliCores);
+        }
     }
     return formatExposition(m_metrics.list());
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -176,7 +176,8 @@
     if (job.state == JobState::Pending) {
         job.state = JobState::Running;
         logDecision("job-started", job.spec.id,
-                    "queue=" + job.spec.queue + " wait_ms=" + std::to_string((now - job.acceptedAt).count() / 1000));
+                    "queue=" + job.spec.queue + " wait_ms=" + std::to_string((now - job.acceptedAt).count() / 1000)
+                        + (job.spec.workspace.empty() ? std::string() : " workspace=" + job.spec.workspace));
     }
 }
 
@@ -220,6 +221,7 @@
 void Scheduler::removeRun(Executor &executor, std::map<std::string, Run>::iterator item)
 {
     executor.used -= item->second.allocated;
+    m_quotaLedger.ended(item->second.workspace, item->second.quotaUse);
     executor.runsOfUnknownSize -= item->second.resourcesUnknown ? 1 : 0;
     const std::string id = item->second.task.job;
     executor.runs.erase(item);
@@ -645,6 +647,9 @@
     if (job != nullptr) {
         const StepSpec &step = job->spec.steps[static_cast<std::size_t>(run.task.step)];
         run.allocated = requestedResources(step);
+        run.workspace = job->spec.workspace;
+        run.quotaUse = step.each;
+        m_quotaLedger.started(run.workspace, run.quotaUse);
         ++job->runs;
     } else {
         run.resourcesUnknown = true;
