--- a/src/scheduler_quota.cpp
+++ b/src/scheduler_quota.cpp
@@ -105,16 +105,10 @@
 bool Scheduler::fitsQuota(const Job &job, const StepSpec &step, int tasks, int waiting)
 {
     const std::string &workspace = job.spec.workspace;
-    Resources sum;
-    for (int i = 0; i < tasks; ++i) {
-        sum += step.each;
-    }
-    if (m_quotaLedger.fits(workspace, sum)) {
+    if (m_quotaLedger.fits(workspace, times(step.each, tasks))) {
         return true;
     }
-    for (int i = 0; i < waiting; ++i) {
-        m_quotaLedger.addWaiting(workspace, step.each);
-    }
+    m_quotaLedger.addWaiting(workspace, times(step.each, waiting));
     return false;
 }
 
--- a/src/workspace_quota.cpp
+++ b/src/workspace_quota.cpp
@@ -164,6 +164,15 @@
 
 // Parts and reports ---------------------------------------------------------------------------------------------------
 
+Resources times(const Resources &each, int count)
+{
+    Resources sum;
+    for (const auto field : Fields) {
+        sum.*field = static_cast<int>(std::min<std::int64_t>(NoLimit, std::int64_t{each.*field} * count));
+    }
+    return sum;
+}
+
 Resources equalPart(const Resources &quota, int partitions)
 {
     Resources part;
--- a/src/workspace_quota.h
+++ b/src/workspace_quota.h
@@ -60,6 +60,8 @@
     std::map<std::string, QuotaUse> workspaces;  // workspaces without runs and waiting tasks are left out
 };
 
+/// Resources of `count` tasks; NoLimit at most in each field.
+Resources times(const Resources &each, int count);
 /// Part of each partition before the first division. No partition may start anything while their number is not known.
 Resources equalPart(const Resources &quota, int partitions);
 
--- a/tests/core_scheduler_quota.cpp
+++ b/tests/core_scheduler_quota.cpp
@@ -143,6 +143,21 @@
         simulation.run(1200ms);
         CHECK(simulation.runsByExecutor("g.").size() == 5);
     }
+    SECTION("the store is away for 10 s")
+    {
+        // Guards against starts on parts that may have changed meanwhile.
+        simulation.submit(jobOf("north", "a", {makeStep(60, 1000, 1s)}));
+        simulation.run(100ms);
+        simulation.setStoreDown(true);
+        simulation.run(6s);  // the proof of ownership is too old by then
+        const int starts = simulation.starts();
+        simulation.run(4s);
+        CHECK(simulation.starts() == starts);
+        simulation.setStoreDown(false);
+        simulation.setQuotaPart("north", {4000, 1'000'000, 100});
+        simulation.run(30s);
+        CHECK(simulation.state("a") == JobState::Completed);
+    }
     SECTION("memory is limited as well")
     {
         simulation.setQuotaPart("north", {100'000, 3000, 100});
