--- a/src/scheduler_quota.cpp
+++ b/src/scheduler_quota.cpp
@@ -7,6 +7,18 @@
 namespace briarvane
 {
 
+namespace
+{
+
+/// MILLICORESm/MEMORYmb/GPUS, with `-` for a field without a limit.
+std::string describe(const Resources &resources)
+{
+    const auto number = [](int value) { return value == NoLimit ? std::string("-") : std::to_string(value); };
+    return number(resources.milliCores) + "m/" + number(resources.memoryMb) + "mb/" + number(resources.gpus);
+}
+
+}
+
 void Scheduler::setWorkspaces(Quotas quotas, int partitions)
 {
     if (quotas != m_quotaLedger.quotas()) {
@@ -123,10 +135,9 @@
         }
         logged->second = now;
         logDecision("quota-reached", {},
-                    "workspace=" + workspace + " part_cores=" + std::to_string(m_quotaLedger.part(workspace).milliCores)
-                        + "m running_cores=" + std::to_string(m_quotaLedger.running(workspace).milliCores)
-                        + "m waiting_cores=" + std::to_string(resources.milliCores)
-                        + "m parts_revision=" + std::to_string(m_quotaLedger.revision()));
+                    "workspace=" + workspace + " part=" + describe(m_quotaLedger.part(workspace))
+                        + " running=" + describe(m_quotaLedger.running(workspace)) + " waiting=" + describe(resources)
+                        + " parts_revision=" + std::to_string(m_quotaLedger.revision()));
     }
 }
 
