Let a pool with a backlog borrow from pools that do not use their instances

A pool had 893 open jobs on 80 full instances for ten seconds, while two other pools used under a tenth of theirs: each pool only gave away what it had above 0.85 of the mean pool size. A pool whose jobs can still meet their latency objective but exceed its usable instances now gets loans. A lender keeps what it demanded during the scale-down window, its long-running tasks and 0.4 of the mean size. Instances that a maintenance wave empties or has down are no room. The load of a partition says how much of the demand can still be in time; the log line move-ordered says where an instance comes from and why it moves.

--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -251,7 +251,11 @@
 
     void move(const MoveRequest &request)
     {
-        logEvent(LogLevel::Info, "move-ordered", {{"instance", request.instance}, {"pool", request.pool}});
+        logEvent(LogLevel::Info, "move-ordered",
+                 {{"instance", request.instance},
+                  {"pool", request.pool},
+                  {"from", request.sourcePool},
+                  {"why", std::string(toString(request.reason))}});
         m_hooks.move(request, fencingToken(), guarded([this, request](MaintenanceResult result) {
                          const TimePoint now = bootNow();
                          if (result == MaintenanceResult::Fenced) {
--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -597,6 +597,7 @@
         constexpr int granularity = 8000;  // in milli-cores; smaller changes would not move an instance
         const auto roundUp = [](int cores) { return (cores + granularity - 1) / granularity * granularity; };
         load.demandMilliCores = roundUp(load.demandMilliCores);
+        load.inTimeMilliCores = roundUp(load.inTimeMilliCores);
         for (auto &[label, cores] : load.demandByLabel) {
             cores = roundUp(cores);
         }
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -28,6 +28,7 @@
     sum.receivedAt = TimePoint::max();
     for (const PoolLoad &load : partitions) {
         sum.demandMilliCores += load.demandMilliCores;
+        sum.inTimeMilliCores += load.inTimeMilliCores;
         for (const auto &[label, milliCores] : load.demandByLabel) {
             sum.demandByLabel[label] += milliCores;
         }
@@ -42,6 +43,7 @@
 std::string encodePoolLoad(const PoolLoad &load)
 {
     return json::serialize(json::object{{"wanted", load.demandMilliCores},
+                                        {"in_time", load.inTimeMilliCores},
                                         {"labels", json::value_from(load.demandByLabel)},
                                         {"widest", load.minExecutors},
                                         {"idle", json::value_from(load.idle)},
@@ -66,6 +68,10 @@
         }
         *field = static_cast<int>(number->get_int64());
     }
+    load.inTimeMilliCores = load.demandMilliCores;  // an earlier version did not report it
+    if (const json::value *inTime = object.if_contains("in_time"); inTime != nullptr && inTime->is_int64()) {
+        load.inTimeMilliCores = static_cast<int>(inTime->get_int64());
+    }
     if (const json::value *labels = object.if_contains("labels"); labels != nullptr) {
         const auto cores = json::try_value_to<std::map<std::string, int>>(*labels);
         if (!cores) {
@@ -112,9 +118,9 @@
 
 void PoolPlanner::setLoad(const std::string &pool, PoolLoad load)
 {
-    std::deque<std::pair<TimePoint, int>> &history = m_demandHistory[pool];
-    history.emplace_back(load.receivedAt, load.demandMilliCores);
-    while (history.size() > 1 && load.receivedAt - history[1].first > m_settings.scaleDownWindow) {
+    std::deque<DemandSample> &history = m_demandHistory[pool];
+    history.push_back({load.receivedAt, load.demandMilliCores, load.inTimeMilliCores});
+    while (history.size() > 1 && load.receivedAt - history[1].time > m_settings.scaleDownWindow) {
         history.pop_front();  // keeps the demand that was in force when the window began
     }
     m_loads[pool] = std::move(load);
@@ -198,6 +204,27 @@
     return count;
 }
 
+int PoolPlanner::usableInstances(const std::string &pool) const
+{
+    int count = 0;
+    for (const auto &[id, instance] : m_instances) {
+        count += plannedPool(instance) == pool && instance.state != InstanceAvailability::Down
+                && instance.state != InstanceAvailability::Maintenance && !m_inMaintenance.contains(id)
+            ? 1
+            : 0;
+    }
+    return count;
+}
+
+int PoolPlanner::largestInstance(const std::string &pool) const
+{
+    int largest = 0;
+    for (const auto &[id, instance] : m_instances) {
+        largest = std::max(largest, instance.pool == pool ? instance.capacity.milliCores : 0);
+    }
+    return largest;
+}
+
 int PoolPlanner::milliCoresWithLabel(const std::string &pool, const std::string &label) const
 {
     int milliCores = 0;
@@ -230,7 +257,14 @@
     });
 }
 
-std::optional<int> PoolPlanner::requiredInstances(const std::string &pool, int milliCores, TimePoint now) const
+int PoolPlanner::instancesForDemand(const std::string &pool, int milliCores) const
+{
+    const int largest = largestInstance(pool);
+    return largest == 0 ? 0 : static_cast<int>(std::ceil(milliCores * m_settings.headroom / largest));
+}
+
+std::optional<int> PoolPlanner::requiredInstances(const std::string &pool, int milliCores, Floor floor,
+                                                  TimePoint now) const
 {
     const auto load = m_loads.find(pool);
     if (load == m_loads.end()) {
@@ -239,13 +273,47 @@
     if (now - load->second.receivedAt > m_settings.maxLoadAge) {
         return meanPoolSize();
     }
-    int largest = 0;
-    for (const auto &[id, instance] : m_instances) {
-        largest = std::max(largest, instance.pool == pool ? instance.capacity.milliCores : 0);
+    const double share = floor == Floor::MinSize ? m_settings.minSizeShare
+                                                 : std::min(m_settings.minSizeShare, m_settings.lendingSizeShare);
+    return std::max({instancesForDemand(pool, milliCores), load->second.minExecutors,
+                     static_cast<int>(std::ceil(meanPoolSize() * share))});
+}
+
+int PoolPlanner::excessInstances(const std::string &pool, Floor floor, TimePoint now) const
+{
+    const auto history = m_demandHistory.find(pool);
+    if (history == m_demandHistory.end() || m_sparePools.contains(pool)) {
+        return 0;
+    }
+    int peak = 0;
+    for (const DemandSample &sample : history->second) {
+        peak = std::max(peak, sample.milliCores);
+    }
+    const std::optional<int> needed = requiredInstances(pool, peak, floor, now);
+    return needed ? std::max(0, instanceCount(pool) - *needed) : 0;
+}
+
+std::vector<PoolPlanner::Shortage> PoolPlanner::shortages(TimePoint now) const
+{
+    std::vector<Shortage> shortages;
+    for (const auto &[pool, load] : m_loads) {
+        if (m_sparePools.contains(pool)) {
+            continue;
+        }
+        const int needed
+            = requiredInstances(pool, expectedDemand(pool, &DemandSample::milliCores), Floor::MinSize, now).value_or(0);
+        const bool isCurrent = now - load.receivedAt <= m_settings.maxLoadAge;
+        const int neededInTime
+            = isCurrent ? instancesForDemand(pool, expectedDemand(pool, &DemandSample::inTimeMilliCores)) : 0;
+        Shortage shortage;
+        shortage.pool = pool;
+        shortage.forDemand = std::max(0, neededInTime - usableInstances(pool));
+        shortage.total = std::max(shortage.forDemand, needed - instanceCount(pool));
+        if (shortage.total > 0) {
+            shortages.push_back(std::move(shortage));
+        }
     }
-    const int forDemand = largest == 0 ? 0 : static_cast<int>(std::ceil(milliCores * m_settings.headroom / largest));
-    return std::max(
-        {forDemand, load->second.minExecutors, static_cast<int>(std::ceil(meanPoolSize() * m_settings.minSizeShare))});
+    return shortages;
 }
 
 int PoolPlanner::meanPoolSize() const
@@ -274,18 +342,36 @@
     return move.accepted || move.requestedAt != TimePoint{};
 }
 
-int PoolPlanner::expectedDemand(const std::string &pool) const
+int PoolPlanner::expectedDemand(const std::string &pool, int DemandSample::*demand) const
 {
-    const std::deque<std::pair<TimePoint, int>> &history = m_demandHistory.at(pool);
-    const auto &[latest, demand] = history.back();
+    const std::deque<DemandSample> &history = m_demandHistory.at(pool);
+    const DemandSample &latest = history.back();
     auto before = history.rbegin();
-    while (std::next(before) != history.rend() && latest - before->first < m_settings.trendWindow) {
+    while (std::next(before) != history.rend() && latest.time - before->time < m_settings.trendWindow) {
         ++before;
     }
-    const double rise = std::max(0, demand - before->second);
-    const double riseTime = static_cast<double>(std::max(latest - before->first, m_settings.trendWindow).count());
+    const double rise = std::max(0, latest.*demand - (*before).*demand);
+    const double riseTime = static_cast<double>(std::max(latest.time - before->time, m_settings.trendWindow).count());
     const double expectedRise = rise * static_cast<double>(m_settings.trendHorizon.count()) / riseTime;
-    return demand + static_cast<int>(std::min(expectedRise, static_cast<double>(demand)));
+    return latest.*demand + static_cast<int>(std::min(expectedRise, static_cast<double>(latest.*demand)));
+}
+
+void PoolPlanner::releaseInstances(const std::string &pool, int count,
+                                   const std::function<bool(const PooledInstance &)> &release)
+{
+    const PoolLoad &load = m_loads.at(pool);
+    for (const std::set<std::string> *executors : {&load.idle, &load.withoutLongRunning}) {
+        for (const auto &[id, instance] : m_instances) {
+            if (count <= 0) {
+                return;
+            }
+            if (instance.pool == pool && instance.state == InstanceAvailability::Up && !m_moves.contains(id)
+                && !m_inMaintenance.contains(id) && executors->contains(instance.executor)
+                && !isRequiredByPool(instance) && release(instance)) {
+                --count;
+            }
+        }
+    }
 }
 
 /// Plans moves to spare pools for the instances that their pool has not required during the scale-down window: idle
@@ -296,41 +382,38 @@
         return;
     }
     for (const auto &[pool, load] : m_loads) {
-        int peakMilliCores = 0;
-        for (const auto &[time, milliCores] : m_demandHistory[pool]) {
-            peakMilliCores = std::max(peakMilliCores, milliCores);
-        }
-        const std::optional<int> needed = requiredInstances(pool, peakMilliCores, now);
-        int excess = needed && !m_sparePools.contains(pool) ? instanceCount(pool) - *needed : 0;
-        for (const std::set<std::string> *executors : {&load.idle, &load.withoutLongRunning}) {
-            for (const auto &[id, instance] : m_instances) {
-                if (excess <= 0) {
-                    break;
-                }
-                if (instance.pool != pool || instance.state != InstanceAvailability::Up || m_moves.contains(id)
-                    || m_inMaintenance.contains(id) || !executors->contains(instance.executor)
-                    || isRequiredByPool(instance)) {
-                    continue;
-                }
-                if (const std::optional<std::string> spare = sparePoolFor(instance, now)) {
-                    --excess;
-                    m_moves[id] = {*spare, pool, instance.executor};
-                }
+        releaseInstances(pool, excessInstances(pool, Floor::MinSize, now), [&](const PooledInstance &instance) {
+            const std::optional<std::string> spare = sparePoolFor(instance, now);
+            if (spare) {
+                m_moves[instance.id] = {*spare, instance.pool, instance.executor};
             }
-        }
+            return spare.has_value();
+        });
     }
 }
 
-/// Cancels up to `missing` planned moves out of the pool whose executors are being vacated and which have not been
-/// requested yet. Reduces `missing` by the number of cancelled moves.
-void PoolPlanner::cancelScaleDown(const std::string &pool, int &missing)
+void PoolPlanner::cancelMoves(TimePoint now)
 {
-    std::erase_if(m_moves, [&](const auto &entry) {
-        const Move &move = entry.second;
-        const bool isCancelled = missing > 0 && move.sourcePool == pool && !move.executor.empty() && !isRequested(move);
-        missing -= isCancelled ? 1 : 0;
-        return isCancelled;
-    });
+    for (const auto &[pool, load] : m_loads) {
+        const int demand = expectedDemand(pool, &DemandSample::milliCores);
+        const int count = instanceCount(pool);
+        int missing = requiredInstances(pool, demand, Floor::MinSize, now).value_or(0) - count;
+        int missingForLending = requiredInstances(pool, demand, Floor::Lending, now).value_or(0) - count;
+        int surplus = excessInstances(pool, Floor::MinSize, now);
+        std::erase_if(m_moves, [&](const auto &entry) {
+            const Move &move = entry.second;
+            if (move.executor.empty() || isRequested(move)) {
+                return false;
+            }
+            const bool isLoan = !m_sparePools.contains(move.targetPool);
+            const bool isNeededBySource = move.sourcePool == pool && (isLoan ? missingForLending : missing) > 0;
+            const bool isUnneededLoan = isLoan && move.targetPool == pool && surplus > 0;
+            missing -= isNeededBySource ? 1 : 0;
+            missingForLending -= isNeededBySource ? 1 : 0;
+            surplus -= isUnneededLoan ? 1 : 0;
+            return isNeededBySource || isUnneededLoan;
+        });
+    }
 }
 
 /// Plans moves into pools whose jobs require a label for which the pool has too few cores. Takes instances from
@@ -349,7 +432,9 @@
                     ++id;
                     continue;
                 }
-                m_moves.try_emplace(instance.id, Move{pool, instance.pool, {}}).first->second.targetPool = pool;
+                Move &move = m_moves.try_emplace(instance.id, Move{pool, instance.pool, {}}).first->second;
+                move.targetPool = pool;
+                move.reason = MoveReason::Label;
                 milliCores += instance.capacity.milliCores;
                 id = std::make_reverse_iterator(available.erase(std::next(id).base()));
             }
@@ -361,7 +446,7 @@
                 if (milliCores < demand && instance.pool != pool && isReleasable
                     && instance.state == InstanceAvailability::Up && instance.hasLabel(label) && !m_moves.contains(id)
                     && !m_inMaintenance.contains(id) && mayMove(instance, pool, now) && !isRequiredByPool(instance)) {
-                    m_moves[id] = {pool, instance.pool, instance.executor};
+                    m_moves[id] = {pool, instance.pool, instance.executor, {}, MoveReason::Label};
                     milliCores += instance.capacity.milliCores;
                 }
             }
@@ -370,18 +455,11 @@
 }
 
 /// Plans moves into pools that require more instances than they have: spare instances first, then those that are about
-/// to leave other pools for a spare pool.
+/// to leave other pools for a spare pool, then loans.
 void PoolPlanner::planScaleUp(TimePoint now)
 {
-    std::vector<std::pair<int, std::string>> shortages;  // missing instances and pool; sorted, largest first
-    for (const auto &[pool, load] : m_loads) {
-        const std::optional<int> needed = requiredInstances(pool, expectedDemand(pool), now);
-        int missing = needed && !m_sparePools.contains(pool) ? *needed - instanceCount(pool) : 0;
-        cancelScaleDown(pool, missing);
-        if (missing > 0) {
-            shortages.emplace_back(missing, pool);
-        }
-    }
+    cancelMoves(now);
+    std::vector<Shortage> open = shortages(now);
     std::vector<std::string> leaving;
     std::vector<std::string> available;  // spare and leaving instances; the last one is used first
     for (const auto &[id, instance] : m_instances) {
@@ -397,20 +475,57 @@
     }
     available.insert(available.begin(), leaving.begin(), leaving.end());
     planLabelDemand(available, now);
-    for (; !available.empty() && !shortages.empty(); available.pop_back()) {
-        std::sort(shortages.rbegin(), shortages.rend());
+    for (; !available.empty() && !open.empty(); available.pop_back()) {
+        std::sort(open.rbegin(), open.rend());
         const PooledInstance &instance = m_instances[available.back()];
-        const auto shortage = std::find_if(shortages.begin(), shortages.end(),
-                                           [&](const auto &item) { return mayMove(instance, item.second, now); });
-        if (shortage == shortages.end()) {
+        const auto shortage = std::find_if(open.begin(), open.end(),
+                                           [&](const Shortage &item) { return mayMove(instance, item.pool, now); });
+        if (shortage == open.end()) {
             continue;
         }
-        const auto [move, added] = m_moves.try_emplace(instance.id, Move{shortage->second, instance.pool, {}});
-        move->second.targetPool = shortage->second;
-        if (--shortage->first == 0) {
-            shortages.erase(shortage);
+        Move &move = m_moves.try_emplace(instance.id, Move{shortage->pool, instance.pool, {}}).first->second;
+        move.targetPool = shortage->pool;
+        move.reason = shortage->forDemand > 0 ? MoveReason::Demand : MoveReason::MinSize;
+        --shortage->forDemand;
+        if (--shortage->total == 0) {
+            open.erase(shortage);
+        }
+    }
+    planLoans(std::move(open), now);
+}
+
+/// Plans moves into pools whose jobs that can still meet their latency objective demand more than the pool has, from
+/// pools that can lend.
+///
+/// Expected load: one pool has a backlog while the others use a tenth of their cores, and no instance is spare.
+void PoolPlanner::planLoans(std::vector<Shortage> shortages, TimePoint now)
+{
+    std::erase_if(shortages, [](const Shortage &shortage) { return shortage.forDemand <= 0; });
+    std::sort(shortages.rbegin(), shortages.rend());
+    std::vector<std::pair<int, std::string>> lenders;  // instances to lend, and pool
+    for (const auto &[pool, load] : m_loads) {
+        const bool isShort = std::any_of(shortages.begin(), shortages.end(),
+                                         [&](const Shortage &shortage) { return shortage.pool == pool; });
+        const bool isCurrent = now - load.receivedAt <= m_settings.maxLoadAge;
+        const int count = isShort || !isCurrent ? 0 : excessInstances(pool, Floor::Lending, now);
+        if (count > 0) {
+            lenders.emplace_back(count, pool);
         }
     }
+    std::sort(lenders.rbegin(), lenders.rend());
+    for (const auto &[count, lender] : lenders) {
+        releaseInstances(lender, count, [&](const PooledInstance &instance) {
+            const auto shortage = std::find_if(shortages.begin(), shortages.end(), [&](const Shortage &item) {
+                return item.forDemand > 0 && mayMove(instance, item.pool, now);
+            });
+            if (shortage == shortages.end()) {
+                return false;
+            }
+            --shortage->forDemand;
+            m_moves[instance.id] = {shortage->pool, instance.pool, instance.executor, {}, MoveReason::Loan};
+            return true;
+        });
+    }
 }
 
 std::vector<MoveRequest> PoolPlanner::tick(TimePoint now)
@@ -424,7 +539,7 @@
         if (isDue && isVacated(move) && present != m_instances.end()
             && present->second.state == InstanceAvailability::Up) {
             move.requestedAt = now;
-            requests.push_back({id, move.targetPool});
+            requests.push_back({id, move.targetPool, move.sourcePool, move.reason});
         }
     }
     return requests;
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -9,7 +9,7 @@
 // A move takes 1.5 s and ends the tasks on the instance, so only empty instances are moved.
 // A pool with more instances than it requires releases those without long-running tasks: their executors get no new
 // work until they are empty, and the instances then move to a pool that requires more, or else to a spare pool, where
-// they cost nothing.
+// they cost nothing. A pool with a backlog that the spare pools cannot cover borrows from pools that do not use theirs.
 //
 // Index
 // [1] Settings and inputs
@@ -18,6 +18,7 @@
 #include "deployment.h"
 
 #include <deque>
+#include <functional>
 #include <set>
 
 namespace briarvane
@@ -32,6 +33,8 @@
     /// Minimum size of a pool, as a share of the mean pool size, which counts the spare instances too. A pool has to
     /// serve the first moments of a demand peak with this size.
     double minSizeShare = 0.85;
+    /// Minimum size of a pool while it lends to a pool with a backlog, as a share of the mean pool size.
+    double lendingSizeShare = 0.4;
     /// Time over which the rise of the demand is measured.
     Duration trendWindow{500'000};
     /// The measured rise is extrapolated over this time, which a move takes, to at most twice the present demand.
@@ -55,6 +58,7 @@
 struct PoolLoad
 {
     int demandMilliCores = 0;                  // demand of tasks that run, wait or become ready soon
+    int inTimeMilliCores = 0;                  // the part of jobs that can still meet their latency objective
     std::map<std::string, int> demandByLabel;  // the part of the demand that requires a label: milli-cores by label
     int minExecutors = 0;                      // minimum number of executors for the steps of long-running tasks
     std::set<std::string> idle;                // executors without runs
@@ -62,10 +66,30 @@
     TimePoint receivedAt;                      // when this process received the report
 };
 
+enum class MoveReason {
+    Demand,   // the target pool demands more than it has, and the instance was spare or about to become spare
+    Loan,     // as Demand, but the instance comes from a pool that keeps less than its minimum size meanwhile
+    MinSize,  // the target pool is below its minimum size
+    Label,    // jobs of the target pool require a label of the instance
+    Excess,   // the source pool does not require the instance, and it moves to a spare pool
+};
+
+template<>
+struct EnumNames<MoveReason>
+{
+    static constexpr std::array<EnumName<MoveReason>, 5> names = {{{MoveReason::Demand, "demand"},
+                                                                   {MoveReason::Loan, "loan"},
+                                                                   {MoveReason::MinSize, "min-size"},
+                                                                   {MoveReason::Label, "label"},
+                                                                   {MoveReason::Excess, "excess"}}};
+};
+
 struct MoveRequest
 {
     std::string instance;
     std::string pool;
+    std::string sourcePool;
+    MoveReason reason = MoveReason::Excess;
 };
 
 /// Load of a pool from the loads of the partitions of its service. It is as old as the oldest of them.
@@ -108,40 +132,72 @@
         std::string sourcePool;
         std::string executor;  // incarnation that must be vacated before the move; empty for a spare instance
         TimePoint requestedAt;
+        MoveReason reason = MoveReason::Excess;
         bool accepted = false;
         /// Revision of the first stored list of vacating executors that named the executor; 0: the stored list does not
         /// name the executor.
         std::uint64_t vacatingRevision = 0;
     };
 
+    /// What a pool keeps while others need instances.
+    enum class Floor { MinSize, Lending };
+
+    struct DemandSample
+    {
+        TimePoint time;
+        int milliCores = 0;
+        int inTimeMilliCores = 0;
+    };
+
+    /// Instances that a pool lacks after all planned moves.
+    struct Shortage
+    {
+        int forDemand = 0;  // to run the jobs that can still meet their latency objective
+        int total = 0;      // to run all jobs, and to have the minimum size
+        std::string pool;
+        auto operator<=>(const Shortage &) const = default;
+    };
+
     /// Number of instances of the pool after all planned moves, without instances that are down.
     int instanceCount(const std::string &pool) const;
+    /// As instanceCount(), without the instances that a maintenance wave empties or has taken down.
+    int usableInstances(const std::string &pool) const;
+    int largestInstance(const std::string &pool) const;                    // milli-cores
     const std::string &plannedPool(const PooledInstance &instance) const;  // the instance's pool after its move
     /// Milli-cores of the pool's instances with the label after all planned moves, without instances that are down.
     int milliCoresWithLabel(const std::string &pool, const std::string &label) const;
     /// Whether the pool needs the instance: the instance is the last one in its pool with its first label (its kind),
     /// or the pool's jobs require a label of the instance and the other instances with the label have too few cores.
     bool isRequiredByPool(const PooledInstance &instance) const;
+    int instancesForDemand(const std::string &pool, int milliCores) const;
     /// Number of instances that a pool requires for the given demand; none while the pool has reported no load.
-    std::optional<int> requiredInstances(const std::string &pool, int milliCores, TimePoint now) const;
+    std::optional<int> requiredInstances(const std::string &pool, int milliCores, Floor floor, TimePoint now) const;
+    /// Instances that the pool has beyond those that it required at any moment of the scale-down window.
+    int excessInstances(const std::string &pool, Floor floor, TimePoint now) const;
     /// Milli-cores that the pool is expected to demand when an instance whose move is requested now has come up.
-    int expectedDemand(const std::string &pool) const;
+    int expectedDemand(const std::string &pool, int DemandSample::*demand) const;
+    std::vector<Shortage> shortages(TimePoint now) const;
     /// All instances, the spare ones included, divided by the number of pools that are not spare.
     int meanPoolSize() const;
     bool mayMove(const PooledInstance &instance, const std::string &pool, TimePoint now) const;
     std::optional<std::string> sparePoolFor(const PooledInstance &instance, TimePoint now) const;
     bool isVacated(const Move &move) const;
     bool isRequested(const Move &move) const;
+    /// Calls `release` with the instances that may leave the pool, idle ones first, until it has accepted `count`.
+    void releaseInstances(const std::string &pool, int count,
+                          const std::function<bool(const PooledInstance &)> &release);
     void planScaleDown(TimePoint now);
     void planScaleUp(TimePoint now);
+    void planLoans(std::vector<Shortage> shortages, TimePoint now);
     void planLabelDemand(std::vector<std::string> &available, TimePoint now);
-    void cancelScaleDown(const std::string &pool, int &missing);
+    /// Cancels planned moves out of pools that require the instances again, and loans that are not required any more.
+    void cancelMoves(TimePoint now);
 
     PoolPlannerSettings m_settings;
     std::map<std::string, PooledInstance> m_instances;
     std::set<std::string> m_sparePools;
     std::map<std::string, PoolLoad> m_loads;
-    std::map<std::string, std::deque<std::pair<TimePoint, int>>> m_demandHistory;  // milli-cores by pool, latest last
+    std::map<std::string, std::deque<DemandSample>> m_demandHistory;  // by pool, latest last
     std::map<std::string, std::uint64_t> m_vacated;
     std::set<std::string> m_inMaintenance;
     std::map<std::string, Move> m_moves;                           // by instance
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -363,6 +363,7 @@
     const StepSpec *findStep(const TaskName &name) const;  // null when the job is gone
     ExecutorCommand commandFor(const Executor &executor, CommandKind kind, const std::string &task, int run) const;
     static TimePoint objectiveDeadline(const Job &job);
+    static Duration remainingChain(const Job &job);
     void createOccurrence(Job &job, int number);
     void openDueOccurrences(Job &job, TimePoint now, std::int64_t wallMs);
     void requeue(const TaskName &name, TimePoint retryAt);
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -442,6 +442,9 @@
         if (isFinal(job->state)) {
             continue;
         }
+        const int demandOfOtherJobs = load.demandMilliCores;
+        const bool isLongRunning = !job->spec.steps.empty() && job->spec.steps.front().longRunning;
+        const bool isInTime = isLongRunning || now + remainingChain(*job) <= objectiveDeadline(*job);
         for (const auto &[number, occurrence] : job->occurrences) {
             int largestStep = 0;  // milli-cores
             std::map<std::string, int> largestStepWithLabel;
@@ -466,6 +469,7 @@
                 load.demandByLabel[label] += cores;
             }
         }
+        load.inTimeMilliCores += isInTime ? load.demandMilliCores - demandOfOtherJobs : 0;
     }
     for (const auto &[id, executor] : m_executors) {
         constexpr Duration minIdleTime{500'000};  // shorter gaps between two tasks do not count as idle
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -7,12 +7,9 @@
 namespace briarvane
 {
 
-namespace
-{
-
 /// Declared time of the longest chain of dependent steps that are not done, in any occurrence that has fallen due.
 /// Includes the advice time that the latency objective allows for each step.
-Duration remainingChain(const Job &job)
+Duration Scheduler::remainingChain(const Job &job)
 {
     Duration longest{0};
     for (const auto &[number, occurrence] : job.occurrences) {
@@ -30,6 +27,9 @@
     return longest;
 }
 
+namespace
+{
+
 /// Where a job stands against its latency objective, in the order of placement. A job that ends late has little value,
 /// and none after three times its objective.
 enum class ObjectiveStatus {
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -314,6 +314,125 @@
     }
 }
 
+TEST_CASE("A pool with a backlog borrows from pools that do not use theirs")
+{
+    // Guards against this failure: a pool had hundreds of open jobs on full instances for ten seconds while two others
+    // used a tenth of theirs, since each pool only gave away what it had above its minimum size.
+    TimePoint now{1h};
+    PoolPlanner planner({});
+    // The mean pool size is 10. A pool keeps 9 instances, and 4 while it lends.
+    std::vector<PooledInstance> instances = makeFleet(10, 0);
+    std::set<std::string> idle;
+    for (int i = 0; i < 10; ++i) {
+        instances.push_back(makeInstance("b" + std::to_string(i), "bills"));
+        instances.push_back(makeInstance("c" + std::to_string(i), "audits"));
+        idle.insert("i-b" + std::to_string(i));
+        idle.insert("i-c" + std::to_string(i));
+    }
+    const auto countFrom = [&planner](const std::string &prefix) {
+        const std::set<std::string> vacating = planner.vacating();
+        return std::count_if(vacating.begin(), vacating.end(),
+                             [&prefix](const std::string &executor) { return executor.starts_with("i-" + prefix); });
+    };
+    const auto setLoads = [&](int ordersInTime, int billsDemand) {
+        PoolLoad orders = makeLoad(400, now);
+        orders.inTimeMilliCores = ordersInTime * 1000;
+        planner.setLoad("orders", orders);
+        planner.setLoad("bills", makeLoad(billsDemand, now, idle));
+        planner.setLoad("audits", makeLoad(8, now, idle));
+    };
+    planner.setInstances(instances, SparePools, now);
+
+    SECTION("idle instances of the others are vacated, as far as these keep what they use and a minimum")
+    {
+        setLoads(400, 80);  // 400 cores with headroom require 28 instances, and 80 cores require 6
+        CHECK(planner.tick(now).empty());
+        CHECK(countFrom("b") == 4);
+        CHECK(countFrom("c") == 6);
+
+        SECTION("the plan holds while nothing changes, so that vacating does not begin anew")
+        {
+            const std::set<std::string> before = planner.vacating();
+            setLoads(400, 80);
+            planner.tick(now + 250ms);
+            CHECK(planner.vacating() == before);
+        }
+        SECTION("a vacated instance moves straight to the pool with the backlog")
+        {
+            planner.setPublishedVacating(planner.vacating(), 20);
+            planner.setVacated({{"i-c1", 20}});
+            const auto requests = planner.tick(now + 250ms);
+            REQUIRE(requests.size() == 1);
+            CHECK(requests[0].pool == "orders");
+            CHECK(requests[0].sourcePool == "audits");
+            CHECK(requests[0].reason == MoveReason::Loan);
+        }
+        SECTION("a lender whose own demand rises keeps the instances that have not left")
+        {
+            now += 250ms;
+            setLoads(400, 160);
+            planner.tick(now);
+            CHECK(countFrom("b") == 0);
+            CHECK(countFrom("c") == 6);
+        }
+        SECTION("loans are given up when the backlog is gone")
+        {
+            now += 4s;
+            setLoads(0, 80);
+            PoolLoad orders = makeLoad(40, now);
+            planner.setLoad("orders", orders);
+            now += 4s;
+            orders.receivedAt = now;
+            planner.setLoad("orders", orders);
+            planner.setLoad("bills", makeLoad(80, now, idle));
+            planner.setLoad("audits", makeLoad(8, now, idle));
+            planner.tick(now);
+            CHECK(countFrom("b") + countFrom("c") <= 2);  // one above the minimum size of each pool may become spare
+        }
+    }
+    SECTION("jobs that cannot meet their objective any more do not take instances from other pools")
+    {
+        setLoads(100, 8);
+        planner.tick(now);
+        CHECK(countFrom("b") + countFrom("c") <= 2);
+    }
+    SECTION("instances in a maintenance wave are no room, so the pool borrows for them too")
+    {
+        std::set<std::string> inMaintenance;
+        for (int i = 0; i < 4; ++i) {
+            inMaintenance.insert("m" + std::to_string(i));
+        }
+        planner.setInMaintenance(inMaintenance);
+        setLoads(140, 8);  // requires 10 instances, and 6 are usable
+        planner.tick(now);
+        CHECK(countFrom("b") + countFrom("c") >= 4);
+    }
+    SECTION("a pool whose owner has not reported for some seconds lends nothing")
+    {
+        setLoads(400, 8);
+        now += 5s;
+        PoolLoad orders = makeLoad(400, now);
+        orders.inTimeMilliCores = 400'000;
+        planner.setLoad("orders", orders);
+        planner.tick(now);
+        CHECK(planner.vacating().empty());
+    }
+}
+
+TEST_CASE("The load of a pool is read as it was written, also from earlier versions")
+{
+    PoolLoad load = makeLoad(80, TimePoint{1h}, {"i-1"});
+    load.inTimeMilliCores = 32'000;
+    const auto read = parsePoolLoad(encodePoolLoad(load), TimePoint{2h});
+    REQUIRE(read);
+    CHECK(read.value().inTimeMilliCores == 32'000);
+    // Without the field, all of the demand counts, as it did before the field existed.
+    const auto earlier
+        = parsePoolLoad(R"({"wanted": 80000, "labels": {}, "widest": 0, "idle": [], "light": []})", TimePoint{2h});
+    REQUIRE(earlier);
+    CHECK(earlier.value().inTimeMilliCores == 80'000);
+}
+
 TEST_CASE("No instance with an executor moves before its executor is vacated")
 {
     // Guards against this failure of a version that was reverted: a pool below its minimum size took back a planned
