Place long-running tasks on few executors, within the step's limit of unavailable tasks

The 40 long-running tasks of a pool used 40 of its 80 instances, and instances with long-running tasks do not leave a pool, so few could be lent. Tasks of a step now share an executor up to maxUnavailable, and tasks of several steps share one up to three quarters of its cores. Spread over racks, limits per executor and the distance from tasks with a latency target stay as they were. The summary of a partition says on how many executors long-running tasks run.

Not measured on a deployment yet.

--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -399,6 +399,7 @@
     void requestAdvice(Job &job, int occurrence, int step, TimePoint now);
     bool stepReady(const Job &job, const Occurrence &occurrence, int step) const;
     bool acceptsWork(const Executor &executor, TimePoint now) const;
+    bool hostsMoreOfStep(const Executor &executor, const StepSpec &step, int ofStep) const;
     std::map<std::string_view, int> roomPerRack(const StepSpec &spec, TimePoint now) const;
     Executor *pickExecutor(const Job &job, int occurrence, int step, TimePoint now);
     void startTask(Job &job, const TaskName &name, Executor &executor, TimePoint now);
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -496,10 +496,15 @@
     int ejected = 0;
     int vacating = 0;
     int silent = 0;
+    int withLongRunning = 0;
     std::size_t runs = 0;
     Resources used;
     Resources capacity;
     for (const auto &[id, executor] : m_executors) {
+        withLongRunning += std::any_of(executor.runs.begin(), executor.runs.end(), [this](const auto &item) {
+            const StepSpec *step = findStep(item.second.task);
+            return step != nullptr && step->longRunning;
+        });
         listed += executor.listed ? 1 : 0;
         adopted += executor.adopted ? 1 : 0;
         ejected += executor.ejectedUntil > now ? 1 : 0;
@@ -516,9 +521,9 @@
         waiting += job->state == JobState::Pending ? 1 : 0;
     }
     return "jobs=" + std::to_string(m_jobs.size()) + " waiting=" + std::to_string(waiting)
-        + " runs=" + std::to_string(runs) + " executors=" + std::to_string(m_executors.size())
-        + " listed=" + std::to_string(listed) + " adopted=" + std::to_string(adopted)
-        + " ejected=" + std::to_string(ejected) + " leaving=" + std::to_string(vacating)
+        + " runs=" + std::to_string(runs) + " executors=" + std::to_string(m_executors.size()) + " listed="
+        + std::to_string(listed) + " adopted=" + std::to_string(adopted) + " ejected=" + std::to_string(ejected)
+        + " leaving=" + std::to_string(vacating) + " long_running_on=" + std::to_string(withLongRunning)
         + " silent=" + std::to_string(silent) + " dark=" + std::to_string(m_unreportedExecutors.size())
         + " used_cores=" + std::to_string(used.milliCores / 1000) + "/" + std::to_string(capacity.milliCores / 1000)
         + " used_gb=" + std::to_string(used.memoryMb / 1024) + "/" + std::to_string(capacity.memoryMb / 1024)
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -264,6 +264,20 @@
     return room;
 }
 
+/// Whether a task of a long-running step is to sit with the long-running tasks that the executor already has, so that
+/// the instances of others can leave the pool. `ofStep`: tasks of the step on the executor. They stay within the step's
+/// limit of unavailable tasks, as an executor that fails or leaves makes all of them unavailable.
+bool Scheduler::hostsMoreOfStep(const Executor &executor, const StepSpec &step, int ofStep) const
+{
+    if (ofStep >= std::max(1, step.maxUnavailable)) {
+        return false;
+    }
+    return std::any_of(executor.runs.begin(), executor.runs.end(), [this](const auto &item) {
+        const StepSpec *other = findStep(item.second.task);
+        return other != nullptr && other->longRunning;
+    });
+}
+
 /// Executor with the lowest score among those with room for one more task of the step; null if there is none.
 Executor *Scheduler::pickExecutor(const Job &job, int number, int step, TimePoint now)
 {
@@ -316,13 +330,15 @@
         // Tasks are packed up to this share of an executor's cores, so that other instances become empty and can leave
         // the pool. Above it they are spread, because tasks use more than they declare.
         constexpr double packUpTo = 0.75;
-        double score = shareAfter <= packUpTo && !spec.longRunning ? packUpTo - shareAfter : usedShare;
+        const bool isPacked
+            = shareAfter <= packUpTo && (!spec.longRunning || hostsMoreOfStep(executor, spec, tasksPerExecutor[id]));
+        double score = isPacked ? packUpTo - shareAfter : usedShare + (spec.longRunning ? packUpTo : 0);
         score += executor.failureScore;
         if (!spec.dataRack.empty() && executor.record.rack != spec.dataRack) {
             score += 4;  // a task takes several times as long on a rack without its data
         }
         if (spec.longRunning) {  // spread, so that the failure of one rack affects few tasks
-            score += 2 * tasksPerExecutor[id] + tasksPerRack[executor.record.rack];
+            score += (isPacked ? 0 : 2 * tasksPerExecutor[id]) + tasksPerRack[executor.record.rack];
         } else if (spec.sameRack) {
             // Prefers the rack that can have the most tasks of the step, including those that already run there.
             const int tasksInRack
--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -575,6 +575,79 @@
     }
 }
 
+TEST_CASE("Long-running tasks sit on few executors, so that the instances of others can leave")
+{
+    // Guards against this failure: the 40 long-running tasks of a pool used 40 of its 80 instances, a tenth of each,
+    // and none of these could be lent to a pool with a backlog.
+    Simulation simulation(faultFreeSettings());  // 6 executors of 4 cores, in 3 racks of 2
+    simulation.takeOver(true);
+    const auto tasksPerExecutor = [&simulation] {
+        std::vector<int> tasks;
+        for (int i = 0; i < 6; ++i) {
+            tasks.push_back(simulation.runsAt(i));
+        }
+        return tasks;
+    };
+    const auto hosts = [&tasksPerExecutor] {
+        const std::vector<int> tasks = tasksPerExecutor();
+        return std::count_if(tasks.begin(), tasks.end(), [](int count) { return count > 0; });
+    };
+
+    SECTION("a step that may miss two tasks has two on each executor, in as many racks as before")
+    {
+        simulation.submit(makeJob("a", {longRunningStep(6, 2)}));
+        simulation.run(2s);
+        const std::vector<int> tasks = tasksPerExecutor();
+        CHECK(hosts() == 3);
+        for (std::size_t rack = 0; rack < 3; ++rack) {
+            CHECK(tasks[2 * rack] + tasks[2 * rack + 1] == 2);
+        }
+        SECTION("an executor that is vacated gives up no more of them at once than the step may miss")
+        {
+            const auto host = std::find(tasks.begin(), tasks.end(), 2) - tasks.begin();
+            simulation.vacate({"i-" + std::to_string(host)});
+            int fewest = 6;
+            for (int i = 0; i < 100; ++i) {
+                simulation.run(50ms);
+                fewest = std::min(fewest, simulation.servingTasks("a"));
+            }
+            CHECK(fewest >= 4);
+            CHECK(simulation.runsAt(static_cast<int>(host)) == 0);
+            CHECK(simulation.servingTasks("a") == 6);
+        }
+    }
+    SECTION("a step that may miss one task has one on each executor, beside the tasks of other jobs")
+    {
+        simulation.submit(makeJob("a", {longRunningStep(3, 1)}));
+        simulation.run(2s);
+        simulation.submit(makeJob("b", {longRunningStep(3, 1)}));
+        simulation.run(2s);
+        CHECK(hosts() == 3);
+        CHECK(simulation.servingTasks("a") == 3);
+        CHECK(simulation.servingTasks("b") == 3);
+    }
+    SECTION("a limit per executor goes before")
+    {
+        StepSpec step = longRunningStep(6, 3);
+        step.perExecutorLimit = 1;
+        simulation.submit(makeJob("a", {step}));
+        simulation.run(2s);
+        CHECK(hosts() == 6);
+    }
+    SECTION("tasks that would use idle processor time stay away from tasks with a latency target")
+    {
+        StepSpec serving = longRunningStep(3, 1);
+        serving.latencyTarget = 50ms;
+        simulation.submit(makeJob("a", {serving}));
+        simulation.run(2s);
+        StepSpec filling = longRunningStep(3, 1);
+        filling.bestEffort = true;
+        simulation.submit(makeJob("b", {filling}));
+        simulation.run(2s);
+        CHECK(hosts() == 6);
+    }
+}
+
 TEST_CASE("Random faults violate no guarantee")
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
