Move instances into a pool ahead of a peak that recurs

Instances requested when a peak begins arrive after its first two seconds. The fleet's owner now learns when each pool's peaks begin, and from the second round on a pool requires 0.7 of the mean demand of its last peak three seconds before the next one, the time to vacate and move instances. Nothing is expected before every pool has had a peak or after an expected peak did not come, and an extra peak does not shift the forecast.

--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -123,6 +123,10 @@
     while (history.size() > 1 && load.receivedAt - history[1].time > m_settings.scaleDownWindow) {
         history.pop_front();  // keeps the demand that was in force when the window began
     }
+    if (!m_instances.empty() && !m_sparePools.contains(pool)) {
+        const int smallestPeak = meanPoolSize() * largestInstance(pool) / 2;  // a pool of the minimum size holds less
+        m_forecast.observe(pool, load.inTimeMilliCores, smallestPeak, load.receivedAt);
+    }
     m_loads[pool] = std::move(load);
 }
 
@@ -285,7 +289,7 @@
     if (history == m_demandHistory.end() || m_sparePools.contains(pool)) {
         return 0;
     }
-    int peak = 0;
+    int peak = expectedPeak(pool, now);
     for (const DemandSample &sample : history->second) {
         peak = std::max(peak, sample.milliCores);
     }
@@ -293,6 +297,13 @@
     return needed ? std::max(0, instanceCount(pool) - *needed) : 0;
 }
 
+int PoolPlanner::expectedPeak(const std::string &pool, TimePoint now) const
+{
+    const std::optional<ExpectedPeak> peak = m_forecast.nextPeak(pool, now);
+    return peak && peak->begin - now <= m_settings.peakLead ? static_cast<int>(peak->milliCores * m_settings.peakShare)
+                                                            : 0;
+}
+
 std::vector<PoolPlanner::Shortage> PoolPlanner::shortages(TimePoint now) const
 {
     std::vector<Shortage> shortages;
@@ -303,11 +314,12 @@
         const int needed
             = requiredInstances(pool, expectedDemand(pool, &DemandSample::milliCores), Floor::MinSize, now).value_or(0);
         const bool isCurrent = now - load.receivedAt <= m_settings.maxLoadAge;
-        const int neededInTime
-            = isCurrent ? instancesForDemand(pool, expectedDemand(pool, &DemandSample::inTimeMilliCores)) : 0;
+        const int demand = isCurrent ? expectedDemand(pool, &DemandSample::inTimeMilliCores) : 0;
+        const int peak = isCurrent ? expectedPeak(pool, now) : 0;
         Shortage shortage;
         shortage.pool = pool;
-        shortage.forDemand = std::max(0, neededInTime - usableInstances(pool));
+        shortage.isExpected = peak > demand;
+        shortage.forDemand = std::max(0, instancesForDemand(pool, std::max(demand, peak)) - usableInstances(pool));
         shortage.total = std::max(shortage.forDemand, needed - instanceCount(pool));
         if (shortage.total > 0) {
             shortages.push_back(std::move(shortage));
@@ -395,7 +407,7 @@
 void PoolPlanner::cancelMoves(TimePoint now)
 {
     for (const auto &[pool, load] : m_loads) {
-        const int demand = expectedDemand(pool, &DemandSample::milliCores);
+        const int demand = std::max(expectedDemand(pool, &DemandSample::milliCores), expectedPeak(pool, now));
         const int count = instanceCount(pool);
         int missing = requiredInstances(pool, demand, Floor::MinSize, now).value_or(0) - count;
         int missingForLending = requiredInstances(pool, demand, Floor::Lending, now).value_or(0) - count;
@@ -485,7 +497,9 @@
         }
         Move &move = m_moves.try_emplace(instance.id, Move{shortage->pool, instance.pool, {}}).first->second;
         move.targetPool = shortage->pool;
-        move.reason = shortage->forDemand > 0 ? MoveReason::Demand : MoveReason::MinSize;
+        move.reason = shortage->forDemand <= 0 ? MoveReason::MinSize
+            : shortage->isExpected             ? MoveReason::Peak
+                                               : MoveReason::Demand;
         --shortage->forDemand;
         if (--shortage->total == 0) {
             open.erase(shortage);
@@ -522,7 +536,11 @@
                 return false;
             }
             --shortage->forDemand;
-            m_moves[instance.id] = {shortage->pool, instance.pool, instance.executor, {}, MoveReason::Loan};
+            m_moves[instance.id] = {shortage->pool,
+                                    instance.pool,
+                                    instance.executor,
+                                    {},
+                                    shortage->isExpected ? MoveReason::Peak : MoveReason::Loan};
             return true;
         });
     }
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -10,11 +10,13 @@
 // A pool with more instances than it requires releases those without long-running tasks: their executors get no new
 // work until they are empty, and the instances then move to a pool that requires more, or else to a spare pool, where
 // they cost nothing. A pool with a backlog that the spare pools cannot cover borrows from pools that do not use theirs.
+// A peak that recurs is expected, and instances move into its pool before it begins.
 //
 // Index
 // [1] Settings and inputs
 // [2] The planner
 
+#include "demand_forecast.h"
 #include "deployment.h"
 
 #include <deque>
@@ -35,6 +37,11 @@
     double minSizeShare = 0.85;
     /// Minimum size of a pool while it lends to a pool with a backlog, as a share of the mean pool size.
     double lendingSizeShare = 0.4;
+    /// Time before an expected peak from which on a pool requires the instances for it: the time to vacate and to move
+    /// them.
+    Duration peakLead{3'000'000};
+    /// Share of the demand of its last peak that a pool requires ahead of the next one. The rest follows the demand.
+    double peakShare = 0.7;
     /// Time over which the rise of the demand is measured.
     Duration trendWindow{500'000};
     /// The measured rise is extrapolated over this time, which a move takes, to at most twice the present demand.
@@ -69,6 +76,7 @@
 enum class MoveReason {
     Demand,   // the target pool demands more than it has, and the instance was spare or about to become spare
     Loan,     // as Demand, but the instance comes from a pool that keeps less than its minimum size meanwhile
+    Peak,     // the target pool is expected to have a demand peak soon
     MinSize,  // the target pool is below its minimum size
     Label,    // jobs of the target pool require a label of the instance
     Excess,   // the source pool does not require the instance, and it moves to a spare pool
@@ -77,8 +85,9 @@
 template<>
 struct EnumNames<MoveReason>
 {
-    static constexpr std::array<EnumName<MoveReason>, 5> names = {{{MoveReason::Demand, "demand"},
+    static constexpr std::array<EnumName<MoveReason>, 6> names = {{{MoveReason::Demand, "demand"},
                                                                    {MoveReason::Loan, "loan"},
+                                                                   {MoveReason::Peak, "peak"},
                                                                    {MoveReason::MinSize, "min-size"},
                                                                    {MoveReason::Label, "label"},
                                                                    {MoveReason::Excess, "excess"}}};
@@ -152,8 +161,9 @@
     /// Instances that a pool lacks after all planned moves.
     struct Shortage
     {
-        int forDemand = 0;  // to run the jobs that can still meet their latency objective
-        int total = 0;      // to run all jobs, and to have the minimum size
+        int forDemand = 0;        // to run the jobs that can still meet their latency objective
+        int total = 0;            // to run all jobs, and to have the minimum size
+        bool isExpected = false;  // the pool lacks instances for an expected peak, not for its present demand
         std::string pool;
         auto operator<=>(const Shortage &) const = default;
     };
@@ -176,6 +186,8 @@
     int excessInstances(const std::string &pool, Floor floor, TimePoint now) const;
     /// Milli-cores that the pool is expected to demand when an instance whose move is requested now has come up.
     int expectedDemand(const std::string &pool, int DemandSample::*demand) const;
+    /// Milli-cores that the pool requires for a peak that is expected to begin within the lead time, else 0.
+    int expectedPeak(const std::string &pool, TimePoint now) const;
     std::vector<Shortage> shortages(TimePoint now) const;
     /// All instances, the spare ones included, divided by the number of pools that are not spare.
     int meanPoolSize() const;
@@ -198,6 +210,7 @@
     std::set<std::string> m_sparePools;
     std::map<std::string, PoolLoad> m_loads;
     std::map<std::string, std::deque<DemandSample>> m_demandHistory;  // by pool, latest last
+    DemandForecast m_forecast;
     std::map<std::string, std::uint64_t> m_vacated;
     std::set<std::string> m_inMaintenance;
     std::map<std::string, Move> m_moves;                           // by instance
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -419,6 +419,58 @@
     }
 }
 
+TEST_CASE("Instances move into a pool ahead of a peak that recurs")
+{
+    // Guards against this failure: instances that are requested when a peak begins arrive after its first two seconds,
+    // in which the callers of every peak waited.
+    TimePoint now{1h};
+    PoolPlannerSettings settings;
+    settings.minSizeShare = 0.3;
+    PoolPlanner planner(settings);
+    std::vector<PooledInstance> instances = makeFleet(10, 30);
+    for (int i = 0; i < 10; ++i) {
+        instances.push_back(makeInstance("b" + std::to_string(i), "bills"));
+    }
+    planner.setInstances(instances, SparePools, now);  // the mean pool size is 25, and a pool keeps 8
+    // The pools have peaks of 288 cores, which require 20 instances, in turns of 8 s.
+    const auto runUntil = [&](Duration end, const std::string &silent = {}) {
+        for (; now < TimePoint{1h} + end; now += 250ms) {
+            const bool ordersTurn = (now - TimePoint{1h}) / 8s % 2 == 0;
+            for (const std::string pool : {"orders", "bills"}) {
+                const bool hasTurn = ordersTurn == (pool == "orders") && now >= TimePoint{1h} + 1s;
+                PoolLoad load = makeLoad(hasTurn && pool != silent ? 288 : 8, now);
+                load.inTimeMilliCores = load.demandMilliCores;
+                planner.setLoad(pool, load);
+            }
+        }
+    };
+    const auto movesAhead = [&planner, &now](const std::string &pool) {
+        const auto requests = planner.tick(now);
+        return std::count_if(requests.begin(), requests.end(), [&pool](const MoveRequest &request) {
+            return request.pool == pool && request.reason == MoveReason::Peak;
+        });
+    };
+
+    SECTION("in the first round, moves follow the demand")
+    {
+        runUntil(7s);
+        CHECK(movesAhead("bills") == 0);
+    }
+    SECTION("in the next round, moves begin before the peak, but not long before")
+    {
+        runUntil(18s);
+        CHECK(movesAhead("bills") == 0);
+        runUntil(22s);
+        CHECK(movesAhead("bills") > 0);
+    }
+    SECTION("a peak that does not come keeps no instances, and later ones follow the demand again")
+    {
+        runUntil(24s);
+        runUntil(36s, "bills");
+        CHECK(movesAhead("bills") == 0);
+    }
+}
+
 TEST_CASE("The load of a pool is read as it was written, also from earlier versions")
 {
     PoolLoad load = makeLoad(80, TimePoint{1h}, {"i-1"});
