Expect no peaks while the forecast of peaks is often wrong

In an order of peaks that keeps changing, a pool was expected to have a peak in a twentieth of all samples. Nothing is expected any more in a pool after a missed peak until one has come at its time, nor in any pool while fewer than half of the last expected peaks came.

--- a/src/demand_forecast.cpp
+++ b/src/demand_forecast.cpp
@@ -44,6 +44,8 @@
         return;
     }
     pool.lastPeak.reset();
+    pool.isReliable = false;
+    m_hitRate -= m_settings.hitWeight * m_hitRate;
     const bool noneLeft = std::none_of(m_pools.begin(), m_pools.end(),
                                        [](const auto &entry) { return entry.second.lastPeak.has_value(); });
     if (noneLeft) {
@@ -61,6 +63,8 @@
     }
     if (pool.lastPeak) {
         m_period = now - *pool.lastPeak;
+        pool.isReliable = true;
+        m_hitRate += m_settings.hitWeight * (1 - m_hitRate);
     }
     pool.lastPeak = now;
     pool.coreTime = 0;
@@ -89,8 +93,8 @@
 {
     const auto found = m_pools.find(name);
     const std::optional<Duration> known = period();
-    if (found == m_pools.end() || !known || !found->second.lastPeak || found->second.isPeaking
-        || found->second.peakSeconds <= 0) {
+    if (found == m_pools.end() || !known || m_hitRate < m_settings.minHitRate || !found->second.lastPeak
+        || !found->second.isReliable || found->second.isPeaking || found->second.peakSeconds <= 0) {
         return std::nullopt;
     }
     const Pool &pool = found->second;
--- a/src/demand_forecast.h
+++ b/src/demand_forecast.h
@@ -5,8 +5,9 @@
 //
 // Expected load: the pools have peaks one after another, in an order that recurs. A peak lasts only some times longer
 // than the move of an instance, so capacity that is requested when the demand rises misses much of it.
-// Nothing is expected before every pool has had a peak, nor in a pool whose last expected peak did not come. A peak
-// that comes early, for example an extra burst, does not shift the expected time of the next one.
+// Nothing is expected before every pool has had a peak. After an expected peak did not come, nothing is expected in the
+// pool until a later one has come at its time, and nothing in any pool if that happens often. A peak that comes early,
+// for example an extra burst, does not shift the expected time of the next one.
 
 #include "types.h"
 
@@ -24,7 +25,10 @@
     double peakFactor = 3;
     /// Part of the period by which a peak may begin earlier or later than expected.
     double tolerance = 0.2;
-    double smoothing = 0.2;  // weight of a new sample in the demand between peaks
+    /// Nothing is expected in any pool while fewer of the last expected peaks came at their times.
+    double minHitRate = 0.5;
+    double hitWeight = 0.25;  // weight of the last expected peak in the rate
+    double smoothing = 0.2;   // weight of a new sample in the demand between peaks
 };
 
 struct ExpectedPeak
@@ -52,6 +56,7 @@
     {
         double quietMilliCores = 0;
         bool isPeaking = false;
+        bool isReliable = true;          // false from a peak that did not come until one that came at its time
         bool isExpectedToRecur = false;  // whether the present peak did not come early
         std::optional<TimePoint>
             lastPeak;  // begin of the last peak that did not come early; none if the next did not come
@@ -67,6 +72,7 @@
 
     DemandForecastSettings m_settings;
     std::map<std::string, Pool> m_pools;
+    double m_hitRate = 1;              // exponentially weighted share of the expected peaks that came at their times
     std::optional<Duration> m_period;  // measured between two peaks of one pool
 };
 
