--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -575,13 +575,18 @@
                                 done(toMaintenanceResult(request.instance, result));
                             });
     };
-    hooks.move
-        = [this](const MoveRequest &request, std::uint64_t fencingToken, std::function<void(MaintenanceResult)> done) {
-              m_machines.move(request.instance, request.pool, fencingToken,
-                              [request, done = std::move(done)](platform::InstanceRequestResult result) {
-                                  done(toMaintenanceResult(request.instance, result));
-                              });
-          };
+    hooks.move = [this](const MoveRequest &request, std::uint64_t fencingToken,
+                        std::function<void(MaintenanceResult)> done) {
+        m_machines.move(
+            request.instance, request.pool, fencingToken,
+            [this, request, done = std::move(done)](platform::InstanceRequestResult result) {
+                const MaintenanceResult outcome = toMaintenanceResult(request.instance, result);
+                if (outcome == MaintenanceResult::Begun) {
+                    m_metrics.add("briarvane_moves_total", {}, {{"reason", std::string(toString(request.reason))}});
+                }
+                done(outcome);
+            });
+    };
     hooks.status = [](std::int64_t wave, bool completed) {
         return StoreWrite{std::string(platform::WaveStatusPrefix) + std::to_string(wave),
                           platform::encodeWaveStatus(completed), 0};
