Share instances fairly between pools that need more than there are

Each pool now has a fair share for the jobs that can still be in time; a pool above its share lends, and one below it borrows. A pool borrows only if it lacks more than a tenth of its instances.

--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -304,7 +304,36 @@
                                                             : 0;
 }
 
-std::vector<PoolPlanner::Shortage> PoolPlanner::shortages(TimePoint now) const
+/// Expected load: two pools have peaks at the same time, for example while the backlog of one peak lasts into the next,
+/// and each needs most of the instances.
+std::map<std::string, int> PoolPlanner::fairShares(TimePoint now) const
+{
+    std::vector<std::pair<int, std::string>> needs;
+    int available = 0;
+    for (const auto &[id, instance] : m_instances) {
+        available += instance.state != InstanceAvailability::Down && !m_inMaintenance.contains(id) ? 1 : 0;
+    }
+    for (const auto &[pool, load] : m_loads) {
+        if (m_sparePools.contains(pool)) {
+            continue;
+        }
+        int demand = std::max(expectedPeak(pool, now), expectedDemand(pool, &DemandSample::inTimeMilliCores));
+        for (const DemandSample &sample : m_demandHistory.at(pool)) {
+            demand = std::max(demand, sample.inTimeMilliCores);
+        }
+        needs.emplace_back(requiredInstances(pool, demand, Floor::Lending, now).value_or(0), pool);
+    }
+    std::sort(needs.begin(), needs.end());
+    std::map<std::string, int> shares;
+    for (std::size_t i = 0; i < needs.size(); ++i) {
+        const int share = std::min(needs[i].first, available / static_cast<int>(needs.size() - i));
+        shares[needs[i].second] = share;
+        available -= share;
+    }
+    return shares;
+}
+
+std::vector<PoolPlanner::Shortage> PoolPlanner::shortages(const std::map<std::string, int> &shares, TimePoint now) const
 {
     std::vector<Shortage> shortages;
     for (const auto &[pool, load] : m_loads) {
@@ -316,10 +345,11 @@
         const bool isCurrent = now - load.receivedAt <= m_settings.maxLoadAge;
         const int demand = isCurrent ? expectedDemand(pool, &DemandSample::inTimeMilliCores) : 0;
         const int peak = isCurrent ? expectedPeak(pool, now) : 0;
+        const int neededInTime = std::min(instancesForDemand(pool, std::max(demand, peak)), shares.at(pool));
         Shortage shortage;
         shortage.pool = pool;
         shortage.isExpected = peak > demand;
-        shortage.forDemand = std::max(0, instancesForDemand(pool, std::max(demand, peak)) - usableInstances(pool));
+        shortage.forDemand = std::max(0, neededInTime - usableInstances(pool));
         shortage.total = std::max(shortage.forDemand, needed - instanceCount(pool));
         if (shortage.total > 0) {
             shortages.push_back(std::move(shortage));
@@ -404,13 +434,14 @@
     }
 }
 
-void PoolPlanner::cancelMoves(TimePoint now)
+void PoolPlanner::cancelMoves(const std::map<std::string, int> &shares, TimePoint now)
 {
     for (const auto &[pool, load] : m_loads) {
         const int demand = std::max(expectedDemand(pool, &DemandSample::milliCores), expectedPeak(pool, now));
         const int count = instanceCount(pool);
         int missing = requiredInstances(pool, demand, Floor::MinSize, now).value_or(0) - count;
-        int missingForLending = requiredInstances(pool, demand, Floor::Lending, now).value_or(0) - count;
+        const auto share = shares.find(pool);
+        int missingForLending = share == shares.end() ? 0 : share->second - count;
         int surplus = excessInstances(pool, Floor::MinSize, now);
         std::erase_if(m_moves, [&](const auto &entry) {
             const Move &move = entry.second;
@@ -470,8 +501,9 @@
 /// to leave other pools for a spare pool, then loans.
 void PoolPlanner::planScaleUp(TimePoint now)
 {
-    cancelMoves(now);
-    std::vector<Shortage> open = shortages(now);
+    const std::map<std::string, int> shares = fairShares(now);
+    cancelMoves(shares, now);
+    std::vector<Shortage> open = shortages(shares, now);
     std::vector<std::string> leaving;
     std::vector<std::string> available;  // spare and leaving instances; the last one is used first
     for (const auto &[id, instance] : m_instances) {
@@ -505,23 +537,25 @@
             open.erase(shortage);
         }
     }
-    planLoans(std::move(open), now);
+    planLoans(std::move(open), shares, now);
 }
 
 /// Plans moves into pools whose jobs that can still meet their latency objective demand more than the pool has, from
 /// pools that can lend.
 ///
 /// Expected load: one pool has a backlog while the others use a tenth of their cores, and no instance is spare.
-void PoolPlanner::planLoans(std::vector<Shortage> shortages, TimePoint now)
+void PoolPlanner::planLoans(std::vector<Shortage> shortages, const std::map<std::string, int> &shares, TimePoint now)
 {
-    std::erase_if(shortages, [](const Shortage &shortage) { return shortage.forDemand <= 0; });
+    std::erase_if(shortages, [&](const Shortage &shortage) {
+        return shortage.forDemand <= m_settings.minLoanShare * usableInstances(shortage.pool);
+    });
     std::sort(shortages.rbegin(), shortages.rend());
     std::vector<std::pair<int, std::string>> lenders;  // instances to lend, and pool
     for (const auto &[pool, load] : m_loads) {
         const bool isShort = std::any_of(shortages.begin(), shortages.end(),
                                          [&](const Shortage &shortage) { return shortage.pool == pool; });
         const bool isCurrent = now - load.receivedAt <= m_settings.maxLoadAge;
-        const int count = isShort || !isCurrent ? 0 : excessInstances(pool, Floor::Lending, now);
+        const int count = isShort || !isCurrent ? 0 : instanceCount(pool) - shares.at(pool);
         if (count > 0) {
             lenders.emplace_back(count, pool);
         }
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -37,6 +37,9 @@
     double minSizeShare = 0.85;
     /// Minimum size of a pool while it lends to a pool with a backlog, as a share of the mean pool size.
     double lendingSizeShare = 0.4;
+    /// A pool borrows only if it lacks more than this share of its instances: each loan takes an instance out of use
+    /// for the time of a move.
+    double minLoanShare = 0.1;
     /// Time before an expected peak from which on a pool requires the instances for it: the time to vacate and to move
     /// them.
     Duration peakLead{3'000'000};
@@ -186,9 +189,12 @@
     int excessInstances(const std::string &pool, Floor floor, TimePoint now) const;
     /// Milli-cores that the pool is expected to demand when an instance whose move is requested now has come up.
     int expectedDemand(const std::string &pool, int DemandSample::*demand) const;
+    /// Instances that each pool should have for the jobs that can still meet their latency objective. If there are too
+    /// few instances for all pools, those that need the least get all they need, and the others equal numbers.
+    std::map<std::string, int> fairShares(TimePoint now) const;
     /// Milli-cores that the pool requires for a peak that is expected to begin within the lead time, else 0.
     int expectedPeak(const std::string &pool, TimePoint now) const;
-    std::vector<Shortage> shortages(TimePoint now) const;
+    std::vector<Shortage> shortages(const std::map<std::string, int> &shares, TimePoint now) const;
     /// All instances, the spare ones included, divided by the number of pools that are not spare.
     int meanPoolSize() const;
     bool mayMove(const PooledInstance &instance, const std::string &pool, TimePoint now) const;
@@ -200,10 +206,10 @@
                           const std::function<bool(const PooledInstance &)> &release);
     void planScaleDown(TimePoint now);
     void planScaleUp(TimePoint now);
-    void planLoans(std::vector<Shortage> shortages, TimePoint now);
+    void planLoans(std::vector<Shortage> shortages, const std::map<std::string, int> &shares, TimePoint now);
     void planLabelDemand(std::vector<std::string> &available, TimePoint now);
     /// Cancels planned moves out of pools that require the instances again, and loans that are not required any more.
-    void cancelMoves(TimePoint now);
+    void cancelMoves(const std::map<std::string, int> &shares, TimePoint now);
 
     PoolPlannerSettings m_settings;
     std::map<std::string, PooledInstance> m_instances;
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -338,7 +338,9 @@
         PoolLoad orders = makeLoad(400, now);
         orders.inTimeMilliCores = ordersInTime * 1000;
         planner.setLoad("orders", orders);
-        planner.setLoad("bills", makeLoad(billsDemand, now, idle));
+        PoolLoad bills = makeLoad(billsDemand, now, idle);
+        bills.inTimeMilliCores = bills.demandMilliCores;
+        planner.setLoad("bills", bills);
         planner.setLoad("audits", makeLoad(8, now, idle));
     };
     planner.setInstances(instances, SparePools, now);
@@ -390,6 +392,24 @@
             CHECK(countFrom("b") + countFrom("c") <= 2);  // one above the minimum size of each pool may become spare
         }
     }
+    SECTION("two pools with more demand than there are instances share them, also if one has most of them")
+    {
+        // Guards against this failure: a pool that had borrowed nearly all instances kept them until its peak was over,
+        // while the jobs of the next pool waited for five seconds.
+        for (PooledInstance &instance : instances) {
+            instance.pool = instance.id.starts_with("c") ? "audits" : "bills";
+        }
+        instances[0].pool = "orders";
+        planner.setInstances(instances, SparePools, now);
+        for (int i = 0; i < 10; ++i) {
+            idle.insert("i-m" + std::to_string(i));
+        }
+        setLoads(400, 400);
+        planner.tick(now);
+        // 30 instances: audits needs 4, so orders and bills get 13 each. Orders has 1, and bills 19.
+        CHECK(countFrom("b") + countFrom("m") == 6);
+        CHECK(countFrom("c") == 6);
+    }
     SECTION("jobs that cannot meet their objective any more do not take instances from other pools")
     {
         setLoads(100, 8);
