--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -552,6 +552,9 @@
     std::sort(shortages.rbegin(), shortages.rend());
     std::vector<std::pair<int, std::string>> lenders;  // instances to lend, and pool
     for (const auto &[pool, load] : m_loads) {
+        if (m_sparePools.contains(pool)) {
+            continue;
+        }
         const bool isShort = std::any_of(shortages.begin(), shortages.end(),
                                          [&](const Shortage &shortage) { return shortage.pool == pool; });
         const bool isCurrent = now - load.receivedAt <= m_settings.maxLoadAge;
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -344,6 +344,7 @@
         planner.setLoad("audits", makeLoad(8, now, idle));
     };
     planner.setInstances(instances, SparePools, now);
+    planner.setLoad("spare", makeLoad(0, now));  // spare pools have an owner that reports, too
 
     SECTION("idle instances of the others are vacated, as far as these keep what they use and a minimum")
     {
