Vacate instances whose tasks are about to end first

The load now lists the executors whose runs are about to end, and these leave before other busy ones.

--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -34,6 +34,7 @@
         }
         sum.minExecutors += load.minExecutors;  // a step spreads over the executors of its own partition only
         sum.idle.insert(load.idle.begin(), load.idle.end());
+        sum.emptySoon.insert(load.emptySoon.begin(), load.emptySoon.end());
         sum.withoutLongRunning.insert(load.withoutLongRunning.begin(), load.withoutLongRunning.end());
         sum.receivedAt = std::min(sum.receivedAt, load.receivedAt);
     }
@@ -47,6 +48,7 @@
                                         {"labels", json::value_from(load.demandByLabel)},
                                         {"widest", load.minExecutors},
                                         {"idle", json::value_from(load.idle)},
+                                        {"soon", json::value_from(load.emptySoon)},
                                         {"light", json::value_from(load.withoutLongRunning)}});
 }
 
@@ -87,6 +89,13 @@
         }
         *field = ids.value();
     }
+    if (const json::value *soon = object.if_contains("soon"); soon != nullptr) {  // not reported by earlier versions
+        const auto ids = parseIds(soon);
+        if (!ids) {
+            return Error{ErrorCode::Invalid, "the field 'soon' of a pool's load is not a list of strings"};
+        }
+        load.emptySoon = ids.value();
+    }
     return load;
 }
 
@@ -402,7 +411,7 @@
                                    const std::function<bool(const PooledInstance &)> &release)
 {
     const PoolLoad &load = m_loads.at(pool);
-    for (const std::set<std::string> *executors : {&load.idle, &load.withoutLongRunning}) {
+    for (const std::set<std::string> *executors : {&load.idle, &load.emptySoon, &load.withoutLongRunning}) {
         for (const auto &[id, instance] : m_instances) {
             if (count <= 0) {
                 return;
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -73,6 +73,7 @@
     int minExecutors = 0;                      // minimum number of executors for the steps of long-running tasks
     std::set<std::string> idle;                // executors without runs
     std::set<std::string> withoutLongRunning;  // other executors, without runs of long-running tasks
+    std::set<std::string> emptySoon;           // those of the latter whose runs are about to end, by the declared times
     TimePoint receivedAt;                      // when this process received the report
 };
 
@@ -201,7 +202,8 @@
     std::optional<std::string> sparePoolFor(const PooledInstance &instance, TimePoint now) const;
     bool isVacated(const Move &move) const;
     bool isRequested(const Move &move) const;
-    /// Calls `release` with the instances that may leave the pool, idle ones first, until it has accepted `count`.
+    /// Calls `release` with the instances that may leave the pool, those that are empty first, until it has accepted
+    /// `count`.
     void releaseInstances(const std::string &pool, int count,
                           const std::function<bool(const PooledInstance &)> &release);
     void planScaleDown(TimePoint now);
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -484,6 +484,14 @@
             load.idle.insert(id);
         } else if (!hasLongRunning) {
             load.withoutLongRunning.insert(id);
+            constexpr Duration soon{500'000};
+            const bool isEmptySoon = std::all_of(executor.runs.begin(), executor.runs.end(), [&](const auto &item) {
+                return item.second.sentAt != TimePoint{}
+                && item.second.sentAt + findStep(item.second.task)->estimate < now + soon;
+            });
+            if (isEmptySoon) {
+                load.emptySoon.insert(id);
+            }
         }
     }
     return load;
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -393,6 +393,22 @@
             CHECK(countFrom("b") + countFrom("c") <= 2);  // one above the minimum size of each pool may become spare
         }
     }
+    SECTION("of busy instances, those whose tasks are about to end are vacated first")
+    {
+        idle.clear();
+        setLoads(400, 8);
+        PoolLoad bills = makeLoad(8, now);
+        bills.inTimeMilliCores = 8'000;
+        bills.emptySoon = {"i-b5", "i-b7"};
+        for (int i = 0; i < 10; ++i) {
+            bills.withoutLongRunning.insert("i-b" + std::to_string(i));
+        }
+        planner.setLoad("bills", bills);
+        planner.tick(now);
+        CHECK(countFrom("b") == 6);
+        CHECK(planner.vacating().contains("i-b5"));
+        CHECK(planner.vacating().contains("i-b7"));
+    }
     SECTION("two pools with more demand than there are instances share them, also if one has most of them")
     {
         // Guards against this failure: a pool that had borrowed nearly all instances kept them until its peak was over,
@@ -496,14 +512,18 @@
 {
     PoolLoad load = makeLoad(80, TimePoint{1h}, {"i-1"});
     load.inTimeMilliCores = 32'000;
+    load.withoutLongRunning = {"i-2", "i-3"};
+    load.emptySoon = {"i-3"};
     const auto read = parsePoolLoad(encodePoolLoad(load), TimePoint{2h});
     REQUIRE(read);
     CHECK(read.value().inTimeMilliCores == 32'000);
+    CHECK(read.value().emptySoon == std::set<std::string>{"i-3"});
     // Without the field, all of the demand counts, as it did before the field existed.
     const auto earlier
         = parsePoolLoad(R"({"wanted": 80000, "labels": {}, "widest": 0, "idle": [], "light": []})", TimePoint{2h});
     REQUIRE(earlier);
     CHECK(earlier.value().inTimeMilliCores == 80'000);
+    CHECK(earlier.value().emptySoon.empty());
 }
 
 TEST_CASE("No instance with an executor moves before its executor is vacated")
