Vacate spare instances and those of pools with free room first in a wave

A wave vacated a quarter of each pool at once in the order of instance ids, also of the pool in a demand peak. Instances now come in the order of the share of its room that their pool uses, spare ones first.

Not measured on a deployment yet.

--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -124,6 +124,7 @@
     void setLoad(const std::string &pool, PoolLoad load)
     {
         guarded([&] {
+            m_wavePlanner.setDemand(pool, load.demandMilliCores);
             m_poolPlanner.setLoad(pool, std::move(load));
             runPlanners();
         })();
--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -29,9 +29,11 @@
 {
     m_instances.clear();
     m_poolSizes.clear();
+    m_poolRoom.clear();
     m_sparePools = sparePools;
     for (PooledInstance &instance : instances) {
         ++m_poolSizes[instance.pool];
+        m_poolRoom[instance.pool] += instance.capacity.milliCores;
         const std::string id = instance.id;
         m_instances[id] = std::move(instance);
     }
@@ -60,6 +62,37 @@
     m_moving = std::move(instances);
 }
 
+void WavePlanner::setDemand(const std::string &pool, int milliCores)
+{
+    m_demand[pool] = milliCores;
+}
+
+/// Expected load: a wave of half of all instances during a demand peak of one pool, which uses all its instances while
+/// the others are nearly idle. Spare instances come first, then those of the pools with the most free room.
+std::vector<std::string> WavePlanner::vacatingOrder(const WaveProgress &progress) const
+{
+    const auto use = [this](const std::string &id) {
+        const PooledInstance *present = findInstance(id);
+        if (present == nullptr || m_sparePools.contains(present->pool)) {
+            return 0.0;
+        }
+        const auto demand = m_demand.find(present->pool);
+        return demand == m_demand.end() ? 1.0 : std::min(1.0, demand->second / m_poolRoom.at(present->pool));
+    };
+    std::vector<std::pair<double, std::string>> order;
+    order.reserve(progress.instances.size());
+    for (const auto &[id, member] : progress.instances) {
+        order.emplace_back(use(id), id);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<std::string> ids;
+    ids.reserve(order.size());
+    for (auto &[share, id] : order) {
+        ids.push_back(std::move(id));
+    }
+    return ids;
+}
+
 std::set<std::string> WavePlanner::instancesInMaintenance() const
 {
     std::set<std::string> instances;
@@ -124,7 +157,8 @@
             downCount += member.phase == MaintenancePhase::Requested || member.phase == MaintenancePhase::Down ? 1 : 0;
             vacatingCount += member.phase == MaintenancePhase::Vacating ? 1 : 0;
         }
-        for (auto &[id, member] : progress.instances) {
+        for (const std::string &id : vacatingOrder(progress)) {
+            WaveInstance &member = progress.instances.at(id);
             const PooledInstance *present = findInstance(id);
             if (present == nullptr) {
                 continue;
--- a/src/wave_planner.h
+++ b/src/wave_planner.h
@@ -73,6 +73,8 @@
     void setVacated(std::set<std::string> executors);  // executors that partition owners report as vacated
     /// Sets the instances that are moving between pools. Waves do not start to vacate them during the move.
     void setMoving(std::set<std::string> instances);
+    /// Milli-cores that the pool's jobs demand. Instances of pools that use little of their room are vacated first.
+    void setDemand(const std::string &pool, int milliCores);
     std::set<std::string> instancesInMaintenance() const;  // instances that are vacating, requested or down
     void maintenanceBegun(std::int64_t wave, const std::string &id, TimePoint now);
     /// `permanent`: the instance will never accept; the wave continues without it.
@@ -96,11 +98,15 @@
     const PooledInstance *findInstance(const std::string &id) const;
     bool isVacated(const PooledInstance &instance) const;
     std::map<std::string, int> disruptedPerPool() const;
+    /// The instances of a wave in the order in which they are to be vacated.
+    std::vector<std::string> vacatingOrder(const WaveProgress &progress) const;
 
     WavePlannerSettings m_settings;
     std::map<std::int64_t, WaveProgress> m_waves;
     std::map<std::string, PooledInstance> m_instances;
     std::map<std::string, int> m_poolSizes;
+    std::map<std::string, double> m_poolRoom;  // milli-cores
+    std::map<std::string, double> m_demand;    // milli-cores by pool
     std::set<std::string> m_sparePools;
     std::set<std::string> m_vacated;
     std::set<std::string> m_moving;
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -147,6 +147,34 @@
         REQUIRE(requests.size() == 1);
         CHECK(requests[0].instance == "m1");
     }
+    SECTION("spare instances and those of pools with free room are vacated before those of a pool in a demand peak")
+    {
+        // Guards against this failure: a wave vacated and took down a quarter of a pool during its demand peak, while
+        // the instances of idle pools waited.
+        auto listed = makeFleet(6, 2);
+        MaintenanceWave wave = makeWave(6, 3);
+        for (int i = 0; i < 6; ++i) {
+            listed.push_back(makeInstance("q" + std::to_string(i), "quiet"));
+            wave.instances.push_back("q" + std::to_string(i));
+        }
+        wave.instances.push_back("s0");
+        wave.instances.push_back("s1");
+        wave.id = 8;
+        WavePlanner ordered({});
+        ordered.addWave(wave, {}, now);
+        ordered.setInstances(listed, SparePools, now);
+        ordered.setDemand("orders", 200'000);
+        ordered.setDemand("quiet", 10'000);
+        const auto requests = ordered.tick(now);
+        CHECK(requests.size() == 2);  // the spare instances, which need not be vacated
+        // Three instances may be down and two more vacating; a pool of six may have one of them.
+        CHECK(ordered.vacating().contains("i-q0"));
+        SECTION("the pool in its peak gets its turn, so that the wave ends in time")
+        {
+            ordered.tick(now + 250ms);
+            CHECK(ordered.vacating().contains("i-m0"));
+        }
+    }
     SECTION("an instance that is moving between pools is not vacated for a wave")
     {
         planner.setMoving({"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9", "m10", "m11"});
