--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -407,13 +407,13 @@
     return latest.*demand + static_cast<int>(std::min(expectedRise, static_cast<double>(latest.*demand)));
 }
 
-void PoolPlanner::releaseInstances(const std::string &pool, int count,
+void PoolPlanner::releaseInstances(const std::string &pool, int count, BusyInstances busy,
                                    const std::function<bool(const PooledInstance &)> &release)
 {
     const PoolLoad &load = m_loads.at(pool);
     for (const std::set<std::string> *executors : {&load.idle, &load.emptySoon, &load.withoutLongRunning}) {
         for (const auto &[id, instance] : m_instances) {
-            if (count <= 0) {
+            if (count <= 0 || (busy == BusyInstances::Stay && executors == &load.withoutLongRunning)) {
                 return;
             }
             if (instance.pool == pool && instance.state == InstanceAvailability::Up && !m_moves.contains(id)
@@ -433,13 +433,14 @@
         return;
     }
     for (const auto &[pool, load] : m_loads) {
-        releaseInstances(pool, excessInstances(pool, Floor::MinSize, now), [&](const PooledInstance &instance) {
-            const std::optional<std::string> spare = sparePoolFor(instance, now);
-            if (spare) {
-                m_moves[instance.id] = {*spare, instance.pool, instance.executor};
-            }
-            return spare.has_value();
-        });
+        releaseInstances(pool, excessInstances(pool, Floor::MinSize, now), BusyInstances::MayLeave,
+                         [&](const PooledInstance &instance) {
+                             const std::optional<std::string> spare = sparePoolFor(instance, now);
+                             if (spare) {
+                                 m_moves[instance.id] = {*spare, instance.pool, instance.executor};
+                             }
+                             return spare.has_value();
+                         });
     }
 }
 
@@ -550,7 +551,8 @@
 }
 
 /// Plans moves into pools whose jobs that can still meet their latency objective demand more than the pool has, from
-/// pools that can lend.
+/// pools that can lend. Only instances that are empty or about to be: vacating a busy one takes longer than the rest of
+/// most peaks, and its room is lost meanwhile.
 ///
 /// Expected load: one pool has a backlog while the others use a tenth of their cores, and no instance is spare.
 void PoolPlanner::planLoans(std::vector<Shortage> shortages, const std::map<std::string, int> &shares, TimePoint now)
@@ -574,7 +576,7 @@
     }
     std::sort(lenders.rbegin(), lenders.rend());
     for (const auto &[count, lender] : lenders) {
-        releaseInstances(lender, count, [&](const PooledInstance &instance) {
+        releaseInstances(lender, count, BusyInstances::Stay, [&](const PooledInstance &instance) {
             const auto shortage = std::find_if(shortages.begin(), shortages.end(), [&](const Shortage &item) {
                 return item.forDemand > 0 && mayMove(instance, item.pool, now);
             });
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -202,9 +202,11 @@
     std::optional<std::string> sparePoolFor(const PooledInstance &instance, TimePoint now) const;
     bool isVacated(const Move &move) const;
     bool isRequested(const Move &move) const;
+    enum class BusyInstances { Stay, MayLeave };
+
     /// Calls `release` with the instances that may leave the pool, those that are empty first, until it has accepted
-    /// `count`.
-    void releaseInstances(const std::string &pool, int count,
+    /// `count`. Instances are busy if they have tasks that are not about to end.
+    void releaseInstances(const std::string &pool, int count, BusyInstances busy,
                           const std::function<bool(const PooledInstance &)> &release);
     void planScaleDown(TimePoint now);
     void planScaleUp(TimePoint now);
