Keep an instance in a pool that lacks instances instead of moving it to its own pool

An instance about to leave a pool was ordered to move to the same pool when a wave took the pool's room. The pool now keeps it. Pools keep half of the mean size while they lend.

--- a/src/demand_forecast.h
+++ b/src/demand_forecast.h
@@ -58,8 +58,8 @@
         bool isPeaking = false;
         bool isReliable = true;          // false from a peak that did not come until one that came at its time
         bool isExpectedToRecur = false;  // whether the present peak did not come early
-        std::optional<TimePoint>
-            lastPeak;  // begin of the last peak that did not come early; none if the next did not come
+        /// Begin of the last peak that did not come early; none after the next one did not come.
+        std::optional<TimePoint> lastPeak;
         TimePoint lastSample;
         double coreTime = 0;     // demand of the present or last peak, in milli-cores x seconds
         double peakSeconds = 0;  // its length so far
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -292,7 +292,7 @@
                      static_cast<int>(std::ceil(meanPoolSize() * share))});
 }
 
-int PoolPlanner::excessInstances(const std::string &pool, Floor floor, TimePoint now) const
+int PoolPlanner::excessInstances(const std::string &pool, TimePoint now) const
 {
     const auto history = m_demandHistory.find(pool);
     if (history == m_demandHistory.end() || m_sparePools.contains(pool)) {
@@ -302,7 +302,7 @@
     for (const DemandSample &sample : history->second) {
         peak = std::max(peak, sample.milliCores);
     }
-    const std::optional<int> needed = requiredInstances(pool, peak, floor, now);
+    const std::optional<int> needed = requiredInstances(pool, peak, Floor::MinSize, now);
     return needed ? std::max(0, instanceCount(pool) - *needed) : 0;
 }
 
@@ -433,7 +433,7 @@
         return;
     }
     for (const auto &[pool, load] : m_loads) {
-        releaseInstances(pool, excessInstances(pool, Floor::MinSize, now), BusyInstances::MayLeave,
+        releaseInstances(pool, excessInstances(pool, now), BusyInstances::MayLeave,
                          [&](const PooledInstance &instance) {
                              const std::optional<std::string> spare = sparePoolFor(instance, now);
                              if (spare) {
@@ -447,12 +447,14 @@
 void PoolPlanner::cancelMoves(const std::map<std::string, int> &shares, TimePoint now)
 {
     for (const auto &[pool, load] : m_loads) {
+        if (m_sparePools.contains(pool)) {
+            continue;
+        }
         const int demand = std::max(expectedDemand(pool, &DemandSample::milliCores), expectedPeak(pool, now));
         const int count = instanceCount(pool);
         int missing = requiredInstances(pool, demand, Floor::MinSize, now).value_or(0) - count;
-        const auto share = shares.find(pool);
-        int missingForLending = share == shares.end() ? 0 : share->second - count;
-        int surplus = excessInstances(pool, Floor::MinSize, now);
+        int missingForLending = shares.at(pool) - count;
+        int surplus = excessInstances(pool, now);
         std::erase_if(m_moves, [&](const auto &entry) {
             const Move &move = entry.second;
             if (move.executor.empty() || isRequested(move)) {
@@ -537,11 +539,15 @@
         if (shortage == open.end()) {
             continue;
         }
-        Move &move = m_moves.try_emplace(instance.id, Move{shortage->pool, instance.pool, {}}).first->second;
-        move.targetPool = shortage->pool;
-        move.reason = shortage->forDemand <= 0 ? MoveReason::MinSize
-            : shortage->isExpected             ? MoveReason::Peak
-                                               : MoveReason::Demand;
+        if (instance.pool == shortage->pool) {
+            m_moves.erase(instance.id);  // it was about to leave the pool that lacks instances now
+        } else {
+            Move &move = m_moves.try_emplace(instance.id, Move{shortage->pool, instance.pool, {}}).first->second;
+            move.targetPool = shortage->pool;
+            move.reason = shortage->forDemand <= 0 ? MoveReason::MinSize
+                : shortage->isExpected             ? MoveReason::Peak
+                                                   : MoveReason::Demand;
+        }
         --shortage->forDemand;
         if (--shortage->total == 0) {
             open.erase(shortage);
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -35,8 +35,9 @@
     /// Minimum size of a pool, as a share of the mean pool size, which counts the spare instances too. A pool has to
     /// serve the first moments of a demand peak with this size.
     double minSizeShare = 0.85;
-    /// Minimum size of a pool while it lends to a pool with a backlog, as a share of the mean pool size.
-    double lendingSizeShare = 0.4;
+    /// Minimum size of a pool while it lends to a pool with a backlog, as a share of the mean pool size. It serves the
+    /// first moments of the pool's own peak, also while the store or the machines API is down and nothing can move.
+    double lendingSizeShare = 0.5;
     /// A pool borrows only if it lacks more than this share of its instances: each loan takes an instance out of use
     /// for the time of a move.
     double minLoanShare = 0.1;
@@ -187,7 +188,7 @@
     /// Number of instances that a pool requires for the given demand; none while the pool has reported no load.
     std::optional<int> requiredInstances(const std::string &pool, int milliCores, Floor floor, TimePoint now) const;
     /// Instances that the pool has beyond those that it required at any moment of the scale-down window.
-    int excessInstances(const std::string &pool, Floor floor, TimePoint now) const;
+    int excessInstances(const std::string &pool, TimePoint now) const;
     /// Milli-cores that the pool is expected to demand when an instance whose move is requested now has come up.
     int expectedDemand(const std::string &pool, int DemandSample::*demand) const;
     /// Instances that each pool should have for the jobs that can still meet their latency objective. If there are too
