--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -286,10 +286,12 @@
     if (now - load->second.receivedAt > m_settings.maxLoadAge) {
         return meanPoolSize();
     }
-    const double share = floor == Floor::MinSize ? m_settings.minSizeShare
-                                                 : std::min(m_settings.minSizeShare, m_settings.lendingSizeShare);
+    const double mean = meanPoolSize();
+    const int minSize = static_cast<int>(std::ceil(mean * m_settings.minSizeShare));
+    const int lendingSize
+        = std::max(static_cast<int>(std::ceil(mean * m_settings.lendingSizeShare)), m_settings.minLendingSize);
     return std::max({instancesForDemand(pool, milliCores), load->second.minExecutors,
-                     static_cast<int>(std::ceil(meanPoolSize() * share))});
+                     floor == Floor::MinSize ? minSize : std::min(minSize, lendingSize)});
 }
 
 int PoolPlanner::excessInstances(const std::string &pool, TimePoint now) const
@@ -446,7 +448,8 @@
 
 void PoolPlanner::cancelMoves(const std::map<std::string, int> &shares, TimePoint now)
 {
-    for (const auto &[pool, load] : m_loads) {
+    for (const auto &[name, load] : m_loads) {
+        const std::string &pool = name;
         if (m_sparePools.contains(pool)) {
             continue;
         }
@@ -532,7 +535,7 @@
     available.insert(available.begin(), leaving.begin(), leaving.end());
     planLabelDemand(available, now);
     for (; !available.empty() && !open.empty(); available.pop_back()) {
-        std::sort(open.rbegin(), open.rend());
+        std::sort(open.begin(), open.end());
         const PooledInstance &instance = m_instances[available.back()];
         const auto shortage = std::find_if(open.begin(), open.end(),
                                            [&](const Shortage &item) { return mayMove(instance, item.pool, now); });
@@ -566,9 +569,10 @@
     std::erase_if(shortages, [&](const Shortage &shortage) {
         return shortage.forDemand <= m_settings.minLoanShare * usableInstances(shortage.pool);
     });
-    std::sort(shortages.rbegin(), shortages.rend());
+    std::sort(shortages.begin(), shortages.end());
     std::vector<std::pair<int, std::string>> lenders;  // instances to lend, and pool
-    for (const auto &[pool, load] : m_loads) {
+    for (const auto &[name, load] : m_loads) {
+        const std::string &pool = name;
         if (m_sparePools.contains(pool)) {
             continue;
         }
@@ -641,5 +645,4 @@
 {
     return !m_moves.empty();
 }
-
 }
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -22,6 +22,7 @@
 #include <deque>
 #include <functional>
 #include <set>
+#include <tuple>
 
 namespace briarvane
 {
@@ -38,6 +39,9 @@
     /// Minimum size of a pool while it lends to a pool with a backlog, as a share of the mean pool size. It serves the
     /// first moments of the pool's own peak, also while the store or the machines API is down and nothing can move.
     double lendingSizeShare = 0.5;
+    /// A pool that lends keeps at least this many instances, or its minimum size if that is less: a few jobs take all
+    /// room of fewer, and the loan has to be replaced at once.
+    int minLendingSize = 10;
     /// A pool borrows only if it lacks more than this share of its instances: each loan takes an instance out of use
     /// for the time of a move.
     double minLoanShare = 0.1;
@@ -170,7 +174,12 @@
         int total = 0;            // to run all jobs, and to have the minimum size
         bool isExpected = false;  // the pool lacks instances for an expected peak, not for its present demand
         std::string pool;
-        auto operator<=>(const Shortage &) const = default;
+
+        /// Orders by urgency: the largest shortage for jobs that can be in time comes first.
+        bool operator<(const Shortage &other) const
+        {
+            return std::tuple(other.forDemand, other.total, other.pool) < std::tuple(forDemand, total, pool);
+        }
     };
 
     /// Number of instances of the pool after all planned moves, without instances that are down.
