Borrow no instances for a rise of the demand that is only extrapolated

The demand was extrapolated to twice its size, and pools borrowed up to 198 instances while they used the room of 100. Spare instances still follow the rise; loans follow the demand.

--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -566,6 +566,12 @@
 /// Expected load: one pool has a backlog while the others use a tenth of their cores, and no instance is spare.
 void PoolPlanner::planLoans(std::vector<Shortage> shortages, const std::map<std::string, int> &shares, TimePoint now)
 {
+    for (Shortage &shortage : shortages) {  // for a rise that is only expected, no pool gives up instances
+        const int demand
+            = std::max(m_demandHistory.at(shortage.pool).back().inTimeMilliCores, expectedPeak(shortage.pool, now));
+        const int lacking = instancesForDemand(shortage.pool, demand) - usableInstances(shortage.pool);
+        shortage.forDemand = std::min(shortage.forDemand, lacking);
+    }
     std::erase_if(shortages, [&](const Shortage &shortage) {
         return shortage.forDemand <= m_settings.minLoanShare * usableInstances(shortage.pool);
     });
