--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -124,6 +124,7 @@
     void setLoad(const std::string &pool, PoolLoad load)
     {
         guarded([&] {
+            m_wavePlanner.setDemand(pool, load.demandMilliCores);
             m_poolPlanner.setLoad(pool, std::move(load));
             runPlanners();
         })();
@@ -251,7 +252,11 @@
 
     void move(const MoveRequest &request)
     {
-        logEvent(LogLevel::Info, "move-ordered", {{"instance", request.instance}, {"pool", request.pool}});
+        logEvent(LogLevel::Info, "move-ordered",
+                 {{"instance", request.instance},
+                  {"pool", request.pool},
+                  {"from", request.sourcePool},
+                  {"why", std::string(toString(request.reason))}});
         m_hooks.move(request, fencingToken(), guarded([this, request](MaintenanceResult result) {
                          const TimePoint now = bootNow();
                          if (result == MaintenanceResult::Fenced) {
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -28,11 +28,13 @@
     sum.receivedAt = TimePoint::max();
     for (const PoolLoad &load : partitions) {
         sum.demandMilliCores += load.demandMilliCores;
+        sum.inTimeMilliCores += load.inTimeMilliCores;
         for (const auto &[label, milliCores] : load.demandByLabel) {
             sum.demandByLabel[label] += milliCores;
         }
         sum.minExecutors += load.minExecutors;  // a step spreads over the executors of its own partition only
         sum.idle.insert(load.idle.begin(), load.idle.end());
+        sum.emptySoon.insert(load.emptySoon.begin(), load.emptySoon.end());
         sum.withoutLongRunning.insert(load.withoutLongRunning.begin(), load.withoutLongRunning.end());
         sum.receivedAt = std::min(sum.receivedAt, load.receivedAt);
     }
@@ -42,9 +44,11 @@
 std::string encodePoolLoad(const PoolLoad &load)
 {
     return json::serialize(json::object{{"wanted", load.demandMilliCores},
+                                        {"in_time", load.inTimeMilliCores},
                                         {"labels", json::value_from(load.demandByLabel)},
                                         {"widest", load.minExecutors},
                                         {"idle", json::value_from(load.idle)},
+                                        {"soon", json::value_from(load.emptySoon)},
                                         {"light", json::value_from(load.withoutLongRunning)}});
 }
 
@@ -66,6 +70,10 @@
         }
         *field = static_cast<int>(number->get_int64());
     }
+    load.inTimeMilliCores = load.demandMilliCores;  // an earlier version did not report it
+    if (const json::value *inTime = object.if_contains("in_time"); inTime != nullptr && inTime->is_int64()) {
+        load.inTimeMilliCores = static_cast<int>(inTime->get_int64());
+    }
     if (const json::value *labels = object.if_contains("labels"); labels != nullptr) {
         const auto cores = json::try_value_to<std::map<std::string, int>>(*labels);
         if (!cores) {
@@ -81,6 +89,13 @@
         }
         *field = ids.value();
     }
+    if (const json::value *soon = object.if_contains("soon"); soon != nullptr) {  // not reported by earlier versions
+        const auto ids = parseIds(soon);
+        if (!ids) {
+            return Error{ErrorCode::Invalid, "the field 'soon' of a pool's load is not a list of strings"};
+        }
+        load.emptySoon = ids.value();
+    }
     return load;
 }
 
@@ -112,11 +127,15 @@
 
 void PoolPlanner::setLoad(const std::string &pool, PoolLoad load)
 {
-    std::deque<std::pair<TimePoint, int>> &history = m_demandHistory[pool];
-    history.emplace_back(load.receivedAt, load.demandMilliCores);
-    while (history.size() > 1 && load.receivedAt - history[1].first > m_settings.scaleDownWindow) {
+    std::deque<DemandSample> &history = m_demandHistory[pool];
+    history.push_back({load.receivedAt, load.demandMilliCores, load.inTimeMilliCores});
+    while (history.size() > 1 && load.receivedAt - history[1].time > m_settings.scaleDownWindow) {
         history.pop_front();  // keeps the demand that was in force when the window began
     }
+    if (!m_instances.empty() && !m_sparePools.contains(pool)) {
+        const int smallestPeak = meanPoolSize() * largestInstance(pool) / 2;  // a pool of the minimum size holds less
+        m_forecast.observe(pool, load.inTimeMilliCores, smallestPeak, load.receivedAt);
+    }
     m_loads[pool] = std::move(load);
 }
 
@@ -198,6 +217,27 @@
     return count;
 }
 
+int PoolPlanner::usableInstances(const std::string &pool) const
+{
+    int count = 0;
+    for (const auto &[id, instance] : m_instances) {
+        count += plannedPool(instance) == pool && instance.state != InstanceAvailability::Down
+                && instance.state != InstanceAvailability::Maintenance && !m_inMaintenance.contains(id)
+            ? 1
+            : 0;
+    }
+    return count;
+}
+
+int PoolPlanner::largestInstance(const std::string &pool) const
+{
+    int largest = 0;
+    for (const auto &[id, instance] : m_instances) {
+        largest = std::max(largest, instance.pool == pool ? instance.capacity.milliCores : 0);
+    }
+    return largest;
+}
+
 int PoolPlanner::milliCoresWithLabel(const std::string &pool, const std::string &label) const
 {
     int milliCores = 0;
@@ -230,7 +270,14 @@
     });
 }
 
-std::optional<int> PoolPlanner::requiredInstances(const std::string &pool, int milliCores, TimePoint now) const
+int PoolPlanner::instancesForDemand(const std::string &pool, int milliCores) const
+{
+    const int largest = largestInstance(pool);
+    return largest == 0 ? 0 : static_cast<int>(std::ceil(milliCores * m_settings.headroom / largest));
+}
+
+std::optional<int> PoolPlanner::requiredInstances(const std::string &pool, int milliCores, Floor floor,
+                                                  TimePoint now) const
 {
     const auto load = m_loads.find(pool);
     if (load == m_loads.end()) {
@@ -239,13 +286,87 @@
     if (now - load->second.receivedAt > m_settings.maxLoadAge) {
         return meanPoolSize();
     }
-    int largest = 0;
+    const double mean = meanPoolSize();
+    const int minSize = static_cast<int>(std::ceil(mean * m_settings.minSizeShare));
+    const int lendingSize
+        = std::max(static_cast<int>(std::ceil(mean * m_settings.lendingSizeShare)), m_settings.minLendingSize);
+    return std::max({instancesForDemand(pool, milliCores), load->second.minExecutors,
+                     floor == Floor::MinSize ? minSize : std::min(minSize, lendingSize)});
+}
+
+int PoolPlanner::excessInstances(const std::string &pool, TimePoint now) const
+{
+    const auto history = m_demandHistory.find(pool);
+    if (history == m_demandHistory.end() || m_sparePools.contains(pool)) {
+        return 0;
+    }
+    int peak = expectedPeak(pool, now);
+    for (const DemandSample &sample : history->second) {
+        peak = std::max(peak, sample.milliCores);
+    }
+    const std::optional<int> needed = requiredInstances(pool, peak, Floor::MinSize, now);
+    return needed ? std::max(0, instanceCount(pool) - *needed) : 0;
+}
+
+int PoolPlanner::expectedPeak(const std::string &pool, TimePoint now) const
+{
+    const std::optional<ExpectedPeak> peak = m_forecast.nextPeak(pool, now);
+    return peak && peak->begin - now <= m_settings.peakLead ? static_cast<int>(peak->milliCores * m_settings.peakShare)
+                                                            : 0;
+}
+
+/// Expected load: two pools have peaks at the same time, for example while the backlog of one peak lasts into the next,
+/// and each needs most of the instances.
+std::map<std::string, int> PoolPlanner::fairShares(TimePoint now) const
+{
+    std::vector<std::pair<int, std::string>> needs;
+    int available = 0;
     for (const auto &[id, instance] : m_instances) {
-        largest = std::max(largest, instance.pool == pool ? instance.capacity.milliCores : 0);
+        available += instance.state != InstanceAvailability::Down && !m_inMaintenance.contains(id) ? 1 : 0;
     }
-    const int forDemand = largest == 0 ? 0 : static_cast<int>(std::ceil(milliCores * m_settings.headroom / largest));
-    return std::max(
-        {forDemand, load->second.minExecutors, static_cast<int>(std::ceil(meanPoolSize() * m_settings.minSizeShare))});
+    for (const auto &[pool, load] : m_loads) {
+        if (m_sparePools.contains(pool)) {
+            continue;
+        }
+        int demand = std::max(expectedPeak(pool, now), expectedDemand(pool, &DemandSample::inTimeMilliCores));
+        for (const DemandSample &sample : m_demandHistory.at(pool)) {
+            demand = std::max(demand, sample.inTimeMilliCores);
+        }
+        needs.emplace_back(requiredInstances(pool, demand, Floor::Lending, now).value_or(0), pool);
+    }
+    std::sort(needs.begin(), needs.end());
+    std::map<std::string, int> shares;
+    for (std::size_t i = 0; i < needs.size(); ++i) {
+        const int share = std::min(needs[i].first, available / static_cast<int>(needs.size() - i));
+        shares[needs[i].second] = share;
+        available -= share;
+    }
+    return shares;
+}
+
+std::vector<PoolPlanner::Shortage> PoolPlanner::shortages(const std::map<std::string, int> &shares, TimePoint now) const
+{
+    std::vector<Shortage> shortages;
+    for (const auto &[pool, load] : m_loads) {
+        if (m_sparePools.contains(pool)) {
+            continue;
+        }
+        const int needed
+            = requiredInstances(pool, expectedDemand(pool, &DemandSample::milliCores), Floor::MinSize, now).value_or(0);
+        const bool isCurrent = now - load.receivedAt <= m_settings.maxLoadAge;
+        const int demand = isCurrent ? expectedDemand(pool, &DemandSample::inTimeMilliCores) : 0;
+        const int peak = isCurrent ? expectedPeak(pool, now) : 0;
+        const int neededInTime = std::min(instancesForDemand(pool, std::max(demand, peak)), shares.at(pool));
+        Shortage shortage;
+        shortage.pool = pool;
+        shortage.isExpected = peak > demand;
+        shortage.forDemand = std::max(0, neededInTime - usableInstances(pool));
+        shortage.total = std::max(shortage.forDemand, needed - instanceCount(pool));
+        if (shortage.total > 0) {
+            shortages.push_back(std::move(shortage));
+        }
+    }
+    return shortages;
 }
 
 int PoolPlanner::meanPoolSize() const
@@ -274,18 +395,36 @@
     return move.accepted || move.requestedAt != TimePoint{};
 }
 
-int PoolPlanner::expectedDemand(const std::string &pool) const
+int PoolPlanner::expectedDemand(const std::string &pool, int DemandSample::*demand) const
 {
-    const std::deque<std::pair<TimePoint, int>> &history = m_demandHistory.at(pool);
-    const auto &[latest, demand] = history.back();
+    const std::deque<DemandSample> &history = m_demandHistory.at(pool);
+    const DemandSample &latest = history.back();
     auto before = history.rbegin();
-    while (std::next(before) != history.rend() && latest - before->first < m_settings.trendWindow) {
+    while (std::next(before) != history.rend() && latest.time - before->time < m_settings.trendWindow) {
         ++before;
     }
-    const double rise = std::max(0, demand - before->second);
-    const double riseTime = static_cast<double>(std::max(latest - before->first, m_settings.trendWindow).count());
+    const double rise = std::max(0, latest.*demand - (*before).*demand);
+    const double riseTime = static_cast<double>(std::max(latest.time - before->time, m_settings.trendWindow).count());
     const double expectedRise = rise * static_cast<double>(m_settings.trendHorizon.count()) / riseTime;
-    return demand + static_cast<int>(std::min(expectedRise, static_cast<double>(demand)));
+    return latest.*demand + static_cast<int>(std::min(expectedRise, static_cast<double>(latest.*demand)));
+}
+
+void PoolPlanner::releaseInstances(const std::string &pool, int count, BusyInstances busy,
+                                   const std::function<bool(const PooledInstance &)> &release)
+{
+    const PoolLoad &load = m_loads.at(pool);
+    for (const std::set<std::string> *executors : {&load.idle, &load.emptySoon, &load.withoutLongRunning}) {
+        for (const auto &[id, instance] : m_instances) {
+            if (count <= 0 || (busy == BusyInstances::Stay && executors == &load.withoutLongRunning)) {
+                return;
+            }
+            if (instance.pool == pool && instance.state == InstanceAvailability::Up && !m_moves.contains(id)
+                && !m_inMaintenance.contains(id) && executors->contains(instance.executor)
+                && !isRequiredByPool(instance) && release(instance)) {
+                --count;
+            }
+        }
+    }
 }
 
 /// Plans moves to spare pools for the instances that their pool has not required during the scale-down window: idle
@@ -296,41 +435,43 @@
         return;
     }
     for (const auto &[pool, load] : m_loads) {
-        int peakMilliCores = 0;
-        for (const auto &[time, milliCores] : m_demandHistory[pool]) {
-            peakMilliCores = std::max(peakMilliCores, milliCores);
-        }
-        const std::optional<int> needed = requiredInstances(pool, peakMilliCores, now);
-        int excess = needed && !m_sparePools.contains(pool) ? instanceCount(pool) - *needed : 0;
-        for (const std::set<std::string> *executors : {&load.idle, &load.withoutLongRunning}) {
-            for (const auto &[id, instance] : m_instances) {
-                if (excess <= 0) {
-                    break;
-                }
-                if (instance.pool != pool || instance.state != InstanceAvailability::Up || m_moves.contains(id)
-                    || m_inMaintenance.contains(id) || !executors->contains(instance.executor)
-                    || isRequiredByPool(instance)) {
-                    continue;
-                }
-                if (const std::optional<std::string> spare = sparePoolFor(instance, now)) {
-                    --excess;
-                    m_moves[id] = {*spare, pool, instance.executor};
-                }
-            }
-        }
+        releaseInstances(pool, excessInstances(pool, now), BusyInstances::MayLeave,
+                         [&](const PooledInstance &instance) {
+                             const std::optional<std::string> spare = sparePoolFor(instance, now);
+                             if (spare) {
+                                 m_moves[instance.id] = {*spare, instance.pool, instance.executor};
+                             }
+                             return spare.has_value();
+                         });
     }
 }
 
-/// Cancels up to `missing` planned moves out of the pool whose executors are being vacated and which have not been
-/// requested yet. Reduces `missing` by the number of cancelled moves.
-void PoolPlanner::cancelScaleDown(const std::string &pool, int &missing)
+void PoolPlanner::cancelMoves(const std::map<std::string, int> &shares, TimePoint now)
 {
-    std::erase_if(m_moves, [&](const auto &entry) {
-        const Move &move = entry.second;
-        const bool isCancelled = missing > 0 && move.sourcePool == pool && !move.executor.empty() && !isRequested(move);
-        missing -= isCancelled ? 1 : 0;
-        return isCancelled;
-    });
+    for (const auto &[name, load] : m_loads) {
+        const std::string &pool = name;
+        if (m_sparePools.contains(pool)) {
+            continue;
+        }
+        const int demand = std::max(expectedDemand(pool, &DemandSample::milliCores), expectedPeak(pool, now));
+        const int count = instanceCount(pool);
+        int missing = requiredInstances(pool, demand, Floor::MinSize, now).value_or(0) - count;
+        int missingForLending = shares.at(pool) - count;
+        int surplus = excessInstances(pool, now);
+        std::erase_if(m_moves, [&](const auto &entry) {
+            const Move &move = entry.second;
+            if (move.executor.empty() || isRequested(move)) {
+                return false;
+            }
+            const bool isLoan = !m_sparePools.contains(move.targetPool);
+            const bool isNeededBySource = move.sourcePool == pool && (isLoan ? missingForLending : missing) > 0;
+            const bool isUnneededLoan = isLoan && move.targetPool == pool && surplus > 0;
+            missing -= isNeededBySource ? 1 : 0;
+            missingForLending -= isNeededBySource ? 1 : 0;
+            surplus -= isUnneededLoan ? 1 : 0;
+            return isNeededBySource || isUnneededLoan;
+        });
+    }
 }
 
 /// Plans moves into pools whose jobs require a label for which the pool has too few cores. Takes instances from
@@ -349,7 +490,9 @@
                     ++id;
                     continue;
                 }
-                m_moves.try_emplace(instance.id, Move{pool, instance.pool, {}}).first->second.targetPool = pool;
+                Move &move = m_moves.try_emplace(instance.id, Move{pool, instance.pool, {}}).first->second;
+                move.targetPool = pool;
+                move.reason = MoveReason::Label;
                 milliCores += instance.capacity.milliCores;
                 id = std::make_reverse_iterator(available.erase(std::next(id).base()));
             }
@@ -361,7 +504,7 @@
                 if (milliCores < demand && instance.pool != pool && isReleasable
                     && instance.state == InstanceAvailability::Up && instance.hasLabel(label) && !m_moves.contains(id)
                     && !m_inMaintenance.contains(id) && mayMove(instance, pool, now) && !isRequiredByPool(instance)) {
-                    m_moves[id] = {pool, instance.pool, instance.executor};
+                    m_moves[id] = {pool, instance.pool, instance.executor, {}, MoveReason::Label};
                     milliCores += instance.capacity.milliCores;
                 }
             }
@@ -370,18 +513,12 @@
 }
 
 /// Plans moves into pools that require more instances than they have: spare instances first, then those that are about
-/// to leave other pools for a spare pool.
+/// to leave other pools for a spare pool, then loans.
 void PoolPlanner::planScaleUp(TimePoint now)
 {
-    std::vector<std::pair<int, std::string>> shortages;  // missing instances and pool; sorted, largest first
-    for (const auto &[pool, load] : m_loads) {
-        const std::optional<int> needed = requiredInstances(pool, expectedDemand(pool), now);
-        int missing = needed && !m_sparePools.contains(pool) ? *needed - instanceCount(pool) : 0;
-        cancelScaleDown(pool, missing);
-        if (missing > 0) {
-            shortages.emplace_back(missing, pool);
-        }
-    }
+    const std::map<std::string, int> shares = fairShares(now);
+    cancelMoves(shares, now);
+    std::vector<Shortage> open = shortages(shares, now);
     std::vector<std::string> leaving;
     std::vector<std::string> available;  // spare and leaving instances; the last one is used first
     for (const auto &[id, instance] : m_instances) {
@@ -397,20 +534,80 @@
     }
     available.insert(available.begin(), leaving.begin(), leaving.end());
     planLabelDemand(available, now);
-    for (; !available.empty() && !shortages.empty(); available.pop_back()) {
-        std::sort(shortages.rbegin(), shortages.rend());
+    for (; !available.empty() && !open.empty(); available.pop_back()) {
+        std::sort(open.begin(), open.end());
         const PooledInstance &instance = m_instances[available.back()];
-        const auto shortage = std::find_if(shortages.begin(), shortages.end(),
-                                           [&](const auto &item) { return mayMove(instance, item.second, now); });
-        if (shortage == shortages.end()) {
+        const auto shortage = std::find_if(open.begin(), open.end(),
+                                           [&](const Shortage &item) { return mayMove(instance, item.pool, now); });
+        if (shortage == open.end()) {
             continue;
         }
-        const auto [move, added] = m_moves.try_emplace(instance.id, Move{shortage->second, instance.pool, {}});
-        move->second.targetPool = shortage->second;
-        if (--shortage->first == 0) {
-            shortages.erase(shortage);
+        if (instance.pool == shortage->pool) {
+            m_moves.erase(instance.id);  // it was about to leave the pool that lacks instances now
+        } else {
+            Move &move = m_moves.try_emplace(instance.id, Move{shortage->pool, instance.pool, {}}).first->second;
+            move.targetPool = shortage->pool;
+            move.reason = shortage->forDemand <= 0 ? MoveReason::MinSize
+                : shortage->isExpected             ? MoveReason::Peak
+                                                   : MoveReason::Demand;
+        }
+        --shortage->forDemand;
+        if (--shortage->total == 0) {
+            open.erase(shortage);
         }
     }
+    planLoans(std::move(open), shares, now);
+}
+
+/// Plans moves into pools whose jobs that can still meet their latency objective demand more than the pool has, from
+/// pools that can lend. Only instances that are empty or about to be: vacating a busy one takes longer than the rest of
+/// most peaks, and its room is lost meanwhile.
+///
+/// Expected load: one pool has a backlog while the others use a tenth of their cores, and no instance is spare.
+void PoolPlanner::planLoans(std::vector<Shortage> shortages, const std::map<std::string, int> &shares, TimePoint now)
+{
+    for (Shortage &shortage : shortages) {  // for a rise that is only expected, no pool gives up instances
+        const int demand
+            = std::max(m_demandHistory.at(shortage.pool).back().inTimeMilliCores, expectedPeak(shortage.pool, now));
+        const int lacking = instancesForDemand(shortage.pool, demand) - usableInstances(shortage.pool);
+        shortage.forDemand = std::min(shortage.forDemand, lacking);
+    }
+    std::erase_if(shortages, [&](const Shortage &shortage) {
+        return shortage.forDemand <= m_settings.minLoanShare * usableInstances(shortage.pool);
+    });
+    std::sort(shortages.begin(), shortages.end());
+    std::vector<std::pair<int, std::string>> lenders;  // instances to lend, and pool
+    for (const auto &[name, load] : m_loads) {
+        const std::string &pool = name;
+        if (m_sparePools.contains(pool)) {
+            continue;
+        }
+        const bool isShort = std::any_of(shortages.begin(), shortages.end(),
+                                         [&](const Shortage &shortage) { return shortage.pool == pool; });
+        const bool isCurrent = now - load.receivedAt <= m_settings.maxLoadAge;
+        const int count = isShort || !isCurrent ? 0 : instanceCount(pool) - shares.at(pool);
+        if (count > 0) {
+            lenders.emplace_back(count, pool);
+        }
+    }
+    std::sort(lenders.rbegin(), lenders.rend());
+    for (const auto &[count, lender] : lenders) {
+        releaseInstances(lender, count, BusyInstances::Stay, [&](const PooledInstance &instance) {
+            const auto shortage = std::find_if(shortages.begin(), shortages.end(), [&](const Shortage &item) {
+                return item.forDemand > 0 && mayMove(instance, item.pool, now);
+            });
+            if (shortage == shortages.end()) {
+                return false;
+            }
+            --shortage->forDemand;
+            m_moves[instance.id] = {shortage->pool,
+                                    instance.pool,
+                                    instance.executor,
+                                    {},
+                                    shortage->isExpected ? MoveReason::Peak : MoveReason::Loan};
+            return true;
+        });
+    }
 }
 
 std::vector<MoveRequest> PoolPlanner::tick(TimePoint now)
@@ -424,7 +621,7 @@
         if (isDue && isVacated(move) && present != m_instances.end()
             && present->second.state == InstanceAvailability::Up) {
             move.requestedAt = now;
-            requests.push_back({id, move.targetPool});
+            requests.push_back({id, move.targetPool, move.sourcePool, move.reason});
         }
     }
     return requests;
@@ -454,5 +651,4 @@
 {
     return !m_moves.empty();
 }
-
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -411,6 +411,7 @@
     const StepSpec *findStep(const TaskName &name) const;  // null when the job is gone
     ExecutorCommand commandFor(const Executor &executor, CommandKind kind, const std::string &task, int run) const;
     static TimePoint objectiveDeadline(const Job &job);
+    static Duration remainingChain(const Job &job);
     void createOccurrence(Job &job, int number);
     void openDueOccurrences(Job &job, TimePoint now, std::int64_t wallMs);
     void requeue(const TaskName &name, TimePoint retryAt);
@@ -465,6 +466,7 @@
     void requestAdvice(Job &job, int occurrence, int step, TimePoint now);
     bool stepReady(const Job &job, const Occurrence &occurrence, int step) const;
     bool acceptsWork(const Executor &executor, TimePoint now) const;
+    bool hostsMoreOfStep(const Executor &executor, const StepSpec &step, int ofStep) const;
     std::map<std::string_view, int> roomPerRack(const StepSpec &spec, TimePoint now) const;
     Executor *pickExecutor(const Job &job, int occurrence, int step, TimePoint now);
     void startTask(Job &job, const TaskName &name, Executor &executor, TimePoint now);
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -565,6 +565,9 @@
         if (isFinal(job->state)) {
             continue;
         }
+        const int demandOfOtherJobs = load.demandMilliCores;
+        const bool isLongRunning = !job->spec.steps.empty() && job->spec.steps.front().longRunning;
+        const bool isInTime = isLongRunning || now + remainingChain(*job) <= objectiveDeadline(*job);
         for (const auto &[number, occurrence] : job->occurrences) {
             int largestStep = 0;  // milli-cores
             std::map<std::string, int> largestStepWithLabel;
@@ -589,6 +592,7 @@
                 load.demandByLabel[label] += cores;
             }
         }
+        load.inTimeMilliCores += isInTime ? load.demandMilliCores - demandOfOtherJobs : 0;
     }
     for (const auto &[id, executor] : m_executors) {
         constexpr Duration minIdleTime{500'000};  // shorter gaps between two tasks do not count as idle
@@ -603,6 +607,14 @@
             load.idle.insert(id);
         } else if (!hasLongRunning) {
             load.withoutLongRunning.insert(id);
+            constexpr Duration soon{500'000};
+            const bool isEmptySoon = std::all_of(executor.runs.begin(), executor.runs.end(), [&](const auto &item) {
+                return item.second.sentAt != TimePoint{}
+                && item.second.sentAt + findStep(item.second.task)->estimate < now + soon;
+            });
+            if (isEmptySoon) {
+                load.emptySoon.insert(id);
+            }
         }
     }
     return load;
@@ -616,10 +628,15 @@
     int probing = 0;
     int vacating = 0;
     int silent = 0;
+    int withLongRunning = 0;
     std::size_t runs = 0;
     Resources used;
     Resources capacity;
     for (const auto &[id, executor] : m_executors) {
+        withLongRunning += std::any_of(executor.runs.begin(), executor.runs.end(), [this](const auto &item) {
+            const StepSpec *step = findStep(item.second.task);
+            return step != nullptr && step->longRunning;
+        });
         listed += executor.listed ? 1 : 0;
         adopted += executor.adopted ? 1 : 0;
         ejected += executor.health.ejected(now) ? 1 : 0;
@@ -637,9 +654,10 @@
         waiting += job->state == JobState::Pending ? 1 : 0;
     }
     return "jobs=" + std::to_string(m_jobs.size()) + " waiting=" + std::to_string(waiting)
-        + " runs=" + std::to_string(runs) + " executors=" + std::to_string(m_executors.size()) + " listed="
-        + std::to_string(listed) + " adopted=" + std::to_string(adopted) + " ejected=" + std::to_string(ejected)
-        + " probing=" + std::to_string(probing) + " leaving=" + std::to_string(vacating)
+        + " runs=" + std::to_string(runs) + " executors=" + std::to_string(m_executors.size())
+        + " listed=" + std::to_string(listed) + " adopted=" + std::to_string(adopted)
+        + " ejected=" + std::to_string(ejected) + " probing=" + std::to_string(probing)
+        + " leaving=" + std::to_string(vacating) + " long_running_on=" + std::to_string(withLongRunning)
         + " silent=" + std::to_string(silent) + " dark=" + std::to_string(m_unreportedExecutors.size())
         + " used_cores=" + std::to_string(used.milliCores / 1000) + "/" + std::to_string(capacity.milliCores / 1000)
         + " used_gb=" + std::to_string(used.memoryMb / 1024) + "/" + std::to_string(capacity.memoryMb / 1024)
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -147,6 +147,34 @@
         REQUIRE(requests.size() == 1);
         CHECK(requests[0].instance == "m1");
     }
+    SECTION("spare instances and those of pools with free room are vacated before those of a pool in a demand peak")
+    {
+        // Guards against this failure: a wave vacated and took down a quarter of a pool during its demand peak, while
+        // the instances of idle pools waited.
+        auto listed = makeFleet(6, 2);
+        MaintenanceWave wave = makeWave(6, 3);
+        for (int i = 0; i < 6; ++i) {
+            listed.push_back(makeInstance("q" + std::to_string(i), "quiet"));
+            wave.instances.push_back("q" + std::to_string(i));
+        }
+        wave.instances.push_back("s0");
+        wave.instances.push_back("s1");
+        wave.id = 8;
+        WavePlanner ordered({});
+        ordered.addWave(wave, {}, now);
+        ordered.setInstances(listed, SparePools, now);
+        ordered.setDemand("orders", 200'000);
+        ordered.setDemand("quiet", 10'000);
+        const auto requests = ordered.tick(now);
+        CHECK(requests.size() == 2);  // the spare instances, which need not be vacated
+        // Three instances may be down and two more vacating; a pool of six may have one of them.
+        CHECK(ordered.vacating().contains("i-q0"));
+        SECTION("the pool in its peak gets its turn, so that the wave ends in time")
+        {
+            ordered.tick(now + 250ms);
+            CHECK(ordered.vacating().contains("i-m0"));
+        }
+    }
     SECTION("an instance that is moving between pools is not vacated for a wave")
     {
         planner.setMoving({"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9", "m10", "m11"});
@@ -314,6 +342,250 @@
     }
 }
 
+TEST_CASE("A pool with a backlog borrows from pools that do not use theirs")
+{
+    // Guards against this failure: a pool had hundreds of open jobs on full instances for ten seconds while two others
+    // used a tenth of theirs, since each pool only gave away what it had above its minimum size.
+    TimePoint now{1h};
+    PoolPlannerSettings settings;
+    settings.minLendingSize = 5;
+    PoolPlanner planner(settings);
+    // The mean pool size is 10. A pool keeps 9 instances, and 5 while it lends.
+    std::vector<PooledInstance> instances = makeFleet(10, 0);
+    std::set<std::string> idle;
+    for (int i = 0; i < 10; ++i) {
+        instances.push_back(makeInstance("b" + std::to_string(i), "bills"));
+        instances.push_back(makeInstance("c" + std::to_string(i), "audits"));
+        idle.insert("i-b" + std::to_string(i));
+        idle.insert("i-c" + std::to_string(i));
+    }
+    const auto countFrom = [&planner](const std::string &prefix) {
+        const std::set<std::string> vacating = planner.vacating();
+        return std::count_if(vacating.begin(), vacating.end(),
+                             [&prefix](const std::string &executor) { return executor.starts_with("i-" + prefix); });
+    };
+    const auto setLoads = [&](int ordersInTime, int billsDemand) {
+        PoolLoad orders = makeLoad(400, now);
+        orders.inTimeMilliCores = ordersInTime * 1000;
+        planner.setLoad("orders", orders);
+        PoolLoad bills = makeLoad(billsDemand, now, idle);
+        bills.inTimeMilliCores = bills.demandMilliCores;
+        planner.setLoad("bills", bills);
+        planner.setLoad("audits", makeLoad(8, now, idle));
+    };
+    planner.setInstances(instances, SparePools, now);
+    planner.setLoad("spare", makeLoad(0, now));  // spare pools have an owner that reports, too
+
+    SECTION("idle instances of the others are vacated, as far as these keep what they use and a minimum")
+    {
+        setLoads(400, 80);  // 400 cores with headroom require 28 instances, and 80 cores require 6
+        CHECK(planner.tick(now).empty());
+        CHECK(countFrom("b") == 4);
+        CHECK(countFrom("c") == 5);
+
+        SECTION("the plan holds while nothing changes, so that vacating does not begin anew")
+        {
+            const std::set<std::string> before = planner.vacating();
+            setLoads(400, 80);
+            planner.tick(now + 250ms);
+            CHECK(planner.vacating() == before);
+        }
+        SECTION("a vacated instance moves straight to the pool with the backlog")
+        {
+            planner.setPublishedVacating(planner.vacating(), 20);
+            planner.setVacated({{"i-c1", 20}});
+            const auto requests = planner.tick(now + 250ms);
+            REQUIRE(requests.size() == 1);
+            CHECK(requests[0].pool == "orders");
+            CHECK(requests[0].sourcePool == "audits");
+            CHECK(requests[0].reason == MoveReason::Loan);
+        }
+        SECTION("a lender whose own demand rises keeps the instances that have not left")
+        {
+            now += 250ms;
+            setLoads(400, 160);
+            planner.tick(now);
+            CHECK(countFrom("b") == 0);
+            CHECK(countFrom("c") == 5);
+        }
+        SECTION("loans are given up when the backlog is gone")
+        {
+            now += 4s;
+            setLoads(0, 80);
+            PoolLoad orders = makeLoad(40, now);
+            planner.setLoad("orders", orders);
+            now += 4s;
+            orders.receivedAt = now;
+            planner.setLoad("orders", orders);
+            planner.setLoad("bills", makeLoad(80, now, idle));
+            planner.setLoad("audits", makeLoad(8, now, idle));
+            planner.tick(now);
+            CHECK(countFrom("b") + countFrom("c") <= 2);  // one above the minimum size of each pool may become spare
+        }
+    }
+    SECTION("of busy instances, only those whose tasks are about to end are lent")
+    {
+        idle.clear();
+        setLoads(400, 8);
+        PoolLoad bills = makeLoad(8, now);
+        bills.inTimeMilliCores = 8'000;
+        bills.emptySoon = {"i-b5", "i-b7"};
+        for (int i = 0; i < 10; ++i) {
+            bills.withoutLongRunning.insert("i-b" + std::to_string(i));
+        }
+        planner.setLoad("bills", bills);
+        planner.tick(now);
+        // Guards against this failure: 60 busy instances of a lender got no new work for three seconds each.
+        const std::set<std::string> vacating = planner.vacating();
+        CHECK(countFrom("b") <= 3);  // one more above the minimum size may become spare
+        CHECK(vacating.contains("i-b5"));
+        CHECK(vacating.contains("i-b7"));
+    }
+    SECTION("two pools with more demand than there are instances share them, also if one has most of them")
+    {
+        // Guards against this failure: a pool that had borrowed nearly all instances kept them until its peak was over,
+        // while the jobs of the next pool waited for five seconds.
+        for (PooledInstance &instance : instances) {
+            instance.pool = instance.id.starts_with("c") ? "audits" : "bills";
+        }
+        instances[0].pool = "orders";
+        planner.setInstances(instances, SparePools, now);
+        for (int i = 0; i < 10; ++i) {
+            idle.insert("i-m" + std::to_string(i));
+        }
+        setLoads(400, 400);
+        planner.tick(now);
+        // 30 instances: audits needs 5, so orders and bills get 12 each. Orders has 1, and bills 19.
+        CHECK(countFrom("b") + countFrom("m") == 7);
+        CHECK(countFrom("c") == 5);
+    }
+    SECTION("jobs that cannot meet their objective any more do not take instances from other pools")
+    {
+        setLoads(100, 8);
+        planner.tick(now);
+        CHECK(countFrom("b") + countFrom("c") <= 2);
+    }
+    SECTION("instances in a maintenance wave are no room, so the pool borrows for them too")
+    {
+        std::set<std::string> inMaintenance;
+        for (int i = 0; i < 4; ++i) {
+            inMaintenance.insert("m" + std::to_string(i));
+        }
+        planner.setInMaintenance(inMaintenance);
+        setLoads(140, 8);  // requires 10 instances, and 6 are usable
+        planner.tick(now);
+        CHECK(countFrom("b") + countFrom("c") >= 4);
+    }
+    SECTION("an instance that is about to leave a pool which lacks instances stays, and is not moved to its own pool")
+    {
+        planner.setLoad("orders", makeLoad(8, now, {"i-m0", "i-m1"}));
+        planner.tick(now);
+        REQUIRE(countFrom("m") == 1);  // one above the minimum size
+        planner.setInMaintenance({"m2", "m3", "m4", "m5", "m6"});
+        PoolLoad orders = makeLoad(100, now + 250ms, {"i-m0", "i-m1"});
+        orders.inTimeMilliCores = orders.demandMilliCores;
+        planner.setLoad("orders", orders);
+        planner.setPublishedVacating({"i-m0", "i-m1"}, 20);
+        planner.setVacated({{"i-m0", 20}, {"i-m1", 20}});
+        const auto requests = planner.tick(now + 250ms);
+        CHECK(countFrom("m") == 0);
+        CHECK(std::none_of(requests.begin(), requests.end(),
+                           [](const MoveRequest &request) { return request.sourcePool == request.pool; }));
+    }
+    SECTION("a small pool keeps its minimum size, since a few jobs of its own take all its room")
+    {
+        PoolPlanner small({});
+        small.setInstances(instances, SparePools, now);
+        PoolLoad orders = makeLoad(400, now);
+        orders.inTimeMilliCores = orders.demandMilliCores;
+        small.setLoad("orders", orders);
+        small.setLoad("bills", makeLoad(8, now, idle));
+        small.setLoad("audits", makeLoad(8, now, idle));
+        small.tick(now);
+        CHECK(small.vacating().size() == 2);  // one above the minimum size of each
+    }
+    SECTION("a pool whose owner has not reported for some seconds lends nothing")
+    {
+        setLoads(400, 8);
+        now += 5s;
+        PoolLoad orders = makeLoad(400, now);
+        orders.inTimeMilliCores = 400'000;
+        planner.setLoad("orders", orders);
+        planner.tick(now);
+        CHECK(planner.vacating().empty());
+    }
+}
+
+TEST_CASE("Instances move into a pool ahead of a peak that recurs")
+{
+    // Guards against this failure: instances that are requested when a peak begins arrive after its first two seconds,
+    // in which the callers of every peak waited.
+    TimePoint now{1h};
+    PoolPlannerSettings settings;
+    settings.minSizeShare = 0.3;
+    PoolPlanner planner(settings);
+    std::vector<PooledInstance> instances = makeFleet(10, 30);
+    for (int i = 0; i < 10; ++i) {
+        instances.push_back(makeInstance("b" + std::to_string(i), "bills"));
+    }
+    planner.setInstances(instances, SparePools, now);  // the mean pool size is 25, and a pool keeps 8
+    // The pools have peaks of 288 cores, which require 20 instances, in turns of 8 s.
+    const auto runUntil = [&](Duration end, const std::string &silent = {}) {
+        for (; now < TimePoint{1h} + end; now += 250ms) {
+            const bool ordersTurn = (now - TimePoint{1h}) / 8s % 2 == 0;
+            for (const std::string pool : {"orders", "bills"}) {
+                const bool hasTurn = ordersTurn == (pool == "orders") && now >= TimePoint{1h} + 1s;
+                PoolLoad load = makeLoad(hasTurn && pool != silent ? 288 : 8, now);
+                load.inTimeMilliCores = load.demandMilliCores;
+                planner.setLoad(pool, load);
+            }
+        }
+    };
+    const auto movesAhead = [&planner, &now](const std::string &pool) {
+        const auto requests = planner.tick(now);
+        return std::count_if(requests.begin(), requests.end(), [&pool](const MoveRequest &request) {
+            return request.pool == pool && request.reason == MoveReason::Peak;
+        });
+    };
+
+    SECTION("in the first round, moves follow the demand")
+    {
+        runUntil(7s);
+        CHECK(movesAhead("bills") == 0);
+    }
+    SECTION("in the next round, moves begin before the peak, but not long before")
+    {
+        runUntil(18s);
+        CHECK(movesAhead("bills") == 0);
+        runUntil(22s);
+        CHECK(movesAhead("bills") > 0);
+    }
+    SECTION("a peak that does not come keeps no instances, and later ones follow the demand again")
+    {
+        runUntil(24s);
+        runUntil(36s, "bills");
+        CHECK(movesAhead("bills") == 0);
+    }
+}
+
+TEST_CASE("The load of a pool is read as it was written, also from earlier versions")
+{
+    PoolLoad load = makeLoad(80, TimePoint{1h}, {"i-1"});
+    load.inTimeMilliCores = 32'000;
+    load.withoutLongRunning = {"i-2", "i-3"};
+    load.emptySoon = {"i-3"};
+    const auto read = parsePoolLoad(encodePoolLoad(load), TimePoint{2h});
+    REQUIRE(read);
+    CHECK(read.value().inTimeMilliCores == 32'000);
+    CHECK(read.value().emptySoon == std::set<std::string>{"i-3"});
+    // Without the field, all of the demand counts, as it did before the field existed.
+    const auto earlier
+        = parsePoolLoad(R"({"wanted": 80000, "labels": {}, "widest": 0, "idle": [], "light": []})", TimePoint{2h});
+    REQUIRE(earlier);
+    CHECK(earlier.value().inTimeMilliCores == 80'000);
+    CHECK(earlier.value().emptySoon.empty());
+}
+
 TEST_CASE("No instance with an executor moves before its executor is vacated")
 {
     // Guards against this failure of a version that was reverted: a pool below its minimum size took back a planned
@@ -342,13 +614,23 @@
                         idle.insert(instance.executor);
                     }
                 }
-                planner.setLoad(pool, makeLoad(draw(4) == 0 ? 60 + draw(120) : draw(30), now, idle));
+                PoolLoad load = makeLoad(draw(4) == 0 ? 60 + draw(120) : draw(30), now, idle);
+                load.inTimeMilliCores = load.demandMilliCores / (1 + draw(3));
+                planner.setLoad(pool, load);
+            }
+            std::set<std::string> inMaintenance;
+            for (const PooledInstance &instance : listed) {
+                if (draw(10) == 0) {
+                    inMaintenance.insert(instance.id);
+                }
             }
+            planner.setInMaintenance(inMaintenance);
             planner.setVacated(vacated);
             for (const MoveRequest &request : planner.tick(now)) {
                 auto instance = std::find_if(listed.begin(), listed.end(), [&request](const PooledInstance &candidate) {
                     return candidate.id == request.instance;
                 });
+                CHECK(request.pool != instance->pool);
                 const bool isSpare = SparePools.contains(instance->pool);
                 CHECK((isSpare || vacated.contains(instance->executor)));
                 if (draw(3) == 0) {
