--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -38,8 +38,7 @@
     , m_machines(io, settings.machines.address, settings.machines.port, settings.name)
     , m_jobApi(m_store, m_timers, {})
     , m_operatorView(
-          m_store, m_timers, std::string(platform::OperatorPrefix),
-          {.watchWait = ConfigWatchWait, .recheckWait = ConfigRecheckWait},
+          m_store, m_timers, std::string(platform::OperatorPrefix), {.watchWait = ConfigWatchWait},
           [this](const StoreItem &item) { operatorItemChanged(item); }, [] {})
     , m_membershipView(
           m_store, m_timers, keys::Membership, {}, [this](const StoreItem &item) { membershipItemChanged(item); },
@@ -106,6 +105,9 @@
             return;  // an older version never replaces a newer one
         }
         m_config = std::move(config.value());
+        if (!m_config.workspaces.empty()) {
+            m_operatorView.setWaits(KeysWatchWait, KeysRecheckWait);
+        }
         logEvent(LogLevel::Info, "configuration-in-force",
                  {{"version", std::to_string(m_config.version)}, {"queues", std::to_string(m_config.queues.size())}});
         if (m_fleet) {
--- a/src/store_view.h
+++ b/src/store_view.h
@@ -65,6 +65,12 @@
     {
         return m_state->currentAt;
     }
+    /// Changes the waits of the watches that follow the present one.
+    void setWaits(Duration watchWait, Duration recheckWait)
+    {
+        m_state->settings.watchWait = watchWait;
+        m_state->settings.recheckWait = recheckWait;
+    }
     bool complete() const
     {
         return m_state->listed;
--- a/tests/run_job_api.cpp
+++ b/tests/run_job_api.cpp
@@ -852,6 +852,16 @@
         CHECK(view.currentAt() >= listed + wait);
         CHECK(bootNow() - view.currentAt() >= 60ms);
     }
+    SECTION("other waits hold from the next watch on")
+    {
+        view.setWaits(70ms, 7ms);
+        store.answer("watch", StoreOutcome::Done);
+        runFor(5ms);
+        CHECK(store.calls.front().wait == Duration{70ms});
+        store.answer("watch", StoreOutcome::Refused);
+        runFor(5ms);
+        CHECK(store.calls.front().wait == Duration{7ms});
+    }
     SECTION("a watch with changes shows the time at which it was sent")
     {
         runFor(20ms);
