--- a/tests/job_demo.cpp
+++ b/tests/job_demo.cpp
@@ -391,7 +391,7 @@
             .count();
     };
     long lastServedMs = 0;
-    while (sinceStored() < 2 * ConfigApplyMs) {
+    while (sinceStored() < 2L * ConfigApplyMs) {
         for (int entry = 0; entry < Entries; ++entry) {
             const auto sentMs = sinceStored();
             if (length(entry, WithdrawnKey) == 200) {
