--- /dev/null
+++ b/src/queue_order.h
@@ -0,0 +1,95 @@
+#pragma once
+
+// The order in which waiting jobs get room. It only decides: it uses no sockets, clocks or threads.
+//
+// Load that this answers: for some seconds a queue asks for two to five times what its pool holds, one workspace sends
+// many times its usual, and not every job can end in time.
+//
+// Index
+// [1] Jobs and workspaces
+// [2] The order
+// [3] What a workspace is owed
+
+#include "types.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarvane
+{
+
+// [1] Jobs and workspaces ---------------------------------------------------------------------------------------------
+
+/// Where a job stands against its latency objective. A job that ends late has little value, and none after three times
+/// its objective.
+enum class ObjectiveStatus {
+    LongRunning,  // has no objective
+    Reachable,
+    Late,
+    Expired,  // will end after three times its objective
+};
+
+struct QueuedJob
+{
+    std::string_view id;
+    int priority = 0;  // lowest first
+    bool longRunning = false;
+    Duration age{0};             // since its acceptance
+    Duration untilObjective{0};  // may be negative
+    Duration untilWorthless{0};  // until three times the objective
+    Duration remainingChain{0};  // declared time of the longest chain of steps that are not done
+    double remainingWork = 0;    // core-seconds
+    double value = 1;            // what its caller gains if it ends in time, relative to the mean job of its queue
+    double demand = 0;           // share of the pool's scarcest resource that its tasks without a run take
+    int workspace = -1;          // index into the list of workspaces; -1: none
+    bool beyondWeight = false;   // its workspace sent more jobs a second than its weight
+};
+
+struct WorkspaceUse
+{
+    double weight = 1;
+    double use = 0;  // share of the pool's scarcest resource that its runs take
+};
+
+ObjectiveStatus objectiveStatus(const QueuedJob &job);
+/// Chance that a job that starts now ends in time. Declared times are rough, so it rises gradually with the time left.
+double chanceInTime(const QueuedJob &job);
+
+// [2] The order -------------------------------------------------------------------------------------------------------
+
+enum class QueuePolicy {
+    Arrival,    // oldest first
+    Cost,       // by status, priority, and core-seconds per value
+    FairShare,  // as Cost, with workspaces sharing the room by weight; as Cost for jobs without a workspace
+};
+
+/// Indices into `jobs`, the first to get room first.
+/// FairShare places long-running jobs first, then jobs that are owed and can end in time, then those with which their
+/// workspace exceeds its share of the room, then owed jobs that are late, then jobs beyond their workspace's weight,
+/// then those that have no value any more. A share is by weight; what a workspace leaves of it is lent to the others.
+/// Within one of these groups the order is that of Cost.
+std::vector<std::size_t> queueOrder(QueuePolicy policy, const std::vector<QueuedJob> &jobs,
+                                    std::vector<WorkspaceUse> workspaces);
+
+/// Whether the job may take room of a pool of which the share `used` is in use. Jobs beyond their workspace's weight
+/// leave some room free for jobs that others are owed.
+bool mayTakeRoom(const QueuedJob &job, double used);
+
+// [3] What a workspace is owed ----------------------------------------------------------------------------------------
+
+/// Finds the jobs that a workspace sends beyond its weight in jobs a second, over a sliding window.
+class WorkspaceArrivals
+{
+public:
+    /// Records a job that arrived at `at` and returns whether it is beyond the weight. Jobs that are recorded out of
+    /// order, as after a takeover, count for the windows of the jobs recorded after them.
+    bool record(const std::string &workspace, int weight, TimePoint at);
+
+private:
+    std::map<std::string, std::deque<TimePoint>> m_owed;  // arrivals within the window that were not beyond the weight
+};
+
+}
