--- a/src/queue_order.cpp
+++ b/src/queue_order.cpp
@@ -20,7 +20,7 @@
 constexpr double ReservedShare = 0.15;
 /// A workspace may exceed its share by this factor before its jobs come after those of others. Strict shares would
 /// spend room on costly jobs of one workspace while cheap jobs of others become late.
-constexpr double ShareTolerance = 1.2;
+constexpr double ShareTolerance = 1.3;
 constexpr double SmallestWeight = 1e-6;
 
 /// Core-seconds per value that its caller can expect.
