--- a/src/job_api.h
+++ b/src/job_api.h
@@ -305,11 +305,9 @@
             m_store.read(keys::jobId(id), m_settings.readTimeout, [this, partition, id, done](const StoreReply &reply) {
                 recordStoreReply(reply);
                 if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
-                    const std::string stored = keys::parseJobId(reply.items.front().value).partition;
-                    if (stored != partition) {
-                        readRecord(stored, id, done);
-                        return;
-                    }
+                    // Also in the same partition: the job may have been stored between the two reads.
+                    readRecord(keys::parseJobId(reply.items.front().value).partition, id, done);
+                    return;
                 }
                 const bool notFound = reply.outcome == StoreOutcome::NotFound;
                 done({notFound ? JobApiOutcome::NoSuchJob : JobApiOutcome::NotRun, partition, JobState::Pending, 0});
--- a/tests/run_job_api.cpp
+++ b/tests/run_job_api.cpp
@@ -428,6 +428,105 @@
     }
 }
 
+TEST_CASE("No other way to a late write lets a cancelled job run")
+{
+    // Guards against the same failure as above on the ways beside it: a write that the store carries out while the
+    // canceller reads, a cancellation whose own write is lost, and a queue that is assigned to another service
+    // meanwhile.
+    boost::asio::io_context io;
+    Timers timers(io);
+    ScriptedStore store;
+    JobApi<ScriptedStore> api(store, timers, {});
+    std::optional<JobApiReply> callerReply;
+    const auto storeReply = [&callerReply](const JobApiReply &reply) { callerReply = reply; };
+    const auto readUnknown = [&store] {
+        store.answer("read", StoreOutcome::NotFound);
+        store.answer("read", StoreOutcome::NotFound);
+    };
+
+    SECTION("the job is stored between the two reads of its cancellation: it is cancelled")
+    {
+        api.cancel("orders", "a", storeReply);
+        store.answer("read", StoreOutcome::NotFound);
+        store.answer("read", StoreOutcome::Done, {item("id/a", "orders", 5)});
+        CHECK_FALSE(callerReply);
+        store.answer("read", StoreOutcome::Done, {item("s/orders/a", record(JobState::Pending), 5)});
+        REQUIRE(store.calls.size() == 1);
+        CHECK(store.calls.front().txn.expected
+              == std::vector<std::pair<std::string, std::uint64_t>>{{"s/orders/a", 5}});
+        store.answer("commit", StoreOutcome::Done);
+        CHECK(callerReply->outcome == JobApiOutcome::Done);
+        CHECK(callerReply->state == JobState::Cancelled);
+    }
+    SECTION("the cancellation's write is lost, and the job is stored before the next attempt: it is cancelled")
+    {
+        api.cancel("orders", "a", storeReply);
+        readUnknown();
+        store.answer("commit", StoreOutcome::Unknown);
+        store.answer("read", StoreOutcome::Done, {item("s/orders/a", record(JobState::Pending), 5)});
+        CHECK(store.calls.front().txn.expected.front().first == "s/orders/a");
+        store.answer("commit", StoreOutcome::Done);
+        CHECK(callerReply->state == JobState::Cancelled);
+    }
+    SECTION("the lost write is carried out after the second attempt has read: the second one finds the id taken")
+    {
+        api.cancel("orders", "a", storeReply);
+        readUnknown();
+        store.answer("commit", StoreOutcome::Unknown);
+        readUnknown();
+        store.answer("commit", StoreOutcome::Conflict, {item("id/a", keys::encodeJobId({"orders", false}), 6)});
+        CHECK_FALSE(callerReply);
+        store.answer("read", StoreOutcome::Done, {item("s/orders/a", record(JobState::Cancelled), 6)});
+        CHECK(callerReply->outcome == JobApiOutcome::Done);
+        CHECK(store.calls.empty());
+    }
+    SECTION("no attempt is answered: the caller is not told that there is no such job")
+    {
+        api.cancel("orders", "a", storeReply);
+        for (int attempt = 0; attempt < JobApiSettings{}.cancelAttempts; ++attempt) {
+            CHECK_FALSE(callerReply);
+            readUnknown();
+            store.answer("commit", StoreOutcome::Unknown);
+        }
+        CHECK(callerReply->outcome == JobApiOutcome::Unknown);
+        CHECK(store.calls.empty());
+    }
+    SECTION("a lost write is followed by a refusal: the first one may still be done, which harms nobody")
+    {
+        api.cancel("orders", "a", storeReply);
+        readUnknown();
+        store.answer("commit", StoreOutcome::Unknown);
+        readUnknown();
+        store.answer("commit", StoreOutcome::Refused);
+        CHECK(callerReply->outcome == JobApiOutcome::NotRun);
+    }
+    SECTION("the queue is assigned to another service between cancellation and submission: the job stays cancelled")
+    {
+        api.submit(job("a"), "stems", storeReply);
+        store.answer("commit", StoreOutcome::Conflict, {item("id/a", keys::encodeJobId({"orders", false}), 7)});
+        REQUIRE(store.calls.size() == 1);
+        REQUIRE(store.calls.front().txn.writes.size() == 1);
+        CHECK(store.calls.front().txn.writes[0].value == "orders");
+        store.answer("commit", StoreOutcome::Done);
+        CHECK(callerReply->state == JobState::Cancelled);
+    }
+    SECTION("a submission whose first write is lost and whose second finds the id taken stays cancelled")
+    {
+        api.submit(job("a"), "orders", storeReply);
+        store.answer("commit", StoreOutcome::Unknown);
+        store.answer("commit", StoreOutcome::Conflict, {item("id/a", keys::encodeJobId({"orders", false}), 7)});
+        store.answer("commit", StoreOutcome::Done);
+        CHECK(callerReply->state == JobState::Cancelled);
+    }
+    SECTION("the value that earlier builds write for a taken id is read as before")
+    {
+        CHECK(keys::parseJobId("orders/not-submitted").partition == "orders");
+        CHECK_FALSE(keys::parseJobId("orders/not-submitted").submitted);
+        CHECK(keys::encodeJobId({"orders!2", true}) == "orders!2");
+        CHECK(keys::encodeJobId({"orders!2", false}) == "orders!2/not-submitted");
+    }
+}
+
 TEST_CASE("A view of the store misses no change when the store has compacted its history")
 {
     boost::asio::io_context io;
--- a/tests/run_partition_owner.cpp
+++ b/tests/run_partition_owner.cpp
@@ -108,8 +108,24 @@
         }
         answer(done, std::move(reply));
     }
-    void watch(const std::string & /*prefix*/, std::uint64_t /*after*/, Duration /*wait*/, const StoreDone & /*done*/)
+    void watch(const std::string &prefix, std::uint64_t /*after*/, Duration /*wait*/, const StoreDone &done)
     {
+        m_watches[prefix] = done;
+    }
+    /// Reports the present item of the key to the watch of `prefix`.
+    void report(const std::string &prefix, const std::string &key)
+    {
+        StoreReply reply;
+        reply.outcome = StoreOutcome::Done;
+        reply.revision = m_revision;
+        reply.items.push_back(item(key));
+        const auto watch = m_watches.extract(prefix);
+        REQUIRE_FALSE(watch.empty());
+        answer(watch.mapped(), std::move(reply));
+    }
+    bool watched(const std::string &prefix) const
+    {
+        return m_watches.contains(prefix);
     }
     void commit(const StoreTxn &txn, Duration /*timeout*/, const StoreDone &done)
     {
@@ -187,6 +203,7 @@
     std::uint64_t m_revision = 100;
     std::string m_losePrefix;
     std::vector<StoreTxn> m_lostWrites;
+    std::map<std::string, StoreDone> m_watches;  // open watch by prefix
     bool m_loseReply = false;
     bool m_busy = false;
 };
@@ -338,6 +355,53 @@
           == std::set<std::string>{"good"});
 }
 
+TEST_CASE("An owner keeps an id that a cancellation has taken, and starts nothing of it")
+{
+    // Guards against an owner that comes between the cancellation of a job and the late request to submit it: it must
+    // neither start the job nor free its id before the final states of that time are removed.
+    OwnerFixture fixture;
+    const std::string id = "00000000000000bb";
+    JobRecord taken;
+    taken.state = JobState::Cancelled;
+    const auto runOwner = [&](Duration age) {
+        taken.endedMs = wallNowMs() - age.count() / 1000;
+        fixture.store.put(keys::jobId(id), keys::encodeJobId({"supplies", false}));
+        fixture.store.put(keys::job("supplies", id), encodeJobRecord(taken));
+        int commands = 0;
+        PartitionOwnerHooks hooks;
+        hooks.sendCommand
+            = [&commands](const ExecutorCommand &, const PartitionOwnerHooks::CommandDone &) { ++commands; };
+        hooks.requestAdvice = [](const AdviceRequest &, const PartitionOwnerHooks::AdviceDone &) {};
+        hooks.registerExecutor = [](const ExecutorRecord &) {};
+        hooks.listInstances = [](const auto &) {};
+        hooks.jobFinished = [](const Scheduler::Finished &) {};
+        hooks.ownershipLost = [](const std::string &, std::string_view) {};
+        const std::uint64_t token = fixture.store.put(keys::owner("supplies"), "e1");
+        PartitionOwner<UnreliableStore> owner(fixture.store, fixture.timers, Partition{"supplies"}, token,
+                                              keys::Predecessor::None, PartitionOwnerSettings{}, std::move(hooks),
+                                              bootNow(), bootNow());
+        owner.start();
+        fixture.runUntil([&] { return fixture.store.watched(keys::jobs("supplies")); });
+        bool waited = false;
+        fixture.timers.at(steadyNow() + 50ms, [&] { waited = true; });
+        fixture.runUntil([&] { return waited; });
+        CHECK(commands == 0);
+    };
+
+    SECTION("a recent one stays taken")
+    {
+        runOwner(PartitionOwnerSettings{}.finalStateRetention - 10s);
+        CHECK_FALSE(keys::parseJobId(fixture.store.value(keys::jobId(id))).submitted);
+        CHECK_FALSE(fixture.store.value(keys::job("supplies", id)).empty());
+    }
+    SECTION("an old one is removed with its record")
+    {
+        runOwner(PartitionOwnerSettings{}.finalStateRetention + 10s);
+        CHECK(fixture.store.value(keys::jobId(id)).empty());
+        CHECK(fixture.store.value(keys::job("supplies", id)).empty());
+    }
+}
+
 TEST_CASE("A write that the store applies late does not undo a newer write")
 {
     OwnerFixture fixture;
