--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -243,9 +243,31 @@
         reply(exchange, 404, platform::encodeError("no such queue"));
         return;
     }
-    const std::string id(request.path().substr(queue->prefix.size()));
+    const CallerAccess access = decideAccess(m_config, *queue, request.fields.find(platform::AccessKeyField));
+    if (access.outcome != AccessOutcome::Allowed) {
+        refuseCaller(exchange, *queue, access.outcome);
+        return;
+    }
+    serveCaller(exchange, *queue, access.scope);
+}
+
+/// Answers a caller without a valid access key. The key itself must appear nowhere.
+void JobEntry::refuseCaller(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, AccessOutcome outcome)
+{
+    const std::string why(toString(outcome));
+    m_metrics.add("briarvane_access_refused_total", {}, {{"reason", why}});
+    // One subject per outcome, so that a flood of bad keys at many queues writes two lines a second.
+    logRepeated(LogLevel::Warn, "access-refused", why,
+                {{"queue", queue.name}, {"config_version", std::to_string(m_config.version)}});
+    reply(exchange, 401, platform::encodeError("the queue requires an access key of a workspace"));
+}
+
+void JobEntry::serveCaller(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const CallerScope &scope)
+{
+    const HttpRequest &request = exchange->request();
+    const std::string id(request.path().substr(queue.prefix.size()));
     if (id.empty() && request.method == "GET") {
-        m_jobApi.waiting(queue->name, [this, exchange](const JobApiReply &result) {
+        m_jobApi.waiting(queue.name, [this, exchange](const JobApiReply &result) {
             if (result.outcome == JobApiOutcome::Done) {
                 reply(exchange, 200, platform::encodeQueueLength(result.waiting));
             } else {
@@ -258,13 +280,13 @@
         reply(exchange, 400, platform::encodeError("the path does not end with a job id of 16 hexadecimal digits"));
         return;
     }
-    const std::optional<std::string> partition = partitionOfJob(queue->service, id);
+    const std::optional<std::string> partition = partitionOfJob(queue.service, id);
     if (!partition) {
         constexpr std::string_view why = "the service of the queue has no partitions yet";
         if (request.method == "POST") {
             logEvent(LogLevel::Info, "job-submitted",
                      {{"job", id},
-                      {"queue", queue->name},
+                      {"queue", queue.name},
                       {"config_version", std::to_string(m_config.version)},
                       {"outcome", "refused"},
                       {"why", std::string(why)}});
@@ -280,7 +302,7 @@
         }
     };
     if (request.method == "POST") {
-        submit(exchange, *queue, id, *partition);
+        submit(exchange, queue, scope, id, *partition);
     } else if (request.method == "GET") {
         m_jobApi.state(*partition, id, answered);
     } else if (request.method == "DELETE") {
@@ -296,8 +318,8 @@
     }
 }
 
-void JobEntry::submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const std::string &id,
-                      const std::string &partition)
+void JobEntry::submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const CallerScope &scope,
+                      const std::string &id, const std::string &partition)
 {
     auto spec = platform::decodeJob(id, queue, exchange->request().body, wallNowMs());
     if (!spec) {
@@ -307,11 +329,13 @@
     const TimePoint arrived = bootNow();
     m_jobApi.submit(
         std::move(spec.value()), partition,
-        [this, exchange, id, arrived, name = queue.name, version = m_config.version](const JobApiReply &result) {
+        [this, exchange, id, arrived, name = queue.name, workspace = scope.workspace,
+         version = m_config.version](const JobApiReply &result) {
             const Duration took = bootNow() - arrived;
             logEvent(LogLevel::Info, "job-submitted",
                      {{"job", id},
                       {"queue", name},
+                      {"workspace", workspace},
                       {"config_version", std::to_string(version)},
                       {"outcome",
                        result.outcome == JobApiOutcome::Done         ? "accepted"
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -9,6 +9,7 @@
 #include "job_entry.h"
 
 #include "advice_routes.h"
+#include "caller_access.h"
 #include "clients.h"
 #include "fleet_owner.h"
 #include "http.h"
@@ -130,8 +131,10 @@
 
     // Callers
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
-    void submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const std::string &id,
-                const std::string &partition);
+    void refuseCaller(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, AccessOutcome outcome);
+    void serveCaller(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const CallerScope &scope);
+    void submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const CallerScope &scope,
+                const std::string &id, const std::string &partition);
     void reply(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &body);
     void replyWithError(const std::shared_ptr<HttpExchange> &exchange, const JobApiReply &result);
     bool canAcceptJobs();
