--- a/src/job.cpp
+++ b/src/job.cpp
@@ -171,6 +171,12 @@
 
 }
 
+bool JobRecord::isTakenFor(const std::string &workspace) const
+{
+    return takenFor.empty() || workspace.empty()
+        || std::find(takenFor.begin(), takenFor.end(), workspace) != takenFor.end();
+}
+
 std::string encodeJobRecord(const JobRecord &record)
 {
     if (isFinal(record.state)) {
@@ -178,6 +184,9 @@
         if (!record.spec.workspace.empty()) {
             object["workspace"] = record.spec.workspace;
         }
+        if (!record.takenFor.empty()) {
+            object["taken_for"] = json::value_from(record.takenFor);
+        }
         return json::serialize(object);
     }
     const JobSpec &spec = record.spec;
@@ -222,6 +231,13 @@
         }
         record.state = *state;
         record.endedMs = fieldOr(object, "ended", std::int64_t{0});
+        if (const json::value *names = object.if_contains("taken_for"); names != nullptr && names->is_array()) {
+            for (const json::value &name : names->get_array()) {
+                if (name.is_string()) {
+                    record.takenFor.emplace_back(name.get_string());
+                }
+            }
+        }
         return record;
     }
     JobSpec &spec = record.spec;
--- a/src/job.h
+++ b/src/job.h
@@ -132,6 +132,13 @@
     JobState state = JobState::Pending;
     JobSpec spec;              // empty when the state is final, except for the workspace
     std::int64_t endedMs = 0;  // Unix time of the final state, for garbage collection
+    /// Workspaces that cancelled the id before a job was submitted under it; an empty name stands for callers without a
+    /// workspace. Empty: the job was submitted, or the id is taken for every caller, as earlier builds do it.
+    std::vector<std::string> takenFor;
+
+    /// Whether a cancelled id that no job was submitted under is taken for a job of this workspace. A job without a
+    /// workspace is open to every caller, so it is cancelled by any of them.
+    bool isTakenFor(const std::string &workspace) const;
 };
 
 std::string encodeJobRecord(const JobRecord &record);
--- a/src/job_api.h
+++ b/src/job_api.h
@@ -8,9 +8,11 @@
 // [2] The API
 
 #include "boot_clock.h"
+#include "caller_access.h"
 #include "deployment.h"
 #include "job_keys.h"
 #include "log.h"
+#include "rate_limit.h"
 #include "store_view.h"
 
 #include <boost/json.hpp>
@@ -36,6 +38,11 @@
     /// Maximum number of attempts to cancel a job. Each attempt reads the job's state again, since the owner may have
     /// written the job first or the outcome of the previous attempt may be unknown.
     int cancelAttempts = 4;
+    /// Limit of the ids that cancellations of unknown jobs take, so that a caller who invents ids does not fill the
+    /// store. Callers of real jobs cancel an unknown one only when its submission got no answer.
+    double unknownCancelsPerSecond = 5;
+    double unknownCancelBurst = 50;
+    std::size_t maxTakenFor = 8;  // maximum number of workspaces that one unknown id is taken for
 };
 
 enum class JobApiOutcome {
@@ -43,6 +50,8 @@
     NoSuchJob,  // the store has no job with this id
     NotRun,     // the request had no effect; the caller may repeat it later
     Unknown,    // the request may have taken effect; the caller must repeat it with the same job id
+    Forbidden,  // the id belongs to a job of another workspace; nothing was changed
+    Limited,    // too many unknown jobs were cancelled at this entry; nothing was written
 };
 
 struct JobApiReply
@@ -64,6 +73,7 @@
         : m_store(store)
         , m_timers(timers)
         , m_settings(settings)
+        , m_unknownCancels(settings.unknownCancelsPerSecond, settings.unknownCancelBurst)
     {
     }
 
@@ -76,21 +86,26 @@
         return m_failures < minFailures || now - m_lastReachedAt < recentPeriod || now - m_lastOutcomeAt > recentPeriod;
     }
 
-    /// `partition`: name of the partition that a job with this id belongs to.
-    void submit(JobSpec spec, std::string partition, JobApiDone done)
+    /// `partition`: name of the partition that a job with this id belongs to. `scope`: jobs that the caller may use; an
+    /// id of another job is refused.
+    void submit(JobSpec spec, std::string partition, CallerScope scope, JobApiDone done)
     {
         const TimePoint now = bootNow();
         if (!storeReachable(now)) {
             done({JobApiOutcome::NotRun, JobState::Pending, 0});
             return;
         }
-        m_pendingJobs.push_back({std::move(spec), std::move(partition), std::move(done), 0, now});
+        m_pendingJobs.push_back({std::move(spec), std::move(partition), std::move(scope), std::move(done), 0, now});
         writePending();
     }
 
-    void state(const std::string &partition, const std::string &id, JobApiDone done)
+    void state(const std::string &partition, const std::string &id, const CallerScope &scope, JobApiDone done)
     {
-        find(partition, id, [this, id, done = std::move(done)](const LookupResult &lookup) {
+        find(partition, id, [this, id, scope, done = std::move(done)](const LookupResult &lookup) {
+            if (lookup.outcome == JobApiOutcome::Done && !scope.includes(lookup.record.spec.workspace)) {
+                done({JobApiOutcome::NoSuchJob, JobState::Pending, 0});
+                return;
+            }
             if (lookup.outcome == JobApiOutcome::Done && lookup.state == JobState::Cancelled) {
                 readCancelledState(id, done);
                 return;
@@ -112,9 +127,9 @@
         });
     }
 
-    void cancel(const std::string &partition, const std::string &id, JobApiDone done)
+    void cancel(const std::string &partition, const std::string &id, const CallerScope &scope, JobApiDone done)
     {
-        attemptCancel(partition, id, m_settings.cancelAttempts, std::move(done));
+        attemptCancel({partition, id, scope, std::move(done), m_settings.cancelAttempts});
     }
 
     void waiting(const std::string &queue, JobApiDone done)
@@ -162,6 +177,7 @@
     {
         JobSpec spec;
         std::string partition;
+        CallerScope scope;
         JobApiDone done;
         int unknownOutcomes = 0;  // attempts to write the job whose outcome is unknown
         TimePoint arrived;
@@ -173,6 +189,17 @@
         std::string partition;
         JobState state = JobState::Pending;
         std::uint64_t revision = 0;
+        JobRecord record{};
+    };
+
+    struct Cancellation
+    {
+        std::string partition;
+        std::string id;
+        CallerScope scope;
+        JobApiDone done;
+        int attemptsLeft = 0;
+        bool writeUnknown = false;  // an attempt took the id or may have taken it
     };
 
     using Batch = std::shared_ptr<std::vector<PendingJob>>;
@@ -230,12 +257,14 @@
             auto rest = std::make_shared<std::vector<PendingJob>>();
             for (PendingJob &pendingJob : *batch) {
                 const auto existing = existingIds.find(keys::jobId(pendingJob.spec.id));
-                if (existing != existingIds.end() && keys::parseJobId(existing->second.value).submitted) {
+                if (existing == existingIds.end()) {
+                    rest->push_back(std::move(pendingJob));
+                } else if (!pendingJob.scope.allJobs) {
+                    compareWorkspaces(pendingJob, existing->second);
+                } else if (keys::parseJobId(existing->second.value).submitted) {
                     completeJob(pendingJob, JobApiOutcome::Done);
-                } else if (existing != existingIds.end()) {
-                    acceptAsCancelled(pendingJob, existing->second);
                 } else {
-                    rest->push_back(std::move(pendingJob));
+                    acceptAsCancelled(pendingJob, existing->second, nullptr);
                 }
             }
             if (rest->size() < batch->size() && !rest->empty()) {
@@ -271,12 +300,39 @@
         writePending();
     }
 
-    /// Accepts a job whose cancellation was stored before it. It stays cancelled and never runs.
-    void acceptAsCancelled(const PendingJob &pendingJob, const StoreItem &idItem)
+    /// Reads the record behind an id that exists, to learn whether the job is one of the caller's workspace.
+    void compareWorkspaces(const PendingJob &pendingJob, const StoreItem &idItem)
+    {
+        const keys::JobIdValue existing = keys::parseJobId(idItem.value);
+        readRecord(existing.partition, pendingJob.spec.id, [this, pendingJob, idItem, existing](const auto &lookup) {
+            if (lookup.outcome != JobApiOutcome::Done || (!existing.submitted && !isFinal(lookup.state))) {
+                completeJob(pendingJob, JobApiOutcome::Unknown);
+            } else if (existing.submitted) {
+                const bool included = pendingJob.scope.includes(lookup.record.spec.workspace);
+                completeJob(pendingJob, included ? JobApiOutcome::Done : JobApiOutcome::Forbidden);
+            } else if (lookup.record.isTakenFor(pendingJob.spec.workspace)) {
+                acceptAsCancelled(pendingJob, idItem, &lookup);
+            } else {
+                replaceTakenId(pendingJob, idItem, lookup);
+            }
+        });
+    }
+
+    /// Accepts a job whose cancellation was stored before it. It stays cancelled and never runs. `lookup`: record of
+    /// the cancellation, which becomes that of the job's workspace; null: there are no workspaces.
+    void acceptAsCancelled(const PendingJob &pendingJob, const StoreItem &idItem, const LookupResult *lookup)
     {
         StoreTxn txn;
+        const std::string partition = keys::parseJobId(idItem.value).partition;
         txn.expected.emplace_back(idItem.key, idItem.revision);
-        txn.writes.push_back({idItem.key, keys::encodeJobId({keys::parseJobId(idItem.value).partition, true}), 0});
+        txn.writes.push_back({idItem.key, keys::encodeJobId({partition, true}), 0});
+        if (lookup != nullptr) {
+            JobRecord record = lookup->record;
+            record.spec.workspace = pendingJob.spec.workspace;
+            record.takenFor.clear();
+            txn.expected.emplace_back(keys::job(partition, pendingJob.spec.id), lookup->revision);
+            txn.writes.push_back({keys::job(partition, pendingJob.spec.id), encodeJobRecord(record), 0});
+        }
         logEvent(LogLevel::Info, "job-cancelled-before", {{"job", pendingJob.spec.id}});
         m_store.commit(txn, m_settings.writeTimeout, [this, pendingJob](const StoreReply &reply) {
             recordStoreReply(reply);
@@ -285,6 +341,27 @@
         });
     }
 
+    /// Stores a job under an id that only other workspaces have cancelled.
+    void replaceTakenId(const PendingJob &pendingJob, const StoreItem &idItem, const LookupResult &lookup)
+    {
+        const std::string &id = pendingJob.spec.id;
+        JobRecord record;
+        record.spec = pendingJob.spec;
+        StoreTxn txn;
+        txn.expected.emplace_back(idItem.key, idItem.revision);
+        txn.expected.emplace_back(keys::job(lookup.partition, id), lookup.revision);
+        txn.writes.push_back({idItem.key, pendingJob.partition, 0});
+        txn.writes.push_back({keys::job(pendingJob.partition, id), encodeJobRecord(record), 0});
+        if (lookup.partition != pendingJob.partition) {
+            txn.removed.push_back(keys::job(lookup.partition, id));
+        }
+        logEvent(LogLevel::Info, "taken-id-replaced", {{"job", id}, {"workspace", pendingJob.spec.workspace}});
+        m_store.commit(txn, m_settings.writeTimeout, [this, pendingJob](const StoreReply &reply) {
+            recordStoreReply(reply);
+            completeJob(pendingJob, reply.outcome == StoreOutcome::Done ? JobApiOutcome::Done : JobApiOutcome::Unknown);
+        });
+    }
+
     void completeJob(const PendingJob &pendingJob, JobApiOutcome outcome, JobState state = JobState::Pending)
     {
         --m_inFlight;
@@ -330,6 +407,7 @@
                                  lookup.outcome = JobApiOutcome::Done;
                                  lookup.state = record.value().state;
                                  lookup.revision = reply.items.front().revision;
+                                 lookup.record = record.value();
                              } else {
                                  logEvent(LogLevel::Error, "job-unreadable", {{"job", id}});
                              }
@@ -355,69 +433,92 @@
 
     // Cancelling jobs
 
-    /// Cancels a job that no entry has stored. A request to submit it may still be on its way, read late by an entry
-    /// that stood still, or written late by the store. `NoSuchJob` is reported only once the id is taken, after which
-    /// none of these can store the job.
-    void cancelUnknownJob(const std::string &partition, const std::string &id, int attemptsLeft, const JobApiDone &done)
-    {
-        JobRecord record;
-        record.state = JobState::Cancelled;
-        record.endedMs = wallNowMs();
-        StoreTxn txn;
-        txn.expected.emplace_back(keys::jobId(id), 0);
-        txn.writes.push_back({keys::jobId(id), keys::encodeJobId({partition, false}), 0});
-        txn.writes.push_back({keys::job(partition, id), encodeJobRecord(record), 0});
-        m_store.commit(txn, m_settings.writeTimeout,
-                       [this, partition, id, attemptsLeft, done](const StoreReply &reply) {
-                           recordStoreReply(reply);
-                           if (reply.outcome == StoreOutcome::Done) {
-                               done({JobApiOutcome::NoSuchJob, JobState::Cancelled, 0});
-                           } else {
-                               retryCancel(partition, id, attemptsLeft, reply.outcome, done);
-                           }
-                       });
-    }
-
-    void retryCancel(const std::string &partition, const std::string &id, int attemptsLeft, StoreOutcome outcome,
-                     const JobApiDone &done)
+    void attemptCancel(Cancellation cancellation)
     {
-        if (attemptsLeft > 1 && (outcome == StoreOutcome::Conflict || outcome == StoreOutcome::Unknown)) {
-            attemptCancel(partition, id, attemptsLeft - 1, done);
-        } else {
-            const bool unknown = outcome == StoreOutcome::Unknown;
-            done({unknown ? JobApiOutcome::Unknown : JobApiOutcome::NotRun, JobState::Pending, 0});
-        }
-    }
-
-    void attemptCancel(const std::string &partition, const std::string &id, int attemptsLeft, JobApiDone done)
-    {
-        find(partition, id, [this, partition, id, attemptsLeft, done = std::move(done)](const LookupResult &lookup) {
+        const auto [partition, id] = std::pair(cancellation.partition, cancellation.id);
+        find(partition, id, [this, cancellation = std::move(cancellation)](const LookupResult &lookup) {
             if (lookup.outcome == JobApiOutcome::NoSuchJob) {
-                cancelUnknownJob(partition, id, attemptsLeft, done);
+                takeUnknownId(cancellation, nullptr);
+                return;
+            }
+            const CallerScope &scope = cancellation.scope;
+            if (lookup.outcome == JobApiOutcome::Done && !scope.includes(lookup.record.spec.workspace)) {
+                cancellation.done({JobApiOutcome::NoSuchJob, JobState::Pending, 0});
+                return;
+            }
+            if (lookup.outcome == JobApiOutcome::Done && !lookup.record.isTakenFor(scope.workspace)) {
+                takeUnknownId(cancellation, &lookup);
                 return;
             }
             if (lookup.outcome != JobApiOutcome::Done || isFinal(lookup.state)) {
-                done({lookup.outcome, lookup.state, 0});
+                cancellation.done({lookup.outcome, lookup.state, 0});
                 return;
             }
             JobRecord record;
             record.state = JobState::Cancelled;
+            record.spec.workspace = lookup.record.spec.workspace;
             record.endedMs = wallNowMs();
             StoreTxn txn;
-            txn.expected.emplace_back(keys::job(lookup.partition, id), lookup.revision);
-            txn.writes.push_back({keys::job(lookup.partition, id), encodeJobRecord(record), 0});
-            m_store.commit(txn, m_settings.writeTimeout,
-                           [this, partition, id, attemptsLeft, done](const StoreReply &reply) {
-                               recordStoreReply(reply);
-                               if (reply.outcome == StoreOutcome::Done) {
-                                   done({JobApiOutcome::Done, JobState::Cancelled, 0});
-                               } else {
-                                   retryCancel(partition, id, attemptsLeft, reply.outcome, done);
-                               }
-                           });
+            txn.expected.emplace_back(keys::job(lookup.partition, cancellation.id), lookup.revision);
+            txn.writes.push_back({keys::job(lookup.partition, cancellation.id), encodeJobRecord(record), 0});
+            m_store.commit(txn, m_settings.writeTimeout, [this, cancellation](const StoreReply &reply) {
+                recordStoreReply(reply);
+                if (reply.outcome == StoreOutcome::Done) {
+                    cancellation.done({JobApiOutcome::Done, JobState::Cancelled, 0});
+                } else {
+                    retryCancel(cancellation, reply.outcome);
+                }
+            });
         });
     }
 
+    /// Cancels a job that no entry has stored. A request to submit it may still be on its way, read late by an entry
+    /// that stood still, or written late by the store. `NoSuchJob` is reported only once the id is taken for the
+    /// caller's workspace, after which none of these can store a job of it. `taken`: record of an id that is taken for
+    /// other workspaces only; null: there is none.
+    void takeUnknownId(const Cancellation &cancellation, const LookupResult *taken)
+    {
+        JobRecord record = taken != nullptr ? taken->record : JobRecord();
+        record.state = JobState::Cancelled;
+        record.endedMs = wallNowMs();
+        if (!cancellation.scope.allJobs) {
+            record.takenFor.push_back(cancellation.scope.workspace);
+        }
+        if (record.takenFor.size() > m_settings.maxTakenFor || !m_unknownCancels.take(bootNow())) {
+            cancellation.done({cancellation.writeUnknown ? JobApiOutcome::Unknown : JobApiOutcome::Limited});
+            return;
+        }
+        const std::string partition = taken != nullptr ? taken->partition : cancellation.partition;
+        StoreTxn txn;
+        if (taken != nullptr) {
+            txn.expected.emplace_back(keys::job(partition, cancellation.id), taken->revision);
+        } else {
+            txn.expected.emplace_back(keys::jobId(cancellation.id), 0);
+            txn.writes.push_back({keys::jobId(cancellation.id), keys::encodeJobId({partition, false}), 0});
+        }
+        txn.writes.push_back({keys::job(partition, cancellation.id), encodeJobRecord(record), 0});
+        m_store.commit(txn, m_settings.writeTimeout, [this, cancellation](const StoreReply &reply) {
+            recordStoreReply(reply);
+            if (reply.outcome == StoreOutcome::Done) {
+                cancellation.done({JobApiOutcome::NoSuchJob, JobState::Cancelled, 0});
+            } else {
+                retryCancel(cancellation, reply.outcome);
+            }
+        });
+    }
+
+    void retryCancel(Cancellation cancellation, StoreOutcome outcome)
+    {
+        cancellation.writeUnknown = cancellation.writeUnknown || outcome == StoreOutcome::Unknown;
+        if (cancellation.attemptsLeft > 1 && (outcome == StoreOutcome::Conflict || outcome == StoreOutcome::Unknown)) {
+            --cancellation.attemptsLeft;
+            attemptCancel(std::move(cancellation));
+        } else {
+            cancellation.done(
+                {cancellation.writeUnknown ? JobApiOutcome::Unknown : JobApiOutcome::NotRun, JobState::Pending, 0});
+        }
+    }
+
     void addCounts(const std::string &text)
     {
         boost::system::error_code error;
@@ -434,6 +535,7 @@
     S &m_store;
     Timers &m_timers;
     JobApiSettings m_settings;
+    RateLimit m_unknownCancels;
     std::deque<PendingJob> m_pendingJobs;
     std::size_t m_inFlight = 0;
     int m_openWrites = 0;
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -224,6 +224,12 @@
     case JobApiOutcome::NotRun:
         reply(exchange, 503, platform::encodeError("the store cannot be reached"));
         return;
+    case JobApiOutcome::Forbidden:
+        reply(exchange, 403, platform::encodeError("the job id is in use"));
+        return;
+    case JobApiOutcome::Limited:
+        reply(exchange, 503, platform::encodeError("too many cancellations of unknown jobs at this entry"));
+        return;
     default:
         reply(exchange, 504, platform::encodeError("the outcome is not known; ask again with the same id"));
     }
@@ -304,9 +310,9 @@
     if (request.method == "POST") {
         submit(exchange, queue, scope, id, *partition);
     } else if (request.method == "GET") {
-        m_jobApi.state(*partition, id, answered);
+        m_jobApi.state(*partition, id, scope, answered);
     } else if (request.method == "DELETE") {
-        m_jobApi.cancel(*partition, id, [answered, id](const JobApiReply &result) {
+        m_jobApi.cancel(*partition, id, scope, [answered, id](const JobApiReply &result) {
             logEvent(LogLevel::Info, "job-cancel",
                      {{"job", id},
                       {"outcome", std::to_string(static_cast<int>(result.outcome))},
@@ -326,9 +332,12 @@
         reply(exchange, 400, platform::encodeError(spec.error().message));
         return;
     }
+    if (!queue.isPublic) {
+        spec.value().workspace = scope.workspace;
+    }
     const TimePoint arrived = bootNow();
     m_jobApi.submit(
-        std::move(spec.value()), partition,
+        std::move(spec.value()), partition, scope,
         [this, exchange, id, arrived, name = queue.name, workspace = scope.workspace,
          version = m_config.version](const JobApiReply &result) {
             const Duration took = bootNow() - arrived;
--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -22,6 +22,7 @@
 #include <deque>
 #include <set>
 #include <tuple>
+#include <unordered_map>
 
 namespace briarvane
 {
@@ -134,6 +135,12 @@
     }
 
 private:
+    struct FinalJob
+    {
+        TimePoint endedAt;
+        std::string id;
+    };
+
     /// Returns the times until which an earlier owner may send commands and its runs may continue. An owner that lost
     /// its partition may send commands until it detects the loss; an owner that released its partition stopped sending
     /// commands before the release.
@@ -239,6 +246,11 @@
             }
             return;
         }
+        // The record of an id that only a cancellation has taken may be followed by another one: that of a job of
+        // another workspace, or that of the cancelled job.
+        if (m_takenIds.erase(id) > 0) {
+            std::erase_if(m_finalJobs, [&id](const FinalJob &job) { return job.id == id; });
+        }
         if (item.removed) {
             return;
         }
@@ -254,7 +266,10 @@
             }
             const std::int64_t wall = wallNowMs();
             const std::int64_t age = std::clamp<std::int64_t>(wall - record.value().endedMs, 0, 600'000);
-            m_finalJobs.emplace_back(now - std::chrono::milliseconds(age), id);
+            m_finalJobs.push_back({now - std::chrono::milliseconds(age), id});
+            if (!record.value().takenFor.empty()) {
+                m_takenIds[id] = item.revision;
+            }
             return;
         }
         const auto progress = m_loadedProgress.find(id);
@@ -666,25 +681,36 @@
         });
     }
 
-    /// Removes the records of jobs whose final state is older than `finalStateRetention`.
+    /// Removes the records of jobs whose final state is older than `finalStateRetention`. The record of an id that only
+    /// a cancellation has taken is removed at the known revision, since a job may be stored in its place meanwhile.
     void collectGarbage()
     {
         const TimePoint now = bootNow();
         StoreTxn txn;
         txn.expected.emplace_back(keys::owner(m_partition), fencingToken());
-        constexpr std::size_t rowsPerJob = 2;
-        while (!m_finalJobs.empty() && now - m_finalJobs.front().first > m_settings.finalStateRetention
-               && txn.rows() + rowsPerJob <= StoreTxn::MaxRows) {
-            txn.removed.push_back(keys::job(m_partition, m_finalJobs.front().second));
-            txn.removed.push_back(keys::jobId(m_finalJobs.front().second));
+        constexpr std::size_t maxRowsPerJob = 3;
+        std::vector<FinalJob> batch;
+        while (!m_finalJobs.empty() && now - m_finalJobs.front().endedAt > m_settings.finalStateRetention
+               && txn.rows() + maxRowsPerJob <= StoreTxn::MaxRows) {
+            const std::string &id = m_finalJobs.front().id;
+            if (const auto taken = m_takenIds.find(id); taken != m_takenIds.end()) {
+                txn.expected.emplace_back(keys::job(m_partition, id), taken->second);
+            }
+            txn.removed.push_back(keys::job(m_partition, id));
+            txn.removed.push_back(keys::jobId(id));
+            batch.push_back(std::move(m_finalJobs.front()));
             m_finalJobs.pop_front();
         }
         if (!txn.removed.empty()) {
-            m_store.commit(txn, m_settings.storeTimeout, guarded([this](const StoreReply &reply) {
+            m_store.commit(txn, m_settings.storeTimeout,
+                           guarded([this, batch = std::move(batch)](const StoreReply &reply) {
                                if (reply.outcome != StoreOutcome::Done) {
                                    logRepeated(LogLevel::Warn, "garbage-kept", m_partition,
                                                {{"why", std::string(toString(reply.outcome))}});
                                }
+                               if (reply.outcome == StoreOutcome::Conflict) {
+                                   keepUnchanged(batch, reply);
+                               }
                            }));
         }
         later(m_settings.recordedExecutorsPeriod * 2, [this] {
@@ -693,6 +719,21 @@
         });
     }
 
+    /// Tries the removal of these jobs again, without those whose record has changed. A watch reports the change.
+    void keepUnchanged(const std::vector<FinalJob> &batch, const StoreReply &reply)
+    {
+        std::map<std::string, std::uint64_t> current;
+        for (const StoreItem &item : reply.items) {
+            current[item.key] = item.removed ? 0 : item.revision;
+        }
+        for (auto job = batch.rbegin(); job != batch.rend(); ++job) {
+            const auto taken = m_takenIds.find(job->id);
+            if (taken == m_takenIds.end() || current[keys::job(m_partition, job->id)] == taken->second) {
+                m_finalJobs.push_front(*job);
+            }
+        }
+    }
+
     S &m_store;
     FencedWriter<S> m_writer;
     Timers &m_timers;
@@ -708,7 +749,8 @@
     std::optional<std::vector<std::string>> m_vacated;  // ids in the last published report; none: no report yet
     std::uint64_t m_vacatedRevision = 0;                // list revision that the last published report refers to
     std::uint64_t m_vacatingRevision = 0;               // revision of the list of vacating executors in force
-    std::deque<std::pair<TimePoint, std::string>> m_finalJobs;  // time at which the job ended, and job id
+    std::deque<FinalJob> m_finalJobs;
+    std::unordered_map<std::string, std::uint64_t> m_takenIds;  // ids that only cancellations have taken, and revision
     std::string m_publishedCounts;
     std::string m_publishedLoad;
     TimePoint m_loadAt;
--- a/tests/run_partition_owner.cpp
+++ b/tests/run_partition_owner.cpp
@@ -402,6 +402,73 @@
     }
 }
 
+TEST_CASE("A job that takes the place of another workspace's cancelled id is not removed with that id")
+{
+    // Guards against this failure: an owner removes the records of a cancelled id after their time, and a job of
+    // another workspace, accepted under the same id meanwhile, is lost.
+    OwnerFixture fixture;
+    const std::string id = "00000000000000bb";
+    const std::string key = keys::job("supplies", id);
+    JobRecord taken;
+    taken.state = JobState::Cancelled;
+    taken.takenFor = {"mills"};
+    taken.endedMs = wallNowMs();
+    JobRecord job;
+    job.spec.id = id;
+    job.spec.service = "supplies";
+    job.spec.workspace = "quarries";
+    job.spec.steps.resize(1);
+    job.spec.steps[0].count = 1;
+    fixture.store.put(keys::jobId(id), keys::encodeJobId({"supplies", false}));
+    fixture.store.put(key, encodeJobRecord(taken));
+    PartitionOwnerHooks hooks;
+    hooks.sendCommand = [](const ExecutorCommand &, const PartitionOwnerHooks::CommandDone &) {};
+    hooks.requestAdvice = [](const AdviceRequest &, const PartitionOwnerHooks::AdviceDone &) {};
+    hooks.registerExecutor = [](const ExecutorRecord &) {};
+    hooks.listInstances = [](const auto &) {};
+    hooks.jobFinished = [](const Scheduler::Finished &) {};
+    hooks.ownershipLost = [](const std::string &, std::string_view) {};
+    const std::uint64_t token = fixture.store.put(keys::owner("supplies"), "e1");
+    PartitionOwnerSettings settings;
+    settings.finalStateRetention = 150ms;
+    settings.recordedExecutorsPeriod = 20ms;
+    PartitionOwner<UnreliableStore> owner(fixture.store, fixture.timers, Partition{"supplies"}, token,
+                                          keys::Predecessor::None, settings, std::move(hooks), bootNow(), bootNow());
+    owner.start();
+    fixture.runUntil([&] { return fixture.store.watched(keys::jobs("supplies")); });
+    REQUIRE_FALSE(fixture.store.value(key).empty());
+    const auto waitPastRetention = [&] {
+        bool waited = false;
+        fixture.timers.at(steadyNow() + 400ms, [&] { waited = true; });
+        fixture.runUntil([&] { return waited; });
+    };
+
+    SECTION("without such a job the id is freed")
+    {
+        waitPastRetention();
+        CHECK(fixture.store.value(key).empty());
+        CHECK(fixture.store.value(keys::jobId(id)).empty());
+    }
+    SECTION("the owner has not learned of the job yet")
+    {
+        fixture.store.put(keys::jobId(id), "supplies");
+        fixture.store.put(key, encodeJobRecord(job));
+        waitPastRetention();
+        CHECK(fixture.store.value(key) == encodeJobRecord(job));
+        CHECK(fixture.store.value(keys::jobId(id)) == "supplies");
+    }
+    SECTION("the owner schedules the job")
+    {
+        fixture.store.put(keys::jobId(id), "supplies");
+        fixture.store.put(key, encodeJobRecord(job));
+        fixture.store.report(keys::jobs("supplies"), key);
+        fixture.runUntil([&] { return owner.scheduler().openJobs() == 1; });
+        waitPastRetention();
+        CHECK(fixture.store.value(key) == encodeJobRecord(job));
+        CHECK(owner.scheduler().openJobs() == 1);
+    }
+}
+
 TEST_CASE("A write that the store applies late does not undo a newer write")
 {
     OwnerFixture fixture;
