--- a/src/deployment.cpp
+++ b/src/deployment.cpp
@@ -7,14 +7,34 @@
 
 const Queue *DeploymentConfig::queueFor(std::string_view host, std::string_view path) const
 {
-    const Queue *best = nullptr;
-    for (const Queue &queue : queues) {
-        if (queue.host == host && path.starts_with(queue.prefix)
-            && (best == nullptr || queue.prefix.size() > best->prefix.size())) {
-            best = &queue;
+    const auto ofHost = m_queuesByHost.find(std::string(host));
+    if (ofHost == m_queuesByHost.end()) {
+        return nullptr;
+    }
+    for (const std::size_t length : ofHost->second.lengths) {
+        if (length > path.size()) {
+            continue;
+        }
+        const auto found = ofHost->second.byPrefix.find(std::string(path.substr(0, length)));
+        if (found != ofHost->second.byPrefix.end()) {
+            return &queues[found->second];
         }
     }
-    return best;
+    return nullptr;
+}
+
+void DeploymentConfig::indexQueues()
+{
+    m_queuesByHost.clear();
+    for (std::size_t index = 0; index < queues.size(); ++index) {
+        QueuesOfHost &ofHost = m_queuesByHost[queues[index].host];
+        ofHost.byPrefix.emplace(queues[index].prefix, index);  // of equal prefixes the first one counts
+        ofHost.lengths.push_back(queues[index].prefix.size());
+    }
+    for (auto &[host, ofHost] : m_queuesByHost) {
+        std::sort(ofHost.lengths.begin(), ofHost.lengths.end(), std::greater());
+        ofHost.lengths.erase(std::unique(ofHost.lengths.begin(), ofHost.lengths.end()), ofHost.lengths.end());
+    }
 }
 
 const Workspace *DeploymentConfig::workspaceWithKey(const std::string &accessKey) const
--- a/src/deployment.h
+++ b/src/deployment.h
@@ -68,14 +68,23 @@
     Duration idleTimeout{15'000'000};
     Duration headerTimeout{3'000'000};
 
-    /// Null when no queue matches.
+    /// Null when no queue matches. Takes the same time however many queues there are.
     const Queue *queueFor(std::string_view host, std::string_view path) const;
     /// Null when no workspace has the key. Takes the same time however many keys there are.
     const Workspace *workspaceWithKey(const std::string &accessKey) const;
+    /// Prepares queueFor(). Called once after `queues` is filled in.
+    void indexQueues();
     /// Prepares workspaceWithKey(). Called once after `workspaces` is filled in.
     void indexAccessKeys();
 
 private:
+    struct QueuesOfHost
+    {
+        std::vector<std::size_t> lengths;                       // distinct lengths of the prefixes, longest first
+        std::unordered_map<std::string, std::size_t> byPrefix;  // index into `queues`
+    };
+
+    std::unordered_map<std::string, QueuesOfHost> m_queuesByHost;
     std::unordered_map<std::string, std::size_t> m_workspaceByKey;  // index into `workspaces`
 };
 
--- a/tests/core_jobs.cpp
+++ b/tests/core_jobs.cpp
@@ -145,9 +145,12 @@
 TEST_CASE("The host and the longest matching path prefix select the queue")
 {
     DeploymentConfig config;
-    config.queues
-        = {{"a", "one.example", "/x/", "s"}, {"b", "one.example", "/x/y/", "s"}, {"c", "two.example", "/", "s"}};
-    CHECK(config.queueFor("one.example", "/x/1")->name == "a");
+    config.queues = {{"a", "one.example", "/x/", "s"},
+                     {"b", "one.example", "/x/y/", "s"},
+                     {"c", "two.example", "/", "s"},
+                     {"d", "one.example", "/x/", "s"}};
+    config.indexQueues();
+    CHECK(config.queueFor("one.example", "/x/1")->name == "a");  // of two queues with one prefix, the first one
     CHECK(config.queueFor("one.example", "/x/y/1")->name == "b");
     CHECK(config.queueFor("two.example", "/x/y/1")->name == "c");
     CHECK(config.queueFor("one.example", "/z") == nullptr);
