--- a/src/caller_access.h
+++ b/src/caller_access.h
@@ -8,6 +8,7 @@
 // Index
 // [1] Scope
 // [2] Decision
+// [3] Age of the configuration
 
 #include "deployment.h"
 
@@ -43,6 +44,16 @@
 /// workspace, the caller may use the jobs of this workspace.
 CallerAccess decideAccess(const DeploymentConfig &config, const Queue &queue, const std::string *accessKey);
 
+// [3] Age of the configuration ----------------------------------------------------------------------------------------
+
+/// Whether a newer configuration may have to be in force already: it was not known to be the latest one within the time
+/// in which a version must take effect. An entry then can tell neither that a key is unknown nor that it still holds.
+/// `currentAt`: time at which the configuration was known to be the latest.
+constexpr bool mayBeOutdated(TimePoint currentAt, Duration applyTime, TimePoint now)
+{
+    return now - currentAt > applyTime;
+}
+
 template<>
 struct EnumNames<AccessOutcome>
 {
--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -576,6 +576,7 @@
     int fleetOwnerPauseMs = 3000;
     double gracePeriodS = 6;
     double statusRetentionS = 120;
+    int configApplyMs = 3000;
     bool checkOnly = false;
 };
 
@@ -610,6 +611,7 @@
     settings.runLeaseTime = std::chrono::milliseconds(std::min(arguments.maxLeaseMs, leaseLimitMs));
     settings.stopTime = std::chrono::milliseconds(arguments.stopTimeMs);
     settings.fleetOwnerPause = std::chrono::milliseconds(arguments.fleetOwnerPauseMs);
+    settings.configApplyTime = std::chrono::milliseconds(arguments.configApplyMs);
     settings.grace = std::chrono::milliseconds(static_cast<int>(arguments.gracePeriodS * 1000));
     // Final states are kept 1.5 times as long as they must stay readable.
     settings.finalStateRetention = std::chrono::milliseconds(static_cast<int>(arguments.statusRetentionS * 1500));
@@ -654,6 +656,8 @@
             ->capture_default_str();
     };
     milliseconds("longest-lease-ms", arguments.maxLeaseMs, "longest lease of a run that executors accept, ms");
+    milliseconds("config-apply-ms", arguments.configApplyMs,
+                 "time within which a new version of the configuration must be in force, ms");
     milliseconds("stop-ms", arguments.stopTimeMs, "time that an executor takes to stop a task, ms");
     milliseconds("holder-turn-ms", arguments.fleetOwnerPauseMs,
                  "least time between requests of two owners of the fleet for the same instance, ms");
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -38,7 +38,8 @@
     , m_machines(io, settings.machines.address, settings.machines.port, settings.name)
     , m_jobApi(m_store, m_timers, {})
     , m_operatorView(
-          m_store, m_timers, std::string(platform::OperatorPrefix), {.watchWait = ConfigWatchWait},
+          m_store, m_timers, std::string(platform::OperatorPrefix),
+          {.watchWait = ConfigWatchWait, .recheckWait = ConfigRecheckWait},
           [this](const StoreItem &item) { operatorItemChanged(item); }, [] {})
     , m_membershipView(
           m_store, m_timers, keys::Membership, {}, [this](const StoreItem &item) { membershipItemChanged(item); },
@@ -245,6 +246,15 @@
     const std::string *hostField = request.fields.find("Host");
     const std::string host = hostField == nullptr ? std::string() : hostField->substr(0, hostField->find(':'));
     const Queue *queue = m_config.queueFor(host, request.path());
+    // Load that this answers: a key or a queue is added or withdrawn while the store turns this entry away, or while
+    // its answers to the watch are lost.
+    const bool outdated = mayBeOutdated(m_operatorView.currentAt(), m_settings.configApplyTime, bootNow());
+    if (outdated && (queue == nullptr || !m_config.workspaces.empty())) {
+        logRepeated(LogLevel::Warn, "configuration-age-unknown", "callers",
+                    {{"config_version", std::to_string(m_config.version)}});
+        reply(exchange, 503, platform::encodeError("the configuration in force is not known"));
+        return;
+    }
     if (queue == nullptr) {
         reply(exchange, 404, platform::encodeError("no such queue"));
         return;
--- a/src/job_entry.h
+++ b/src/job_entry.h
@@ -24,6 +24,7 @@
     Duration fleetOwnerPause{3'000'000};  // shortest time between two owners' requests for one instance
     Duration grace{6'000'000};            // time between SIGTERM and SIGKILL
     Duration finalStateRetention{180'000'000};  // time for which callers can read a job's final state
+    Duration configApplyTime{3'000'000};        // time within which a new version of the configuration must be in force
     std::string settingsFile;  // changes to this file are only logged; they take effect at the next start
     std::string logLevel = "info";
 };
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -61,7 +61,9 @@
 constexpr Duration SettingsPeriod{2'000'000};
 /// Longest wait of a watch of the operators' configuration. A dead connection must be detected before a new
 /// configuration must be in force.
-constexpr Duration ConfigWatchWait{1'500'000};
+constexpr Duration ConfigWatchWait{1'400'000};
+/// Wait of the watch after one that failed, so that the entry soon knows whether its configuration is the latest.
+constexpr Duration ConfigRecheckWait{50'000};
 constexpr std::size_t MaxEntryConnections = 256;  // connections from other entries and from readers of the metrics
 constexpr int ExecutorConnections = 3;            // per executor: one for the report poll, two for starts and stops
 /// Time for which callers are served after the entry reports that it is not ready. The load balancer stops
--- a/src/store_view.h
+++ b/src/store_view.h
@@ -3,11 +3,13 @@
 // Follows the items under a prefix of the store: lists them page by page, then watches from the lowest revision of
 // these pages, so that no change between two pages is missed.
 
+#include "boot_clock.h"
 #include "guarded_call.h"
 #include "http_timers.h"
 #include "store.h"
 
 #include <map>
+#include <optional>
 
 namespace briarvane
 {
@@ -20,6 +22,9 @@
     /// Pause between two watches. All changes made during the pause are returned together in the reply to the next
     /// watch.
     Duration watchPause{0};
+    /// Longest wait of the watch after one that failed; unset: `watchWait`. A short one shows soon whether the view is
+    /// still current.
+    std::optional<Duration> recheckWait{};
 };
 
 /// `changed` is called for each item that is new, changed or removed (`value` is empty and `removed` is set then), in
@@ -53,6 +58,13 @@
     {
         return m_state->refreshedAt;
     }
+    /// Time of the boot clock at which the store is known to have had no change that the view lacks;
+    /// default-constructed: never. An answer says nothing about the time that it took to arrive, so this is the time at
+    /// which its call was sent, or for a watch without changes the end of its wait.
+    TimePoint currentAt() const
+    {
+        return m_state->currentAt;
+    }
     bool complete() const
     {
         return m_state->listed;
@@ -86,6 +98,7 @@
             listedRevisions.clear();
             after.clear();
             lowestRevision = 0;
+            sentAt = bootNow();
             listPage();
         }
 
@@ -130,6 +143,7 @@
                 applyItem(item);
             }
             revision = lowestRevision;
+            currentAt = sentAt;
             refreshDone();
         }
 
@@ -146,12 +160,14 @@
         void watch()
         {
             requestedAt = steadyNow();
-            store.watch(prefix, revision, settings.watchWait,
-                        [self = this->shared_from_this()](const StoreReply &reply) {
-                            if (!self->closed) {
-                                self->watchDone(reply);
-                            }
-                        });
+            sentAt = bootNow();
+            const Duration wait = recheck ? settings.recheckWait.value_or(settings.watchWait) : settings.watchWait;
+            sentWait = wait;
+            store.watch(prefix, revision, wait, [self = this->shared_from_this()](const StoreReply &reply) {
+                if (!self->closed) {
+                    self->watchDone(reply);
+                }
+            });
         }
 
         void watchDone(const StoreReply &reply)
@@ -160,10 +176,13 @@
                 list();
                 return;
             }
-            if (reply.outcome != StoreOutcome::Done) {
+            recheck = reply.outcome != StoreOutcome::Done;
+            if (recheck) {
                 later(&State::watch, settings.retryPause);
                 return;
             }
+            const bool waited = reply.items.empty() && bootNow() - sentAt >= sentWait;
+            currentAt = sentAt + (waited ? sentWait : Duration{0});
             for (const StoreItem &item : reply.items) {
                 applyItem(item);
             }
@@ -204,6 +223,10 @@
         std::uint64_t revision = 0;                            // the next watch starts after this revision
         TimePoint requestedAt;
         TimePoint refreshedAt;
+        TimePoint sentAt;  // boot clock: time at which the list or watch in progress was sent
+        Duration sentWait{0};
+        TimePoint currentAt;
+        bool recheck = false;  // the last watch failed
         bool listed = false;
         bool closed = false;
     };
--- a/tests/core_access.cpp
+++ b/tests/core_access.cpp
@@ -88,3 +88,14 @@
         CHECK(CallerScope{}.includes("mills"));
     }
 }
+
+TEST_CASE("A configuration counts as outdated once a newer one may have to be in force")
+{
+    // Guards against an entry that cannot reach the store and decides by a version that others have replaced.
+    const TimePoint current{std::chrono::seconds(100)};
+    constexpr Duration applyTime{3'000'000};
+    CHECK_FALSE(mayBeOutdated(current, applyTime, current));
+    CHECK_FALSE(mayBeOutdated(current, applyTime, current + applyTime));
+    CHECK(mayBeOutdated(current, applyTime, current + applyTime + Duration{1}));
+    CHECK(mayBeOutdated(TimePoint{}, applyTime, current));  // never known to be current
+}
--- a/tests/run_job_api.cpp
+++ b/tests/run_job_api.cpp
@@ -22,6 +22,7 @@
         std::string key;
         StoreTxn txn;
         StoreDone done;
+        Duration wait{0};  // longest wait of a watch
     };
 
     void read(const std::string &key, Duration, StoreDone done)
@@ -32,9 +33,9 @@
     {
         calls.push_back({"range", prefix, {}, std::move(done)});
     }
-    void watch(const std::string &prefix, std::uint64_t, Duration, StoreDone done)
+    void watch(const std::string &prefix, std::uint64_t, Duration wait, StoreDone done)
     {
-        calls.push_back({"watch", prefix, {}, std::move(done)});
+        calls.push_back({"watch", prefix, {}, std::move(done), wait});
     }
     void commit(const StoreTxn &txn, Duration, StoreDone done)
     {
@@ -811,3 +812,60 @@
         CHECK(viewedItems.at("s/a") == "2");
     }
 }
+
+TEST_CASE("A view of the store knows since when it is current")
+{
+    // Guards against an entry that goes on serving a withdrawn key, or refuses a new one, because it takes silence of
+    // the store for the absence of changes.
+    boost::asio::io_context io;
+    Timers timers(io);
+    ScriptedStore store;
+    constexpr Duration wait = 30ms;
+    StoreView<ScriptedStore> view(
+        store, timers, "s/",
+        {.watchWait = wait, .retryPause = Duration{0}, .watchPause = Duration{0}, .recheckWait = 5ms},
+        [](const StoreItem &) {}, [] {});
+    const auto runFor = [&io](Duration time) {
+        io.restart();
+        io.run_for(time);
+    };
+    CHECK(view.currentAt() == TimePoint{});
+    const TimePoint before = bootNow();
+    view.start();
+    const TimePoint started = bootNow();
+    runFor(40ms);
+    store.answer("range", StoreOutcome::Done, {item("s/a", "1", 3)});
+    CHECK(view.currentAt() >= before);
+    CHECK(view.currentAt() <= started);  // not the time of the answer
+    runFor(5ms);
+    const TimePoint listed = view.currentAt();
+    REQUIRE(store.calls.size() == 1);
+
+    SECTION("a watch without changes shows the end of its wait, however late its answer is read")
+    {
+        runFor(100ms);
+        store.answer("watch", StoreOutcome::Done);
+        CHECK(view.currentAt() >= listed + wait);
+        CHECK(bootNow() - view.currentAt() >= 60ms);
+    }
+    SECTION("a watch with changes shows the time at which it was sent")
+    {
+        runFor(20ms);
+        const TimePoint answered = bootNow();
+        store.answer("watch", StoreOutcome::Done, {item("s/a", "2", 9)});
+        CHECK(view.currentAt() <= answered - 20ms);
+    }
+    SECTION("a watch that fails shows nothing, and the next one does not wait long")
+    {
+        runFor(20ms);
+        CHECK(store.calls.front().wait == wait);
+        store.answer("watch", StoreOutcome::Unknown);
+        CHECK(view.currentAt() == listed);
+        runFor(5ms);
+        CHECK(store.calls.front().wait == Duration{5ms});
+        store.answer("watch", StoreOutcome::Done);
+        CHECK(view.currentAt() > listed);
+        runFor(5ms);
+        CHECK(store.calls.front().wait == wait);
+    }
+}
