--- a/tests/job_demo.cpp
+++ b/tests/job_demo.cpp
@@ -1,7 +1,8 @@
 // Demonstration of `briarvane serve`: three entries and a stand-in of a deployment run as separate processes on
 // loopback while callers submit jobs. One entry is killed, an instance crashes, a maintenance wave is requested, and
 // the store fails for a while. Prints a table with one row per queue and the log lines of one refused, one failed and
-// one late job. The exit code is 1 when a guarantee was violated.
+// one late job. An access key is withdrawn while its holder goes on sending. The exit code is 1 when a guarantee was
+// violated.
 
 #include "harness.h"
 
@@ -65,6 +66,17 @@
      2, false, ReportTimes},
 };
 
+/// The callers' keys. Each service's queues are called by one workspace. The second key of "mills" is withdrawn.
+const std::string MillsKey = "demo-key-mills-1";
+const std::string WithdrawnKey = "demo-key-mills-2";
+const std::string QuarriesKey = "demo-key-quarries";
+constexpr int ConfigApplyMs = 3000;  // time within which a version of the configuration must be in force
+
+std::string keyOf(const JobKind &jobKind)
+{
+    return jobKind.service == "vendors" ? MillsKey : QuarriesKey;
+}
+
 enum class Acceptance { Accepted, Refused, Unknown };
 
 struct JobCall
@@ -140,8 +152,13 @@
     Response call(int entry, const std::string &method, const JobKind &jobKind, const std::string &id,
                   const std::string &body) const
     {
-        return harness::request(callerPort(entry), method, "/" + jobKind.queue + "/" + id, {{"Host", "demo.example"}},
-                                body, CallTimeoutMs);
+        return call(entry, method, jobKind, id, body, keyOf(jobKind));
+    }
+    Response call(int entry, const std::string &method, const JobKind &jobKind, const std::string &id,
+                  const std::string &body, const std::string &key) const
+    {
+        return harness::request(callerPort(entry), method, "/" + jobKind.queue + "/" + id,
+                                {{"Host", "demo.example"}, {"X-Key", key}}, body, CallTimeoutMs);
     }
     Response control(const std::string &method, const std::string &target, const std::string &body = {}) const
     {
@@ -197,7 +214,7 @@
     int m_starts[Entries] = {};
 };
 
-std::string configuration()
+std::string configuration(int version, const std::vector<std::string> &millsKeys)
 {
     json::array routes;
     for (const JobKind &jobKind : JobKinds) {
@@ -218,8 +235,13 @@
     for (const std::string name : {"vendors", "supplies", "spare"}) {
         services.push_back(json::object{{"name", name}, {"max_conns", 8}, {"spare", name == "spare"}});
     }
-    return json::serialize(json::object{
-        {"version", 1}, {"routes", routes}, {"services", services}, {"limits", json::object{{"body_bytes", 65'536}}}});
+    const json::array tenants{json::object{{"name", "mills"}, {"api_keys", json::value_from(millsKeys)}},
+                              json::object{{"name", "quarries"}, {"api_keys", json::array{QuarriesKey}}}};
+    return json::serialize(json::object{{"version", version},
+                                        {"routes", routes},
+                                        {"services", services},
+                                        {"tenants", tenants},
+                                        {"limits", json::object{{"body_bytes", 65'536}}}});
 }
 
 std::string newId(std::mt19937_64 &random)
@@ -349,6 +371,64 @@
     bool m_held = true;
 };
 
+/// Withdraws a key while its holder goes on sending to all entries. Once the version must be in force, no entry may
+/// serve the key, and the workspace's other key must hold all the time. Entries that cannot tell may answer 503.
+void checkWithdrawnKey(const Deployment &deployment, GuaranteeChecks &checks)
+{
+    const JobKind &jobKind = JobKinds[0];
+    const auto length
+        = [&](int entry, const std::string &key) { return deployment.call(entry, "GET", jobKind, {}, {}, key).status; };
+    for (int entry = 0; entry < Entries; ++entry) {
+        checks.require(length(entry, WithdrawnKey) == 200, "a key is refused though the configuration has it");
+        checks.require(length(entry, "demo-key-invented") == 401, "a key that nobody has is served");
+        checks.require(length(entry, QuarriesKey) == 200, "another workspace cannot use the queue");
+    }
+    checks.require(deployment.control("PUT", "/test/put?key=op/config", configuration(2, {MillsKey})).status == 200,
+                   "the second configuration was not stored");
+    const auto storedAt = std::chrono::steady_clock::now();
+    const auto sinceStored = [storedAt] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - storedAt)
+            .count();
+    };
+    long lastServedMs = 0;
+    while (sinceStored() < 2 * ConfigApplyMs) {
+        for (int entry = 0; entry < Entries; ++entry) {
+            const auto sentMs = sinceStored();
+            if (length(entry, WithdrawnKey) == 200) {
+                lastServedMs = std::max(lastServedMs, static_cast<long>(sentMs));
+            }
+            checks.require(length(entry, MillsKey) != 401, "the other key of a workspace is refused");
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    std::cout << "a withdrawn key was last served " << lastServedMs << " ms after the version was stored" << std::endl;
+    checks.require(lastServedMs <= ConfigApplyMs, "a key was served too long after it was withdrawn");
+    for (int entry = 0; entry < Entries; ++entry) {
+        checks.require(length(entry, WithdrawnKey) == 401, "a withdrawn key is not refused with 401");
+    }
+}
+
+/// A job does not exist for callers of another workspace, and they cannot take its id.
+void checkForeignCaller(const Deployment &deployment, const std::vector<JobCall> &calls, GuaranteeChecks &checks)
+{
+    const auto own = std::find_if(calls.begin(), calls.end(), [](const JobCall &call) {
+        return call.acceptance == Acceptance::Accepted && call.jobKind == &JobKinds[0];
+    });
+    if (own == calls.end()) {
+        return;
+    }
+    const std::string body
+        = R"({"spec":")" + own->jobKind->payload + R"(","steps":)" + std::string(own->jobKind->steps) + "}";
+    const auto status = [&](const std::string &method, const std::string &key) {
+        return deployment.call(1, method, *own->jobKind, own->id, method == "POST" ? body : std::string(), key).status;
+    };
+    checks.require(status("GET", QuarriesKey) == 410, "a job is shown to another workspace");
+    checks.require(status("DELETE", QuarriesKey) == 410, "a job is cancelled by another workspace");
+    checks.require(status("POST", QuarriesKey) == 403, "the id of a job is taken by another workspace");
+    checks.require(status("POST", MillsKey) == 200, "a job that is submitted again is not the same job");
+    checks.require(status("GET", MillsKey) == 200, "a job is not shown to its workspace");
+}
+
 QueueSummary summarizeQueue(const Deployment &deployment, const std::vector<JobCall> &calls, const JobKind &jobKind,
                             const json::object &tasks, GuaranteeChecks &checks)
 {
@@ -464,8 +544,9 @@
         return 1;
     }
     GuaranteeChecks checks;
-    checks.require(deployment.control("PUT", "/test/put?key=op/config", configuration()).status == 200,
-                   "the configuration was not stored");
+    checks.require(
+        deployment.control("PUT", "/test/put?key=op/config", configuration(1, {MillsKey, WithdrawnKey})).status == 200,
+        "the configuration was not stored");
     for (const std::string service : {"vendors", "supplies"}) {
         if (partitions > 1) {
             checks.require(
@@ -513,7 +594,13 @@
     for (std::thread &caller : callers) {
         caller.join();
     }
+    std::cout << "a key is withdrawn" << std::endl;
+    checkWithdrawnKey(deployment, checks);
     checks.require(awaitEnds(deployment, calls.all), "accepted jobs did not end");
+    checkForeignCaller(deployment, calls.all, checks);
+    for (const std::string &key : {MillsKey, WithdrawnKey, QuarriesKey, std::string("demo-key-invented")}) {
+        checks.require(deployment.logLinesOf(key).empty(), "a log line contains an access key");
+    }
     for (int index = 0; index < Entries; ++index) {
         checks.require(deployment.entry(index).wait(0) == std::nullopt,
                        "entry " + std::to_string(index) + " ended by itself");
