--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -337,6 +337,12 @@
 void JobEntry::submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const CallerScope &scope,
                       const std::string &id, const std::string &partition)
 {
+    const TimePoint arrived = bootNow();
+    m_standstill.alive(arrived);
+    if (m_standstill.mayReadLate(arrived)) {
+        reply(exchange, 503, platform::encodeError("this entry stood still; the request may be an old one"));
+        return;
+    }
     auto spec = platform::decodeJob(id, queue, exchange->request().body, wallNowMs());
     if (!spec) {
         reply(exchange, 400, platform::encodeError(spec.error().message));
@@ -345,7 +351,6 @@
     if (!queue.isPublic) {
         spec.value().workspace = scope.workspace;
     }
-    const TimePoint arrived = bootNow();
     m_jobApi.submit(
         std::move(spec.value()), partition, scope,
         [this, exchange, id, arrived, name = queue.name, workspace = scope.workspace,
@@ -450,6 +455,7 @@
 /// Logs the counters of calls to the store, of owned partitions and of connections.
 void JobEntry::logSummary()
 {
+    m_standstill.alive(bootNow());
     const platform::StoreCounts &calls = m_store.counts();
     const LogDrops drops = logDrops();
     logEvent(LogLevel::Info, "entry-state",
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -18,6 +18,7 @@
 #include "ownership_records.h"
 #include "partition_owner.h"
 #include "settings_file.h"
+#include "standstill.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -71,6 +72,12 @@
 constexpr Duration StopLead{2'600'000};
 constexpr Duration StopSlack{700'000};  // the process exits this long before SIGKILL would be sent
 
+/// Standstill of the process after which requests that it reads may be older than the ids of cancelled jobs are kept.
+/// It is far below `finalStateRetention`, and far above the pauses of a busy machine.
+constexpr Duration StandstillLimit{30'000'000};
+/// Time after a standstill within which the requests that waited are read or their connections have timed out.
+constexpr Duration StandstillDrain{10'000'000};
+
 // [2] The process of `briarvane serve` --------------------------------------------------------------------------------
 
 /// The process behind `briarvane serve`. All its functions run on the I/O thread.
@@ -175,6 +182,7 @@
     std::optional<HttpServer> m_metricsServer;
     boost::asio::signal_set m_signals;
     SettingsFile m_settingsFile;
+    StandstillDetector m_standstill{StandstillLimit, StandstillDrain};
     Metrics m_metrics;
 
     DeploymentConfig m_config;
