Place waiting tasks with shares of the room by workspace

Passes order jobs by queue_order: with workspaces in the configuration by shares, else by cost. A job that its workspace sends beyond its weight is counted (briarvane_share_beyond_weight_total) and marked in its job-ended line. core_scheduler and core_features pass.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -117,6 +117,9 @@
             }
             m_fleet->setSparePools(std::move(spare));
         }
+        for (const auto &[partition, owner] : m_partitions) {
+            owner->setWorkspaces(m_config.workspaces);
+        }
         return;
     }
     if (item.key.starts_with(platform::WavePrefix)) {
@@ -447,6 +450,7 @@
         m_metrics.set("briarvane_share_stops_total", labels, static_cast<double>(counts.stops));
         m_metrics.set("briarvane_share_requeued_total", labels, static_cast<double>(counts.requeued));
         m_metrics.set("briarvane_share_refused_starts_total", labels, static_cast<double>(counts.refusedStarts));
+        m_metrics.set("briarvane_share_beyond_weight_total", labels, static_cast<double>(counts.beyondWeight));
         m_metrics.set("briarvane_share_open_jobs", labels, static_cast<double>(owner->scheduler().openJobs()));
     }
     return formatExposition(m_metrics.list());
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -391,6 +391,7 @@
         owner->setExecutors(m_executorList);
     }
     owner->setMaxAdviceCalls(m_adviceRoutes.maxPendingCalls());
+    owner->setWorkspaces(m_config.workspaces);
     owner->start();
     m_partitions[partition] = std::move(owner);
 }
--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -120,6 +120,12 @@
         schedulePass();
     }
 
+    void setWorkspaces(const std::vector<Workspace> &workspaces)
+    {
+        guarded([&] { m_scheduler.setWorkspaces(workspaces); })();
+        schedulePass();
+    }
+
     void setMaxAdviceCalls(int calls)
     {
         m_scheduler.setMaxAdviceCalls(calls);
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -88,6 +88,11 @@
             }
         }
     }
+    if (const auto workspace = m_workspaceIndices.find(job->spec.workspace); workspace != m_workspaceIndices.end()) {
+        const int weight = m_workspaces[static_cast<std::size_t>(workspace->second)].weight;
+        job->beyondWeight = m_workspaceArrivals.record(job->spec.workspace, weight, job->acceptedAt);
+        m_counts.beyondWeight += job->beyondWeight ? 1 : 0;
+    }
     QueueWork &queue = m_workPerQueue[job->spec.queue];
     for (const StepSpec &step : job->spec.steps) {
         queue.work += 1e-9 * step.count * step.each.milliCores * static_cast<double>(step.estimate.count());
@@ -101,6 +106,16 @@
     m_placementNeeded = true;
 }
 
+void Scheduler::setWorkspaces(const std::vector<Workspace> &workspaces)
+{
+    m_workspaces = workspaces;
+    m_workspaceIndices.clear();
+    for (std::size_t i = 0; i < workspaces.size(); ++i) {
+        m_workspaceIndices[workspaces[i].name] = static_cast<int>(i);
+    }
+    m_placementNeeded = true;
+}
+
 void Scheduler::openDueOccurrences(Job &job, TimePoint /*now*/, std::int64_t wallMs)
 {
     if (job.spec.occurrences == 0) {
@@ -198,8 +213,9 @@
     m_counts.late += inTime ? 0 : 1;
     m_finished.push_back({job.spec.queue, now - job.acceptedAt, inTime});
     logDecision("job-ended", job.spec.id,
-                "state=" + std::string(toString(state)) + " queue=" + job.spec.queue + " total_ms="
-                    + std::to_string((now - job.acceptedAt).count() / 1000) + " in_time=" + (inTime ? "yes" : "no"));
+                "state=" + std::string(toString(state)) + " queue=" + job.spec.queue
+                    + " total_ms=" + std::to_string((now - job.acceptedAt).count() / 1000)
+                    + " in_time=" + (inTime ? "yes" : "no") + (job.beyondWeight ? " beyond_weight=yes" : ""));
     stopAllRuns(job, now, "job-ended");
 }
 
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -12,6 +12,7 @@
 
 #include "executor.h"
 #include "pool_planner.h"
+#include "queue_order.h"
 
 #include <algorithm>
 #include <memory>
@@ -161,6 +162,7 @@
     TimePoint acceptedAt;
     TimePoint firstDue;            // due time of the first occurrence of a scheduled job
     Duration latencyObjective{0};  // counted from the acceptance, or from the due time of a scheduled occurrence
+    bool beyondWeight = false;     // its workspace sent more jobs a second than its weight
     bool misfitLogged = false;     // the log already says that no registered executor has the required size and label
 };
 
@@ -233,6 +235,7 @@
 
 struct SchedulerCounts
 {
+    std::uint64_t beyondWeight = 0;  // jobs that their workspace sent beyond its weight in jobs a second
     std::uint64_t starts = 0;
     std::uint64_t stops = 0;
     std::uint64_t completed = 0;
@@ -271,6 +274,9 @@
     void endJob(const std::string &id, JobState state, TimePoint now);  // ends the job on a caller's request
     bool hasJob(const std::string &id) const;
 
+    /// Sets the workspaces of the configuration in force. Without workspaces the queue order knows none.
+    void setWorkspaces(const std::vector<Workspace> &workspaces);
+
     // Executors
     /// Sets the complete list of registered executors.
     void setExecutors(const std::vector<ExecutorRecord> &records, TimePoint now);
@@ -389,6 +395,12 @@
     void adjustPace(Executor &executor, TimePoint now);
     int unavailableInStep(const Job &job, const TaskName &name, TimePoint now) const;
     void placeWaitingTasks(TimePoint now);
+    void placeJob(Job &job, TimePoint now);
+    static bool hasWaitingTask(const Job &job);
+    QueuedJob describe(const Job &job, const Resources &pool, TimePoint now) const;
+    Resources poolCapacity() const;
+    Resources usedResources() const;
+    std::vector<WorkspaceUse> workspaceUses(const Resources &pool) const;
     bool placeStep(Job &job, int occurrence, int step, TimePoint now);
     bool knownUnplaceable(const StepSpec &step) const;
     void handleNoRoom(Job &job, int occurrence, int step, TimePoint now);
@@ -448,6 +460,9 @@
     std::vector<Finished> m_finished;
     SchedulerCounts m_counts;
     std::map<std::string, QueueWork> m_workPerQueue;
+    std::vector<Workspace> m_workspaces;
+    std::unordered_map<std::string, int> m_workspaceIndices;  // into m_workspaces, by name
+    WorkspaceArrivals m_workspaceArrivals;
 
     /// A demand that no executor could meet in the present placement pass.
     struct UnmetDemand
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -30,21 +30,13 @@
     return longest;
 }
 
-/// Where a job stands against its latency objective, in the order of placement. A job that ends late has little value,
-/// and none after three times its objective.
-enum class ObjectiveStatus {
-    LongRunning,  // has no objective
-    Reachable,
-    Late,
-    Expired,  // will end after three times its objective
-};
-
-struct Candidate
+/// Share of the pool's scarcest resource that `use` takes.
+double largestShare(const Resources &use, const Resources &pool)
 {
-    Job *job = nullptr;
-    ObjectiveStatus objectiveStatus = ObjectiveStatus::Reachable;
-    double cost = 0;  // remaining core-seconds per unit of value
-};
+    const auto share = [](int part, int whole) { return whole > 0 ? static_cast<double>(part) / whole : 0; };
+    return std::max(
+        {share(use.milliCores, pool.milliCores), share(use.memoryMb, pool.memoryMb), share(use.gpus, pool.gpus)});
+}
 
 /// Core-seconds of the job's occurrences that have fallen due, by the declared times. `remainingOnly` leaves out the
 /// tasks that are done.
@@ -72,57 +64,130 @@
     });
 }
 
-/// Places waiting tasks in queue order. The order is designed for times when a queue demands more than its pool has
-/// for some seconds, so that not every job can meet its latency objective. After long-running jobs come the jobs whose
-/// objective is still reachable, by priority and then by remaining core-seconds per unit of value. Since a started job
-/// has less work left, it tends to finish before a similar one begins. Placing the job with the least slack first gave
-/// worse results: it spends the room on jobs that are about to be late.
+bool Scheduler::hasWaitingTask(const Job &job)
+{
+    return std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto &item) {
+        return std::any_of(item.second.steps.begin(), item.second.steps.end(), [](const std::vector<Task> &tasks) {
+            return std::any_of(tasks.begin(), tasks.end(),
+                               [](const Task &task) { return !task.done && task.executor.empty(); });
+        });
+    });
+}
+
+/// Inputs of the queue order about one job.
+QueuedJob Scheduler::describe(const Job &job, const Resources &pool, TimePoint now) const
+{
+    QueuedJob queued;
+    queued.id = job.spec.id;
+    queued.priority = job.spec.priority;
+    queued.longRunning = !job.spec.steps.empty() && job.spec.steps.front().longRunning;
+    queued.age = now - job.acceptedAt;
+    queued.untilObjective = objectiveDeadline(job) - now;
+    queued.untilWorthless = queued.untilObjective + 2 * job.latencyObjective;
+    queued.remainingChain = remainingChain(job);
+    queued.remainingWork = declaredWork(job, true);
+    const double work = declaredWork(job, false);
+    const auto queue = m_workPerQueue.find(job.spec.queue);
+    const bool known = queue != m_workPerQueue.end() && queue->second.jobs > 0 && queue->second.work > 0;
+    // The value of a job to its users depends on the ratio of its work to the mean work of its queue's jobs.
+    queued.value = 0.3 + (known ? 0.7 * work * queue->second.jobs / queue->second.work : 0.7);
+    if (const auto workspace = m_workspaceIndices.find(job.spec.workspace); workspace != m_workspaceIndices.end()) {
+        queued.workspace = workspace->second;
+        queued.beyondWeight = job.beyondWeight;
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
+                const auto position = static_cast<std::size_t>(step);
+                if (!stepReady(job, occurrence, step)) {
+                    continue;
+                }
+                const auto &tasks = occurrence.steps[position];
+                const auto waiting = std::count_if(
+                    tasks.begin(), tasks.end(), [](const Task &task) { return !task.done && task.executor.empty(); });
+                queued.demand
+                    += static_cast<double>(waiting) * largestShare(requestedResources(job.spec.steps[position]), pool);
+            }
+        }
+    }
+    return queued;
+}
+
+/// Resources of all executors that may have runs or get some.
+Resources Scheduler::poolCapacity() const
+{
+    Resources capacity;
+    for (const auto &[id, executor] : m_executors) {
+        if (executor.listed && executor.adopted) {
+            capacity += executor.record.capacity;
+        }
+    }
+    return capacity;
+}
+
+/// Resources of all runs.
+Resources Scheduler::usedResources() const
+{
+    Resources used;
+    for (const auto &[id, executor] : m_executors) {
+        used += executor.used;
+    }
+    return used;
+}
+
+/// By workspace: the share of the pool that its runs take.
+std::vector<WorkspaceUse> Scheduler::workspaceUses(const Resources &pool) const
+{
+    std::vector<Resources> used(m_workspaces.size());
+    for (const auto &[id, executor] : m_executors) {
+        for (const auto &[name, run] : executor.runs) {
+            const auto job = m_jobs.find(run.task.job);
+            const auto workspace
+                = job == m_jobs.end() ? m_workspaceIndices.end() : m_workspaceIndices.find(job->second->spec.workspace);
+            if (workspace != m_workspaceIndices.end()) {
+                used[static_cast<std::size_t>(workspace->second)] += run.allocated;
+            }
+        }
+    }
+    std::vector<WorkspaceUse> uses;
+    for (std::size_t i = 0; i < m_workspaces.size(); ++i) {
+        uses.push_back({static_cast<double>(m_workspaces[i].weight), largestShare(used[i], pool)});
+    }
+    return uses;
+}
+
+/// Places waiting tasks in queue order. Long-running jobs come first; see queueOrder() for the others.
 void Scheduler::placeWaitingTasks(TimePoint now)
 {
     m_placementNeeded = false;
     m_nextPlacementAt = TimePoint::max();
-    std::vector<Candidate> candidates;
+    const Resources pool = poolCapacity();
+    std::vector<QueuedJob> queue;
+    std::vector<Job *> jobs;
     for (auto &[id, job] : m_jobs) {
-        if (isFinal(job->state)) {
-            continue;
+        if (!isFinal(job->state) && hasWaitingTask(*job)) {
+            queue.push_back(describe(*job, pool, now));
+            jobs.push_back(job.get());
         }
-        bool waiting = false;
-        for (const auto &[number, occurrence] : job->occurrences) {
-            for (std::size_t step = 0; !waiting && step < occurrence.steps.size(); ++step) {
-                waiting = occurrence.done[step] < job->spec.steps[step].count
-                    && std::any_of(occurrence.steps[step].begin(), occurrence.steps[step].end(),
-                                   [](const Task &task) { return !task.done && task.executor.empty(); });
-            }
-        }
-        if (!waiting) {
+    }
+    const bool shared = !m_workspaces.empty() && !queue.empty();
+    m_unmetDemands.clear();
+    for (const std::size_t index : queueOrder(shared ? QueuePolicy::FairShare : QueuePolicy::Cost, queue,
+                                              shared ? workspaceUses(pool) : std::vector<WorkspaceUse>())) {
+        if (queue[index].beyondWeight && !mayTakeRoom(queue[index], largestShare(usedResources(), pool))) {
+            m_nextPlacementAt = now + m_settings.placementInterval;
             continue;
         }
-        const Duration slack = objectiveDeadline(*job) - now - remainingChain(*job);
-        const bool isLong = !job->spec.steps.empty() && job->spec.steps.front().longRunning;
-        const double work = declaredWork(*job, false);
-        const QueueWork &queue = m_workPerQueue[job->spec.queue];
-        const double meanWork = queue.jobs > 0 ? queue.work / queue.jobs : work;
-        // The value of a job to its users depends on the ratio of its work to the mean work of its queue's jobs.
-        const double value = 0.3 + (meanWork > 0 ? 0.7 * work / meanWork : 0.7);
-        const ObjectiveStatus objectiveStatus = isLong ? ObjectiveStatus::LongRunning
-            : slack >= Duration{0}                     ? ObjectiveStatus::Reachable
-            : -slack < 2 * job->latencyObjective       ? ObjectiveStatus::Late
-                                                       : ObjectiveStatus::Expired;
-        candidates.push_back({job.get(), objectiveStatus, declaredWork(*job, true) / value});
+        placeJob(*jobs[index], now);
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        return std::tuple(left.objectiveStatus, left.job->spec.priority, left.cost, left.job->spec.id)
-            < std::tuple(right.objectiveStatus, right.job->spec.priority, right.cost, right.job->spec.id);
-    });
-    m_unmetDemands.clear();
-    for (const Candidate &candidate : candidates) {
-        for (auto &[number, occurrence] : candidate.job->occurrences) {
-            for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
-                if (occurrence.done[static_cast<std::size_t>(step)]
-                        < candidate.job->spec.steps[static_cast<std::size_t>(step)].count
-                    && stepReady(*candidate.job, occurrence, step) && !placeStep(*candidate.job, number, step, now)) {
-                    m_nextPlacementAt = now + m_settings.placementInterval;
-                }
+}
+
+void Scheduler::placeJob(Job &job, TimePoint now)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (int step = 0; step < static_cast<int>(occurrence.steps.size()); ++step) {
+            const auto position = static_cast<std::size_t>(step);
+            if (occurrence.done[position] < job.spec.steps[position].count && stepReady(job, occurrence, step)
+                && !placeStep(job, number, step, now)) {
+                m_nextPlacementAt = now + m_settings.placementInterval;
             }
         }
     }
