--- a/src/queue_order.cpp
+++ b/src/queue_order.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// Time over which a workspace may exceed its weight in jobs a second. Callers send several jobs in a row.
-constexpr Duration ArrivalWindow{2'000'000};
+/// Jobs that a workspace may send at once. Callers send several jobs in a row, and queues have peaks.
+constexpr double ArrivalBurst = 20;
 /// Run times differ from the declared ones by up to this fraction for most tasks.
 constexpr double DeclaredTimeError = 0.3;
 /// Share of the pool that jobs beyond their workspace's weight leave free, so that jobs that others are owed find room
@@ -21,6 +21,9 @@
 /// A workspace may exceed its share by this factor before its jobs come after those of others. Strict shares would
 /// spend room on costly jobs of one workspace while cheap jobs of others become late.
 constexpr double ShareTolerance = 1.3;
+/// Each workspace may exceed its share by this much of the pool, which is room for a few jobs. The use of a small
+/// workspace jumps with every job.
+constexpr double SmallestShare = 0.02;
 constexpr double SmallestWeight = 1e-6;
 
 /// Groups of FairShare, in order.
@@ -79,7 +82,7 @@
         const double weight = std::max(SmallestWeight, workspaces[i].weight);
         const double share = std::max(0.0, room) * weight / weights;
         if (demands[i] > share) {
-            limits[i] = ShareTolerance * share;
+            limits[i] = std::max(ShareTolerance * share, share + SmallestShare);
         }
         room -= std::min(demands[i], share);
         weights -= weight;
@@ -196,15 +199,17 @@
 
 bool WorkspaceArrivals::record(const std::string &workspace, int weight, TimePoint at)
 {
-    std::deque<TimePoint> &owed = m_owed[workspace];
-    while (!owed.empty() && owed.front() + ArrivalWindow <= at) {
-        owed.pop_front();
+    const auto [item, isNew] = m_allowances.try_emplace(workspace, Allowance{ArrivalBurst, at});
+    Allowance &allowance = item->second;
+    if (at > allowance.at) {
+        const double refill = weight * std::chrono::duration<double>(at - allowance.at).count();
+        allowance.jobs = std::min(ArrivalBurst, allowance.jobs + refill);
+        allowance.at = at;
     }
-    const double limit = weight * std::chrono::duration<double>(ArrivalWindow).count();
-    if (static_cast<double>(owed.size()) >= limit) {
+    if (allowance.jobs < 1) {
         return true;
     }
-    owed.push_back(at);
+    --allowance.jobs;
     return false;
 }
 
--- a/src/queue_order.h
+++ b/src/queue_order.h
@@ -12,7 +12,6 @@
 
 #include "types.h"
 
-#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -85,16 +84,22 @@
 
 // [3] What a workspace is owed ----------------------------------------------------------------------------------------
 
-/// Finds the jobs that a workspace sends beyond its weight in jobs a second, over a sliding window.
+/// Finds the jobs that a workspace sends beyond its weight in jobs a second: those for which an allowance that grows by
+/// the weight each second, up to a burst of some jobs, does not suffice.
 class WorkspaceArrivals
 {
 public:
-    /// Records a job that arrived at `at` and returns whether it is beyond the weight. Jobs that are recorded out of
-    /// order, as after a takeover, count for the windows of the jobs recorded after them.
+    /// Records a job that arrived at `at` and returns whether it is beyond the weight. A job that is recorded out of
+    /// order, as after a takeover, does not make the allowance grow.
     bool record(const std::string &workspace, int weight, TimePoint at);
 
 private:
-    std::map<std::string, std::deque<TimePoint>> m_owed;  // arrivals within the window that were not beyond the weight
+    struct Allowance
+    {
+        double jobs = 0;
+        TimePoint at;
+    };
+    std::map<std::string, Allowance> m_allowances;
 };
 
 }
