--- a/tests/run_job_api.cpp
+++ b/tests/run_job_api.cpp
@@ -229,6 +229,34 @@
     }
 }
 
+TEST_CASE("A job is refused for its queue's backlog only if the store has nothing of it")
+{
+    // Guards against a false refusal: a request that was not answered may have stored the job, and a repeat of it must
+    // not be told that the job never runs.
+    boost::asio::io_context io;
+    Timers timers(io);
+    ScriptedStore store;
+    JobApi<ScriptedStore> api(store, timers, {});
+    std::optional<bool> unknown;
+    api.isUnknown("a", [&unknown](bool result) { unknown = result; });
+    SECTION("no key for the id: it may be refused, and nothing was written")
+    {
+        store.answer("read", StoreOutcome::NotFound);
+        CHECK(unknown == true);
+        CHECK(store.calls.empty());
+    }
+    SECTION("the job or its cancellation is stored")
+    {
+        store.answer("read", StoreOutcome::Done, {item(keys::jobId("a"), "orders", 3)});
+        CHECK(unknown == false);
+    }
+    SECTION("the store does not answer, or turns the entry away")
+    {
+        store.answer("read", GENERATE(StoreOutcome::Unknown, StoreOutcome::Refused));
+        CHECK(unknown == false);
+    }
+}
+
 TEST_CASE("A job's state is read from the store")
 {
     boost::asio::io_context io;
