--- a/tests/run_job_api.cpp
+++ b/tests/run_job_api.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <thread>
+
 using namespace briarvane;
 using namespace std::chrono_literals;
 
@@ -487,7 +489,7 @@
         CHECK(callerReply->outcome == JobApiOutcome::Done);
         CHECK(callerReply->state == JobState::Cancelled);
     }
-    SECTION("the cancellation's write is lost, and the job is stored before the next attempt: it is cancelled")
+    SECTION("its write is lost, and the job is stored before the next attempt: it is cancelled")
     {
         api.cancel("orders", "a", {}, storeReply);
         readUnknown();
@@ -529,7 +531,7 @@
         store.answer("commit", StoreOutcome::Refused);
         CHECK(callerReply->outcome == JobApiOutcome::Unknown);
     }
-    SECTION("the queue is assigned to another service between cancellation and submission: the job stays cancelled")
+    SECTION("the queue gets another service in between: the job stays cancelled")
     {
         api.submit(job("a"), "stems", {}, storeReply);
         store.answer("commit", StoreOutcome::Conflict, {item("id/a", keys::encodeJobId({"orders", false}), 7)});
@@ -854,8 +856,10 @@
         {.watchWait = wait, .retryPause = Duration{0}, .watchPause = Duration{0}, .recheckWait = 5ms},
         [](const StoreItem &) {}, [] {});
     const auto runFor = [&io](Duration time) {
+        const auto until = std::chrono::steady_clock::now() + time;
         io.restart();
-        io.run_for(time);
+        io.run_until(until);
+        std::this_thread::sleep_until(until);  // the run ends early when no timer is left
     };
     CHECK(view.currentAt() == TimePoint{});
     const TimePoint before = bootNow();
@@ -876,6 +880,16 @@
         CHECK(view.currentAt() >= listed + wait);
         CHECK(bootNow() - view.currentAt() >= 60ms);
     }
+    SECTION("other waits hold from the next watch on")
+    {
+        view.setWaits(70ms, 7ms);
+        store.answer("watch", StoreOutcome::Done);
+        runFor(5ms);
+        CHECK(store.calls.front().wait == Duration{70ms});
+        store.answer("watch", StoreOutcome::Refused);
+        runFor(5ms);
+        CHECK(store.calls.front().wait == Duration{7ms});
+    }
     SECTION("a watch with changes shows the time at which it was sent")
     {
         runFor(20ms);
