--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -96,6 +96,17 @@
         logEvent(LogLevel::Info, "partition-count", {{"service", service}, {"partitions", item.value}});
         return;
     }
+    if (item.key.starts_with(keys::Backlogs)) {
+        const std::string partition = item.key.substr(keys::Backlogs.size());
+        m_backlogs.erase(partition);
+        auto backlog = item.removed ? Result<Backlog>(Backlog()) : parseBacklog(item.value);
+        if (!backlog) {
+            logRepeated(LogLevel::Error, "backlog-unreadable", partition, {{"why", backlog.error().message}});
+        } else if (!item.removed) {
+            m_backlogs[partition] = {std::move(backlog.value()), bootNow(), 0};
+        }
+        return;
+    }
     if (!item.key.starts_with(keys::Owners)) {
         return;
     }
@@ -396,7 +407,8 @@
         owner->setExecutors(m_executorList);
     }
     owner->setMaxAdviceCalls(m_adviceRoutes.maxPendingCalls());
-    owner->setWorkspaces(quotas(), static_cast<int>(quotaPartitions().size()));
+    owner->setQuotas(quotas(), static_cast<int>(quotaPartitions().size()));
+    owner->setWorkspaces(m_config.workspaces);
     owner->start();
     m_partitions[partition] = std::move(owner);
 }
@@ -600,7 +612,7 @@
     const Quotas inForce = quotas();
     const std::vector<std::string> partitions = quotaPartitions();
     for (const auto &[name, owner] : m_partitions) {
-        owner->setWorkspaces(inForce, static_cast<int>(partitions.size()));
+        owner->setQuotas(inForce, static_cast<int>(partitions.size()));
     }
     if (m_quotaOwner) {
         m_quotaOwner->setQuotas(inForce, partitions);
@@ -692,6 +704,7 @@
         m_metrics.add("briarvane_jobs_ended_total", key, {{"in_time", finished.inTime ? "yes" : "no"}});
         m_metrics.observe(metric::Response, key, finished.total);
     };
+    hooks.lease = [this] { return m_entered ? m_lease : 0; };
     hooks.ownershipLost = [this](const std::string &partition, std::string_view why) { dropOwner(partition, why); };
     return hooks;
 }
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -10,6 +10,7 @@
 // [3] Store writes, log lines and counts
 // [4] The scheduler
 
+#include "admission.h"
 #include "executor.h"
 #include "executor_health.h"
 #include "pool_planner.h"
@@ -185,6 +186,7 @@
     TimePoint firstDue;            // due time of the first occurrence of a scheduled job
     Duration latencyObjective{0};  // counted from the acceptance, or from the due time of a scheduled occurrence
     std::string failedOn;          // executor on which a task of the job failed first
+    bool beyondWeight = false;     // its workspace sent more jobs a second than its weight
     bool misfitLogged = false;     // the log already says that no registered executor has the required size and label
 };
 
@@ -263,6 +265,7 @@
 
 struct SchedulerCounts
 {
+    std::uint64_t beyondWeight = 0;  // jobs that their workspace sent beyond its weight in jobs a second
     std::uint64_t starts = 0;
     std::uint64_t stops = 0;
     std::uint64_t completed = 0;
@@ -308,6 +311,9 @@
     /// still be stopping, and their sizes are not known.
     void addStoppedJob(const std::string &workspace);
 
+    /// Sets the workspaces of the configuration in force. Without workspaces the queue order knows none.
+    void setWorkspaces(const std::vector<Workspace> &workspaces);
+
     // Executors
     /// Sets the complete list of registered executors.
     void setExecutors(const std::vector<ExecutorRecord> &records, TimePoint now);
@@ -334,7 +340,7 @@
     void answered(const ExecutorCommand &command, CommandResult result, std::int64_t clockMs, TimePoint now);
     void committed(std::uint64_t generation, TimePoint now);  // the store has carried out the batch
     /// Sets the quotas in force and the number of all partitions; 0: not known yet.
-    void setWorkspaces(Quotas quotas, int partitions);
+    void setQuotas(Quotas quotas, int partitions);
     /// Sets the parts of the quotas that this partition may use, see QuotaLedger::setParts().
     void setQuotaParts(std::uint64_t revision, std::map<std::string, QuotaPart> parts);
     /// `advice` is null when the call was refused or not answered.
@@ -396,6 +402,7 @@
     {
         return m_quotaLedger;
     }
+    Backlog backlog(TimePoint now) const;
     std::string summary(TimePoint now) const;  // log line with the state that placement depends on
     /// A job that completed or failed.
     struct Finished
@@ -457,6 +464,12 @@
     void adjustPace(Executor &executor, TimePoint now);
     int unavailableInStep(const Job &job, const TaskName &name, TimePoint now) const;
     void placeWaitingTasks(TimePoint now);
+    void placeJob(Job &job, TimePoint now);
+    static bool hasWaitingTask(const Job &job);
+    QueuedJob queuedJob(const Job &job, const Resources &pool, TimePoint now) const;
+    Resources poolCapacity() const;
+    Resources usedResources() const;
+    std::vector<WorkspaceUse> workspaceUses(const Resources &pool) const;
     bool placeStep(Job &job, int occurrence, int step, TimePoint now);
     bool knownUnplaceable(const StepSpec &step) const;
     void handleNoRoom(Job &job, int occurrence, int step, TimePoint now);
@@ -526,6 +539,9 @@
     QuotaLedger m_quotaLedger;
     std::set<std::string> m_workspacesWithStoppedJobs;   // see addStoppedJob()
     std::map<std::string, TimePoint> m_quotaWaitLogged;  // by workspace: time of the last log line
+    std::vector<Workspace> m_workspaces;
+    std::unordered_map<std::string, int> m_workspaceIndices;  // into m_workspaces, by name
+    WorkspaceArrivals m_workspaceArrivals;
 
     /// A demand that no executor could meet in the present placement pass.
     struct UnmetDemand
--- a/src/scheduler_quota.cpp
+++ b/src/scheduler_quota.cpp
@@ -19,7 +19,7 @@
 
 }
 
-void Scheduler::setWorkspaces(Quotas quotas, int partitions)
+void Scheduler::setQuotas(Quotas quotas, int partitions)
 {
     if (quotas != m_quotaLedger.quotas()) {
         m_placementNeeded = true;
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -161,7 +161,7 @@
             m_owner->scheduler.addRecordedExecutor(record, m_now);
         }
         if (!m_store.quotaParts.empty()) {
-            m_owner->scheduler.setWorkspaces(quotas(), 1);
+            m_owner->scheduler.setQuotas(quotas(), 1);
             m_owner->scheduler.setQuotaParts(m_store.quotaRevision, m_store.quotaParts);
         }
         for (const auto &[id, record] : m_store.jobs) {
@@ -184,7 +184,7 @@
         m_store.quotaRevision = ++m_store.revision;
         schedule(delay, [this, token = m_store.owner, revision = m_store.quotaRevision, parts = m_store.quotaParts] {
             if (Scheduler *scheduler = schedulerOf(token)) {
-                scheduler->setWorkspaces(quotas(), 1);
+                scheduler->setQuotas(quotas(), 1);
                 scheduler->setQuotaParts(revision, parts);
             }
         });
--- a/tests/run_partition_owner.cpp
+++ b/tests/run_partition_owner.cpp
@@ -950,7 +950,7 @@
         QuotaParts former = partsOf(8);
         former.revision = 50;
         storeParts(2);
-        owner.setWorkspaces(quotas, 4);
+        owner.setQuotas(quotas, 4);
         owner.setQuotaParts(former);
         owner.start();
         owner.setExecutors({executor});
@@ -974,7 +974,7 @@
     }
     SECTION("nothing is stored: the part is an equal one")
     {
-        owner.setWorkspaces({{"north", {12'000, 0, 0}}}, 4);
+        owner.setQuotas({{"north", {12'000, 0, 0}}}, 4);
         owner.start();
         owner.setExecutors({executor});
         fixture.runUntil([&] { return started.size() == 3; });
@@ -983,7 +983,7 @@
     }
     SECTION("the workspace has no quota: all tasks start, and nothing is reported")
     {
-        owner.setWorkspaces({}, 4);
+        owner.setQuotas({}, 4);
         owner.start();
         owner.setExecutors({executor});
         fixture.runUntil([&] { return started.size() == 4; });
