--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -399,7 +399,7 @@
               {"why", "it would end too late to be of use"},
               {"wait_ms", ms(decision.wait)},
               {"end_ms", ms(decision.end)},
-              {"worth_until_ms", ms(decision.worthUntil)},
+              {"useful_within_ms", ms(decision.worthUntil)},
               {"backlog_age_ms", ms(decision.backlogAge)},
               {"retry_after_ms", ms(decision.retryAfter)}});
     m_metrics.add("briarvane_jobs_refused_total", MetricKey{ServiceId{spec.queue}, {}, RequestClass::Short},
