--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -531,8 +531,9 @@
         m_metrics.set("briarvane_share_open_jobs", labels, static_cast<double>(owner->scheduler().openJobs()));
         const QuotaLedger &ledger = owner->scheduler().quotaLedger();
         for (const auto &[workspace, quota] : ledger.quotas()) {
-            const auto setCores = [&](std::string_view name, int milliCores) {
-                m_metrics.set(std::string(name), {{"share", partition}, {"workspace", workspace}}, milliCores / 1000.0);
+            const MetricLabels quotaLabels{{"share", partition}, {"workspace", workspace}};
+            const auto setCores = [this, &quotaLabels](std::string_view name, int milliCores) {
+                m_metrics.set(std::string(name), quotaLabels, milliCores / 1000.0);
             };
             const auto waiting = ledger.waiting().find(workspace);
             setCores("briarvane_quota_part_cores", ledger.part(workspace).milliCores);
--- a/src/queue_order.cpp
+++ b/src/queue_order.cpp
@@ -95,6 +95,7 @@
                      std::vector<WorkspaceUse> workspaces)
 {
     std::vector<double> demands;
+    demands.reserve(workspaces.size());
     for (const WorkspaceUse &workspace : workspaces) {
         demands.push_back(workspace.use);
     }
@@ -186,6 +187,7 @@
         demoteOverShare(positions, jobs, std::move(workspaces));
     }
     std::vector<std::size_t> order;
+    order.reserve(positions.size());
     for (const Position &position : positions) {
         order.push_back(position.index);
     }
--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -587,6 +587,7 @@
     simulation.takeOver(true);
     const auto tasksPerExecutor = [&simulation] {
         std::vector<int> tasks;
+        tasks.reserve(6);
         for (int i = 0; i < 6; ++i) {
             tasks.push_back(simulation.runsAt(i));
         }
