Count a partition's report on quotas by the division that it has applied

Parts grow only from what reports of the latest division free, and with many partitions the next division came before their reports, so parts hardly moved. Ruled out: room (most of it free) and processor time (the busiest entry used 31%).

The fleet's owner now keeps the last divisions. A partition that has applied one of them may use at most the largest part that it was given since, which is what its report frees. A division that is not known any more counts as before.

--- a/src/workspace_quota.cpp
+++ b/src/workspace_quota.cpp
@@ -17,9 +17,10 @@
 constexpr int IdlePartDivisor = 8;
 /// Parts that could grow by less than this fraction of the quota stay, unless the growth ends a wait.
 constexpr int GrowthDivisor = 64;
-constexpr int HeadroomDivisor = 4;       // of the wanted resources; a partition with less left gets a larger part
-constexpr int ReportChangeDivisor = 8;   // of the reported value; smaller changes are not reported
-constexpr int ReportChangeMinimum = 50;  // in the unit of the field
+constexpr int HeadroomDivisor = 4;             // of the wanted resources; a partition with less left gets a larger part
+constexpr std::size_t MaxKnownDivisions = 64;  // about 20 s at the shortest time between two divisions
+constexpr int ReportChangeDivisor = 8;         // of the reported value; smaller changes are not reported
+constexpr int ReportChangeMinimum = 50;        // in the unit of the field
 
 int add(int left, int right)
 {
@@ -313,6 +314,31 @@
 void QuotaDivider::setStored(QuotaParts stored)
 {
     m_stored = std::move(stored);
+    if (m_stored.revision != 0 && (m_history.empty() || m_history.back().revision != m_stored.revision)) {
+        m_history.push_back(m_stored);
+        if (m_history.size() > MaxKnownDivisions) {
+            m_history.pop_front();
+        }
+    }
+}
+
+std::optional<Resources> QuotaDivider::largestPartSince(std::uint64_t revision, const std::string &workspace,
+                                                        const std::string &partition) const
+{
+    if (m_history.empty() || revision < m_history.front().revision) {
+        return std::nullopt;
+    }
+    Resources largest;
+    for (auto parts = m_history.rbegin(); parts != m_history.rend() && parts->revision >= revision; ++parts) {
+        const auto rows = parts->workspaces.find(workspace);
+        if (rows == parts->workspaces.end()) {
+            continue;
+        }
+        if (const auto row = rows->second.find(partition); row != rows->second.end()) {
+            largest = larger(largest, row->second.part);
+        }
+    }
+    return largest;
 }
 
 void QuotaDivider::setReport(const std::string &partition, const QuotaReport &report)
@@ -368,8 +394,8 @@
                 use[name] = found == report->second.workspaces.end() ? QuotaUse{} : found->second;
                 // A partition that has applied the parts starts nothing above its part, so what it has running above
                 // it only shrinks.
-                const bool applied = m_stored.revision != 0 && report->second.revision >= m_stored.revision;
-                row.bound = larger(applied ? row.part : row.bound, use[name].running);
+                const std::optional<Resources> part = largestPartSince(report->second.revision, workspace, name);
+                row.bound = larger(part.value_or(row.bound), use[name].running);
             }
             present[name] = row;
             parts[name] = row;
--- a/src/workspace_quota.h
+++ b/src/workspace_quota.h
@@ -17,6 +17,7 @@
 
 #include "job.h"
 
+#include <deque>
 #include <limits>
 #include <set>
 
@@ -90,10 +91,17 @@
 
 private:
     QuotaPart storedPart(const std::string &workspace, const std::string &partition) const;
+    /// Largest part of the workspace that the partition may have applied since it reported `revision`; none if the
+    /// parts of that time are not known any more.
+    std::optional<Resources> largestPartSince(std::uint64_t revision, const std::string &workspace,
+                                              const std::string &partition) const;
 
     Quotas m_quotas;
     std::vector<std::string> m_partitions;
     QuotaParts m_stored;
+    /// Parts that were stored one after another, the present ones last. With many partitions a new division comes
+    /// before all of them have reported the previous one.
+    std::deque<QuotaParts> m_history;
     std::map<std::string, QuotaReport> m_reports;  // last report by partition
 };
 
--- a/tests/core_workspace_quota.cpp
+++ b/tests/core_workspace_quota.cpp
@@ -309,6 +309,18 @@
             REQUIRE(store(divider, stored));
             CHECK(milliCoresOf(stored, "a") == 20'000 + 2 * (20'000 - idlePart));
         }
+        SECTION("a report that is one division behind frees what it had applied by then")
+        {
+            // Guards against this failure: with 48 partitions a new division came before all of them had reported the
+            // last one, no report counted, and parts hardly moved. Tasks waited for quotas that nobody used.
+            const std::uint64_t applied = stored.revision;
+            divider.setReport("b", reportOf(applied, 0, 0));
+            divider.setReport("c", reportOf(applied, 0, 0));
+            REQUIRE(store(divider, stored));
+            divider.setReport("d", reportOf(applied, 0, 0));
+            REQUIRE(store(divider, stored));
+            CHECK(milliCoresOf(stored, "a") == 20'000 + 3 * (20'000 - idlePart));
+        }
         SECTION("a late report of the parts before frees nothing")
         {
             divider.setReport("b", reportOf(0, 0, 0));
