Tests: no reference into a temporary in the fleet model, and open calls are cancelled at the end of a test

Under the address sanitizer six tests failed: the model kept a reference into the name that it had parsed (core_advice, core_executor_calls, core_features, core_scheduler, core_scheduler_quota), and calls without an end in run_http kept their client alive. Both are faults of the tests; no check changed.

--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -796,7 +796,7 @@
         const TimePoint sentAt = m_now;
         const Duration latency = randomDuration(1ms, 5ms);
         if (command.kind == CommandKind::Start) {
-            const std::string &job = parseTaskName(command.task)->job;
+            const std::string job = parseTaskName(command.task)->job;
             m_partsAtStart[{command.task, command.run}] = owner.scheduler.quotaLedger().part(m_specs.at(job).workspace);
         }
         if (randomFraction() < m_settings.lostCommandRate) {
--- a/tests/run_http.cpp
+++ b/tests/run_http.cpp
@@ -584,4 +584,9 @@
         CHECK(fixture.client.counts().unserved == 1);
     }
     CHECK(otherSilent->ends.empty());
+    // A call without an end and its callbacks keep each other alive.
+    for (const auto &record : {silent, otherSilent, third, fourth, fifth}) {
+        record->call.cancel();
+        record->call = {};
+    }
 }
