--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -30,8 +30,9 @@
     /// Time after a takeover without requests for maintenance and moves: the machines API refuses requests of two
     /// owners that follow each other too closely.
     Duration takeoverDelay{3'300'000};
-    Duration storeTimeout{700'000};  // timeout of one call to the store
-    Duration retryPause{150'000};    // pause after a failed call to the store
+    Duration storeTimeout{700'000};   // timeout of one call to the store
+    Duration retryPause{150'000};     // pause after a failed call to the store
+    Duration statePeriod{1'000'000};  // time between log lines with the state of the owner
 };
 
 /// Result of a request to the machines API for the maintenance or the move of an instance.
@@ -43,6 +44,18 @@
     Unknown,     // no usable answer; the request may have taken effect
 };
 
+/// Counts of one period, for the log.
+struct FleetOwnerCounts
+{
+    int passes = 0;  // planning passes
+    Duration longestPass{0};
+    int requested = 0;  // requests for maintenance and moves
+    int begun = 0;
+    int refused = 0;
+    int unanswered = 0;
+    int failedLists = 0;
+};
+
 /// Functions that the entry provides to the owner.
 struct FleetOwnerHooks
 {
@@ -90,6 +103,7 @@
                          }
                          listInstances();
                          confirmOwnership();
+                         logState();
                      }));
     }
 
@@ -181,13 +195,16 @@
 
     void listInstances()
     {
-        m_hooks.list(guarded([this](const Result<std::vector<PooledInstance>> &listed) {
+        const TimePoint sentAt = bootNow();
+        m_hooks.list(guarded([this, sentAt](const Result<std::vector<PooledInstance>> &listed) {
             if (listed) {
+                m_listedAt = sentAt;
                 m_wavePlanner.setInstances(listed.value(), m_sparePools, bootNow());
                 m_poolPlanner.setInstances(listed.value(), m_sparePools, bootNow());
                 m_hasInstances = true;
                 runPlanners();
             } else {
+                ++m_counts.failedLists;
                 logRepeated(LogLevel::Warn, "machines-not-listed", "list", {{"why", listed.error().message}});
             }
             const bool inProgress = !m_wavePlanner.allWavesCompleted() || m_poolPlanner.hasMoves();
@@ -195,7 +212,49 @@
         }));
     }
 
+    void logState()
+    {
+        const FleetOwnerCounts counts = std::exchange(m_counts, {});
+        const auto milliseconds = [](Duration time) { return std::to_string(time.count() / 1000); };
+        logEvent(LogLevel::Info, "fleet-state",
+                 {{"passes", std::to_string(counts.passes)},
+                  {"longest_pass_us", std::to_string(counts.longestPass.count())},
+                  {"requested", std::to_string(counts.requested)},
+                  {"begun", std::to_string(counts.begun)},
+                  {"refused", std::to_string(counts.refused)},
+                  {"unanswered", std::to_string(counts.unanswered)},
+                  {"open", std::to_string(m_openRequests)},
+                  {"failed_lists", std::to_string(counts.failedLists)},
+                  {"list_age_ms", m_hasInstances ? milliseconds(bootNow() - m_listedAt) : "none"},
+                  {"proof_ms", milliseconds(bootNow() - m_confirmedAt)}});
+        later(m_settings.statePeriod, [this] { logState(); });
+    }
+
+    /// Counts the answer to a request for maintenance or for a move.
+    void countAnswer(const std::string &instance, const std::string &executor, TimePoint orderedAt,
+                     MaintenanceResult result)
+    {
+        if (result == MaintenanceResult::Begun) {
+            logEvent(LogLevel::Info, "instance-order-accepted",
+                     {{"instance", instance},
+                      {"executor", executor},
+                      {"after_ms", std::to_string((bootNow() - orderedAt).count() / 1000)}});
+        }
+        --m_openRequests;
+        m_counts.begun += result == MaintenanceResult::Begun ? 1 : 0;
+        m_counts.unanswered += result == MaintenanceResult::Unknown ? 1 : 0;
+        m_counts.refused += result == MaintenanceResult::Refused || result == MaintenanceResult::Impossible ? 1 : 0;
+    }
+
     void runPlanners()
+    {
+        const TimePoint startedAt = steadyNow();
+        planAndPublish();
+        ++m_counts.passes;
+        m_counts.longestPass = std::max(m_counts.longestPass, steadyNow() - startedAt);
+    }
+
+    void planAndPublish()
     {
         const TimePoint now = bootNow();
         if (m_ownershipLost || !m_loaded || !m_hasInstances) {
@@ -228,8 +287,15 @@
     void maintain(const MaintenanceRequest &request)
     {
         logEvent(LogLevel::Info, "maintenance-ordered",
-                 {{"instance", request.instance}, {"wave", std::to_string(request.wave)}});
-        m_hooks.maintain(request, fencingToken(), guarded([this, request](MaintenanceResult result) {
+                 {{"instance", request.instance},
+                  {"executor", request.executor},
+                  {"wave", std::to_string(request.wave)},
+                  {"list_revision", std::to_string(m_vacatingRevision)}});
+        ++m_counts.requested;
+        ++m_openRequests;
+        m_hooks.maintain(request, fencingToken(),
+                         guarded([this, request, sentAt = bootNow()](MaintenanceResult result) {
+                             countAnswer(request.instance, request.executor, sentAt, result);
                              const TimePoint now = bootNow();
                              switch (result) {
                              case MaintenanceResult::Begun:
@@ -254,10 +320,14 @@
     {
         logEvent(LogLevel::Info, "move-ordered",
                  {{"instance", request.instance},
+                  {"executor", request.executor},
                   {"pool", request.pool},
                   {"from", request.sourcePool},
                   {"why", std::string(toString(request.reason))}});
-        m_hooks.move(request, fencingToken(), guarded([this, request](MaintenanceResult result) {
+        ++m_counts.requested;
+        ++m_openRequests;
+        m_hooks.move(request, fencingToken(), guarded([this, request, sentAt = bootNow()](MaintenanceResult result) {
+                         countAnswer(request.instance, request.executor, sentAt, result);
                          const TimePoint now = bootNow();
                          if (result == MaintenanceResult::Fenced) {
                              reportOwnershipLost("fenced");
@@ -330,6 +400,9 @@
                             if (vacatingChanged) {
                                 m_publishedVacating = vacating;
                                 m_vacatingRevision = reply.revision;
+                                logEvent(LogLevel::Info, "vacating-published",
+                                         {{"executors", std::to_string(vacating.size())},
+                                          {"revision", std::to_string(reply.revision)}});
                             }
                             m_storedBegun = begunText;
                             for (const std::int64_t wave : started) {
@@ -351,6 +424,9 @@
     PoolPlanner m_poolPlanner;
     TimePoint m_requestsAllowedFrom;
     TimePoint m_confirmedAt;
+    TimePoint m_listedAt;       // send time of the request for the last list of instances
+    FleetOwnerCounts m_counts;  // since the last log line
+    int m_openRequests = 0;     // requests for maintenance and moves without an answer yet
     std::map<std::int64_t, MaintenanceWave> m_waves;
     std::map<std::int64_t, std::set<std::string>> m_begunInstances;
     std::set<std::string> m_sparePools;
--- a/src/http_timers.h
+++ b/src/http_timers.h
@@ -48,6 +48,14 @@
         return key;
     }
 
+    /// Sets a function that is called with the delay of each expiry: the time from the earliest due time to the moment
+    /// at which the event loop runs the due functions. A loop that has more events than processor time shows here
+    /// first.
+    void onExpiry(std::function<void(Duration delay)> observer)
+    {
+        m_state->observer = std::move(observer);
+    }
+
     /// Discards the function, if it has not run, and resets the key.
     void cancel(Key &key)
     {
@@ -66,6 +74,7 @@
         }
         boost::asio::steady_timer timer;
         std::map<Key, std::function<void()>> functions;
+        std::function<void(Duration)> observer;
         std::uint64_t sequence = 0;
         // Expiry of the timer. The timer keeps running when the function that it was started for is cancelled.
         TimePoint armedFor = TimePoint::max();
@@ -82,6 +91,9 @@
             }
             locked->armedFor = TimePoint::max();
             const TimePoint now = steadyNow();
+            if (locked->observer && !locked->functions.empty() && locked->functions.begin()->first.first <= now) {
+                locked->observer(now - locked->functions.begin()->first.first);
+            }
             while (!locked->functions.empty() && locked->functions.begin()->first.first <= now) {
                 auto node = locked->functions.extract(locked->functions.begin());
                 callGuarded("timer", node.mapped());
--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -71,6 +71,7 @@
             return 1;
         }
     }
+    m_timers.onExpiry([this](Duration delay) { recordDelay(delay); });
     waitSignal();
     m_operatorView.start();
     m_membershipView.start();
@@ -561,6 +562,7 @@
               {"refused", std::to_string(calls.refused)},
               {"unanswered", std::to_string(calls.unanswered)},
               {"shares", std::to_string(ownedCount())},
+              {"late_ms", std::to_string(std::exchange(m_longestDelay, Duration{0}).count() / 1000)},
               {"log_dropped", std::to_string(drops.overRateLimit + drops.outputBlocked)},
               {"connections", std::to_string(m_callers.load().connections)},
               {"executor_connections_opened", std::to_string(executorConnections.opened)},
@@ -569,6 +571,16 @@
     later(SummaryPeriod, [this] { logSummary(); });
 }
 
+void JobEntry::recordDelay(Duration delay)
+{
+    m_metrics.observe("briarvane_timer_delay_seconds", {}, delay);
+    m_longestDelay = std::max(m_longestDelay, delay);
+    if (delay >= LateLoop) {
+        logRepeated(LogLevel::Warn, "event-loop-late", "timers",
+                    {{"delay_ms", std::to_string(delay.count() / 1000)}, {"shares", std::to_string(ownedCount())}});
+    }
+}
+
 // Stop ----------------------------------------------------------------------------------------------------------------
 
 void JobEntry::waitSignal()
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -59,6 +59,8 @@
 /// Pause before a call to the advice service is reported as failed because no address of the service is set or no
 /// entry can forward the call.
 constexpr Duration AdvicePause{300'000};
+/// Delay of a timer from which on the log says that the event loop is late. Leases of 2 s are renewed every 0.55 s.
+constexpr Duration LateLoop{500'000};
 constexpr Duration SummaryPeriod{5'000'000};  // time between log lines with the counters of calls to the store
 /// Time between checks of the settings file, which may change without a signal.
 constexpr Duration SettingsPeriod{2'000'000};
@@ -163,6 +165,7 @@
     void handleMetricsPort(const std::shared_ptr<HttpExchange> &exchange);
     std::string exposition();
     void logSummary();
+    void recordDelay(Duration delay);
 
     // Stop
     void waitSignal();
@@ -196,6 +199,7 @@
     SettingsFile m_settingsFile;
     StandstillDetector m_standstill{StandstillLimit, StandstillDrain};
     Metrics m_metrics;
+    Duration m_longestDelay{0};  // longest delay of a timer since the last log line with the counters
 
     DeploymentConfig m_config;
     std::map<std::int64_t, MaintenanceWave> m_waves;
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -621,7 +621,7 @@
         if (isDue && isVacated(move) && present != m_instances.end()
             && present->second.state == InstanceAvailability::Up) {
             move.requestedAt = now;
-            requests.push_back({id, move.targetPool, move.sourcePool, move.reason});
+            requests.push_back({id, move.targetPool, move.sourcePool, move.reason, move.executor});
         }
     }
     return requests;
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -108,6 +108,7 @@
     std::string pool;
     std::string sourcePool;
     MoveReason reason = MoveReason::Excess;
+    std::string executor;  // incarnation that the move ends; empty: the instance was spare
 };
 
 /// Load of a pool from the loads of the partitions of its service. It is as old as the oldest of them.
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -480,8 +480,10 @@
 
 void Scheduler::setVacating(const std::unordered_set<std::string> &ids, TimePoint now)
 {
+    std::string withdrawn;
     for (auto &[id, executor] : m_executors) {
         const bool vacating = ids.contains(id);
+        withdrawn += executor.vacating && !vacating ? " " + id : "";
         if (vacating && !executor.vacating) {
             executor.vacatingSince = now;
         } else if (!vacating && executor.vacating) {
@@ -491,6 +493,9 @@
         m_placementNeeded = m_placementNeeded || vacating != executor.vacating;
         executor.vacating = vacating;
     }
+    if (!withdrawn.empty()) {
+        logDecision("vacating-withdrawn", {}, "executors:" + withdrawn);
+    }
 }
 
 bool Scheduler::awaitsRecordedExecutors() const
@@ -550,7 +555,10 @@
     if (!executor.runs.empty()) {
         logDecision("runs-lost", {},
                     "executor=" + executor.record.id + " runs=" + std::to_string(executor.runs.size())
-                        + " why=" + std::string(why));
+                        + " why=" + std::string(why) + " listed=" + (executor.listed ? "yes" : "no")
+                        + " report_age_ms=" + std::to_string((now - executor.reportSentAt).count() / 1000)
+                        + " failed_polls=" + std::to_string(executor.failedPolls)
+                        + " unreachable=" + (executor.unreachable ? "yes" : "no"));
     }
     if (restarted && !executor.runs.empty() && executor.health.lostRuns(now)) {
         eject(executor, {}, "restarts", now);
@@ -719,6 +727,7 @@
     executor.failedPolls = 0;
     executor.endsIncomplete = report.endsIncomplete;
     executor.lastReport = now;
+    executor.reportSentAt = sentAt;
     executor.clockMs = report.clockMs;
     executor.clockReadAt = now;
     const bool isNew = !executor.adopted;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -198,7 +198,8 @@
     bool vacating = false;
     TimePoint vacatingSince;
     TimePoint lastReport;
-    TimePoint busySince;  // time of the last start that was sent while the executor had no other runs
+    TimePoint reportSentAt;  // send time of the poll that the last report answers: the report is no older than that
+    TimePoint busySince;     // time of the last start that was sent while the executor had no other runs
     TimePoint adoptedAt;
     TimePoint listedSince;
     ExecutorHealth health;
@@ -462,7 +463,12 @@
     void copyRuns(Executor &executor, TimePoint now);
     bool silent(const Executor &executor, TimePoint now) const;
     void adjustPace(Executor &executor, TimePoint now);
-    int unavailableInStep(const Job &job, const TaskName &name, TimePoint now) const;
+    struct StepAvailability
+    {
+        int unavailable = 0;    // tasks that are not serving
+        TimePoint oldestProof;  // send time of the oldest poll whose report shows that a task serves
+    };
+    StepAvailability availabilityOfOthers(const Job &job, const TaskName &name, TimePoint now) const;
     void placeWaitingTasks(TimePoint now);
     void placeJob(Job &job, TimePoint now);
     static bool hasWaitingTask(const Job &job);
--- a/src/scheduler_commands.cpp
+++ b/src/scheduler_commands.cpp
@@ -245,10 +245,11 @@
     }
 }
 
-/// Number of tasks of the step, other than the named one, that are not serving.
-int Scheduler::unavailableInStep(const Job &job, const TaskName &name, TimePoint now) const
+/// Counts the tasks of the step, other than the named one, that are not serving.
+Scheduler::StepAvailability Scheduler::availabilityOfOthers(const Job &job, const TaskName &name, TimePoint now) const
 {
-    int unavailable = 0;
+    StepAvailability others;
+    others.oldestProof = now;
     const auto &tasks = job.occurrences.at(name.occurrence).steps[static_cast<std::size_t>(name.step)];
     for (int index = 0; index < static_cast<int>(tasks.size()); ++index) {
         if (index == name.index) {
@@ -261,9 +262,12 @@
             serving = run != executor->second.runs.end() && run->second.state == RunState::Running
                 && run->second.percent == FullPercent;
         }
-        unavailable += serving ? 0 : 1;
+        if (serving) {
+            others.oldestProof = std::min(others.oldestProof, executor->second.reportSentAt);
+        }
+        others.unavailable += serving ? 0 : 1;
     }
-    return unavailable;
+    return others;
 }
 
 /// Stops runs on a vacating or draining executor, so that their tasks start again elsewhere.
@@ -282,9 +286,14 @@
         const StepSpec &step = job.spec.steps[static_cast<std::size_t>(run.task.step)];
         if (step.longRunning) {
             // The state of this task itself does not count: it may have begun to serve since the last report.
-            const bool allowed = unavailableInStep(job, run.task, now) < step.maxUnavailable;
+            const StepAvailability others = availabilityOfOthers(job, run.task, now);
+            const bool allowed = others.unavailable < step.maxUnavailable;
             if (allowed || (draining && !executor.vacating)) {
-                stopRun(executor, name, run, now, "executor-leaves");
+                stopRun(executor, name, run, now,
+                        "executor-leaves unavailable=" + std::to_string(others.unavailable) + "/"
+                            + std::to_string(step.maxUnavailable)
+                            + " oldest_proof_ms=" + std::to_string((now - others.oldestProof).count() / 1000)
+                            + " cause=" + (executor.vacating ? "vacating" : "draining"));
             }
         } else if (executor.vacating && now - executor.vacatingSince > m_settings.vacateGracePeriod) {
             stopRun(executor, name, run, now, "executor-leaves");
@@ -630,9 +639,13 @@
     int silent = 0;
     int withLongRunning = 0;
     std::size_t runs = 0;
+    Duration oldestReport{0};
     Resources used;
     Resources capacity;
     for (const auto &[id, executor] : m_executors) {
+        if (executor.listed && executor.adopted && !executor.runs.empty()) {
+            oldestReport = std::max(oldestReport, now - std::max(executor.reportSentAt, executor.busySince));
+        }
         withLongRunning += std::any_of(executor.runs.begin(), executor.runs.end(), [this](const auto &item) {
             const StepSpec *step = findStep(item.second.task);
             return step != nullptr && step->longRunning;
@@ -658,7 +671,8 @@
         + " listed=" + std::to_string(listed) + " adopted=" + std::to_string(adopted)
         + " ejected=" + std::to_string(ejected) + " probing=" + std::to_string(probing)
         + " leaving=" + std::to_string(vacating) + " long_running_on=" + std::to_string(withLongRunning)
-        + " silent=" + std::to_string(silent) + " dark=" + std::to_string(m_unreportedExecutors.size())
+        + " silent=" + std::to_string(silent) + " oldest_report_ms=" + std::to_string(oldestReport.count() / 1000)
+        + " dark=" + std::to_string(m_unreportedExecutors.size())
         + " used_cores=" + std::to_string(used.milliCores / 1000) + "/" + std::to_string(capacity.milliCores / 1000)
         + " used_gb=" + std::to_string(used.memoryMb / 1024) + "/" + std::to_string(capacity.memoryMb / 1024)
         + " proof_ms=" + std::to_string((now - m_ownershipProvenAt).count() / 1000)
--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -186,7 +186,7 @@
                 member.executor = present->executor;
                 member.phase = MaintenancePhase::Requested;
                 member.requestedAt = now;
-                requests.push_back({id, waveId});
+                requests.push_back({id, waveId, present->executor});
             }
         }
     }
--- a/src/wave_planner.h
+++ b/src/wave_planner.h
@@ -58,6 +58,7 @@
 {
     std::string instance;
     std::int64_t wave = 0;
+    std::string executor;  // incarnation that the maintenance ends; empty: the instance is listed without one
 };
 
 // [2] The planner -----------------------------------------------------------------------------------------------------
