Fleet's owner: an executor stays vacating while any order may end it, across owners

Cause: an order outlived what it rested on. Maintenance and moves end an executor that was vacated when the order was made. A new owner of the fleet replaced the list of vacating executors with an empty one at once, while its predecessor had up to 440 orders open; the partitions gave the executors work again, and the orders ended it. Within one owner, all due orders waited for three connections, timed out there and counted as refused, which withdrew the executor while the repetition of its order was open.

Change: FleetPlanner (src/fleet_planner.*) decides without I/O. OrderBook has one order for each instance, four open and 64 queued, and names the executors that orders may still end; an order without an answer counts until a later answer or list settles it. A new owner keeps its predecessor's list until the predecessor's orders are over, and orders only by a list of instances that was requested after the predecessor's last possible order. Lists have connections of their own. A pass handles all that came in since the last one.

--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -3,13 +3,12 @@
 // Runs the maintenance waves and the moves between pools while this entry owns the fleet partition.
 
 #include "boot_clock.h"
+#include "fleet_planner.h"
 #include "job_keys.h"
 #include "log.h"
 #include "ownership_guard.h"
 #include "partition_ownership.h"
-#include "pool_planner.h"
 #include "store_view.h"
-#include "wave_planner.h"
 
 #include <boost/json.hpp>
 
@@ -18,32 +17,19 @@
 namespace briarvane
 {
 
-struct FleetOwnerSettings
+struct FleetOwnerSettings : FleetPlannerSettings
 {
-    WavePlannerSettings waveSettings;
-    PoolPlannerSettings poolSettings;
+    Duration planPeriod{250'000};  // longest time between two planning passes
     /// Time between two requests for the list of instances while a wave or a move is in progress. All entries share the
     /// rate limit of the list.
     Duration listPeriod{1'000'000};
     /// Time between two requests for the list while no wave and no move is in progress.
     Duration idleListPeriod{2'000'000};
-    /// Time after a takeover without requests for maintenance and moves: the machines API refuses requests of two
-    /// owners that follow each other too closely.
-    Duration takeoverDelay{3'300'000};
     Duration storeTimeout{700'000};   // timeout of one call to the store
     Duration retryPause{150'000};     // pause after a failed call to the store
     Duration statePeriod{1'000'000};  // time between log lines with the state of the owner
 };
 
-/// Result of a request to the machines API for the maintenance or the move of an instance.
-enum class MaintenanceResult {
-    Begun,
-    Refused,     // refused for now; may be accepted later
-    Impossible,  // will never be accepted
-    Fenced,      // the fencing token is outdated: the partition has another owner
-    Unknown,     // no usable answer; the request may have taken effect
-};
-
 /// Counts of one period, for the log.
 struct FleetOwnerCounts
 {
@@ -80,9 +66,8 @@
         , m_writer(store, keys::owner(keys::FleetPartition), fencingToken)
         , m_settings(settings)
         , m_hooks(std::move(hooks))
-        , m_wavePlanner(settings.waveSettings)
-        , m_poolPlanner(settings.poolSettings)
-        , m_requestsAllowedFrom(hadOwner ? acquiredAt + settings.takeoverDelay : acquiredAt)
+        , m_timers(timers)
+        , m_planner(settings, hadOwner, acquiredAt)
     {
     }
     using OwnershipGuard::fencingToken;
@@ -97,13 +82,7 @@
                              later(m_settings.retryPause, [this] { start(); });
                              return;
                          }
-                         m_loaded = true;
-                         for (const auto &[id, wave] : m_waves) {
-                             m_wavePlanner.addWave(wave, m_begunInstances[id], bootNow());
-                         }
-                         listInstances();
-                         confirmOwnership();
-                         logState();
+                         loadVacating();
                      }));
     }
 
@@ -111,37 +90,25 @@
     {
         m_waves[wave.id] = wave;
         if (m_loaded) {
-            guarded([&] {
-                m_wavePlanner.addWave(wave, m_begunInstances[wave.id], bootNow());
-                runPlanners();
-            })();
+            guarded([&] { m_planner.waves().addWave(wave, m_begunInstances[wave.id], bootNow()); })();
+            schedulePlanning();
         }
     }
     void setSparePools(std::set<std::string> pools)
     {
-        m_sparePools = std::move(pools);
+        m_planner.setSparePools(std::move(pools));
     }
     /// Sets the vacated executors, each with the revision of the list of vacating executors to which the report of its
     /// partition's owner refers.
     void setVacated(const std::map<std::string, std::uint64_t> &executors)
     {
-        std::set<std::string> ids;
-        for (const auto &[id, revision] : executors) {
-            ids.insert(id);
-        }
-        guarded([&] {
-            m_wavePlanner.setVacated(std::move(ids));
-            m_poolPlanner.setVacated(executors);
-            runPlanners();
-        })();
+        guarded([&] { m_planner.setVacated(executors); })();
+        schedulePlanning();
     }
     void setLoad(const std::string &pool, PoolLoad load)
     {
-        guarded([&] {
-            m_wavePlanner.setDemand(pool, load.demandMilliCores);
-            m_poolPlanner.setLoad(pool, std::move(load));
-            runPlanners();
-        })();
+        guarded([&] { m_planner.setLoad(pool, std::move(load)); })();
+        schedulePlanning();
     }
 
 private:
@@ -173,8 +140,40 @@
         m_storedBegun = text;
     }
 
-    /// Reads the ownership key periodically. No requests for maintenance or moves are sent unless a recent answer
-    /// proves the ownership.
+    /// Reads the list of vacating executors that the predecessor has stored.
+    void loadVacating()
+    {
+        m_store.read(keys::FleetVacating, m_settings.storeTimeout, guarded([this](const StoreReply &reply) {
+                         if (reply.outcome == StoreOutcome::Done && !reply.items.empty()) {
+                             inheritVacating(reply.items.front());
+                         } else if (reply.outcome != StoreOutcome::NotFound) {
+                             later(m_settings.retryPause, [this] { loadVacating(); });
+                             return;
+                         }
+                         m_loaded = true;
+                         for (const auto &[id, wave] : m_waves) {
+                             m_planner.waves().addWave(wave, m_begunInstances[id], bootNow());
+                         }
+                         listInstances();
+                         confirmOwnership();
+                         logState();
+                     }));
+    }
+
+    void inheritVacating(const StoreItem &item)
+    {
+        m_writer.recordRevision(item.key, item.revision);
+        boost::system::error_code error;
+        const boost::json::value value = boost::json::parse(item.value, error);
+        auto executors = parseIds(error ? nullptr : &value);
+        if (executors) {
+            m_planner.inheritVacating(std::move(executors.value()), item.revision);
+        } else {
+            logEvent(LogLevel::Error, "fleet-item-unreadable", {{"key", item.key}});
+        }
+    }
+
+    /// Reads the ownership key periodically. No orders are sent unless a recent answer proves the ownership.
     void confirmOwnership()
     {
         const TimePoint sentAt = bootNow();
@@ -186,7 +185,7 @@
                          }
                          const bool answered = reply.outcome == StoreOutcome::Done;
                          if (answered) {
-                             m_confirmedAt = sentAt;
+                             m_planner.confirmed(sentAt);
                          }
                          later(answered ? m_settings.listPeriod : m_settings.retryPause,
                                [this] { confirmOwnership(); });
@@ -195,27 +194,26 @@
 
     void listInstances()
     {
-        const TimePoint sentAt = bootNow();
-        m_hooks.list(guarded([this, sentAt](const Result<std::vector<PooledInstance>> &listed) {
+        const TimePoint askedAt = bootNow();
+        m_hooks.list(guarded([this, askedAt](const Result<std::vector<PooledInstance>> &listed) {
             if (listed) {
-                m_listedAt = sentAt;
-                m_wavePlanner.setInstances(listed.value(), m_sparePools, bootNow());
-                m_poolPlanner.setInstances(listed.value(), m_sparePools, bootNow());
-                m_hasInstances = true;
-                runPlanners();
+                m_planner.setInstances(listed.value(), askedAt, bootNow());
+                schedulePlanning();
             } else {
                 ++m_counts.failedLists;
                 logRepeated(LogLevel::Warn, "machines-not-listed", "list", {{"why", listed.error().message}});
             }
-            const bool inProgress = !m_wavePlanner.allWavesCompleted() || m_poolPlanner.hasMoves();
-            later(inProgress ? m_settings.listPeriod : m_settings.idleListPeriod, [this] { listInstances(); });
+            later(m_planner.inProgress() ? m_settings.listPeriod : m_settings.idleListPeriod,
+                  [this] { listInstances(); });
         }));
     }
 
     void logState()
     {
         const FleetOwnerCounts counts = std::exchange(m_counts, {});
-        const auto milliseconds = [](Duration time) { return std::to_string(time.count() / 1000); };
+        const auto age = [](TimePoint time) {
+            return time == TimePoint{} ? std::string("none") : std::to_string((bootNow() - time).count() / 1000);
+        };
         logEvent(LogLevel::Info, "fleet-state",
                  {{"passes", std::to_string(counts.passes)},
                   {"longest_pass_us", std::to_string(counts.longestPass.count())},
@@ -223,121 +221,112 @@
                   {"begun", std::to_string(counts.begun)},
                   {"refused", std::to_string(counts.refused)},
                   {"unanswered", std::to_string(counts.unanswered)},
-                  {"open", std::to_string(m_openRequests)},
+                  {"open", std::to_string(m_planner.openOrders())},
                   {"failed_lists", std::to_string(counts.failedLists)},
-                  {"list_age_ms", m_hasInstances ? milliseconds(bootNow() - m_listedAt) : "none"},
-                  {"proof_ms", milliseconds(bootNow() - m_confirmedAt)}});
+                  {"list_age_ms", age(m_planner.listedAt())},
+                  {"proof_ms", age(m_planner.provenAt())}});
         later(m_settings.statePeriod, [this] { logState(); });
     }
 
-    /// Counts the answer to a request for maintenance or for a move.
-    void countAnswer(const std::string &instance, const std::string &executor, TimePoint orderedAt,
-                     MaintenanceResult result)
+    // Planning
+
+    /// Schedules one pass for all events that arrive until it runs.
+    void schedulePlanning()
     {
-        if (result == MaintenanceResult::Begun) {
-            logEvent(LogLevel::Info, "instance-order-accepted",
-                     {{"instance", instance},
-                      {"executor", executor},
-                      {"after_ms", std::to_string((bootNow() - orderedAt).count() / 1000)}});
+        schedulePlanningAt(steadyNow());
+    }
+
+    void schedulePlanningAt(TimePoint time)
+    {
+        if (m_ownershipLost || !m_loaded || !m_planner.hasInstances()) {
+            return;
+        }
+        if (m_planTimer.second != 0) {
+            if (m_planTimer.first <= time) {
+                return;
+            }
+            m_timers.cancel(m_planTimer);
         }
-        --m_openRequests;
-        m_counts.begun += result == MaintenanceResult::Begun ? 1 : 0;
-        m_counts.unanswered += result == MaintenanceResult::Unknown ? 1 : 0;
-        m_counts.refused += result == MaintenanceResult::Refused || result == MaintenanceResult::Impossible ? 1 : 0;
+        m_planTimer = m_timers.at(time, guarded([this] {
+                                      m_planTimer = {};
+                                      runPlanners();
+                                  }));
     }
 
     void runPlanners()
     {
+        if (m_ownershipLost) {
+            return;
+        }
         const TimePoint startedAt = steadyNow();
-        planAndPublish();
+        m_planner.plan(bootNow());
+        sendOrders();
+        publish();
+        const TimePoint endedAt = steadyNow();
         ++m_counts.passes;
-        m_counts.longestPass = std::max(m_counts.longestPass, steadyNow() - startedAt);
+        m_counts.longestPass = std::max(m_counts.longestPass, endedAt - startedAt);
+        schedulePlanningAt(startedAt + m_settings.planPeriod);
     }
 
-    void planAndPublish()
+    // Orders
+
+    void sendOrders()
     {
-        const TimePoint now = bootNow();
-        if (m_ownershipLost || !m_loaded || !m_hasInstances) {
-            return;
-        }
-        constexpr Duration maxProofAge{2'500'000};  // requests need a proof that is not older than this
-        if (now >= m_requestsAllowedFrom && now - m_confirmedAt < maxProofAge) {
-            m_wavePlanner.setMoving(m_poolPlanner.movingInstances());
-            for (const MaintenanceRequest &request : m_wavePlanner.tick(now)) {
-                maintain(request);
-            }
-            m_poolPlanner.setInMaintenance(m_wavePlanner.instancesInMaintenance());
-            if (!m_publishing) {
-                m_poolPlanner.setPublishedVacating(m_publishedVacating, m_vacatingRevision);
-            }
-            for (const MoveRequest &request : m_poolPlanner.tick(now)) {
-                move(request);
-            }
-        }
-        publish();
-        if (!std::exchange(m_planScheduled, true)) {
-            constexpr Duration planPeriod{250'000};
-            later(planPeriod, [this] {
-                m_planScheduled = false;
-                runPlanners();
-            });
+        for (FleetOrder &order : m_planner.takeOrders(bootNow())) {
+            send(std::move(order));
         }
     }
 
-    void maintain(const MaintenanceRequest &request)
+    void send(FleetOrder order)
     {
-        logEvent(LogLevel::Info, "maintenance-ordered",
-                 {{"instance", request.instance},
-                  {"executor", request.executor},
-                  {"wave", std::to_string(request.wave)},
-                  {"list_revision", std::to_string(m_vacatingRevision)}});
         ++m_counts.requested;
-        ++m_openRequests;
-        m_hooks.maintain(request, fencingToken(),
-                         guarded([this, request, sentAt = bootNow()](MaintenanceResult result) {
-                             countAnswer(request.instance, request.executor, sentAt, result);
-                             const TimePoint now = bootNow();
-                             switch (result) {
-                             case MaintenanceResult::Begun:
-                                 m_wavePlanner.maintenanceBegun(request.wave, request.instance, now);
-                                 break;
-                             case MaintenanceResult::Fenced:
-                                 reportOwnershipLost("fenced");
-                                 return;
-                             case MaintenanceResult::Refused:
-                             case MaintenanceResult::Impossible:
-                                 m_wavePlanner.maintenanceRefused(request.wave, request.instance,
-                                                                  result == MaintenanceResult::Impossible, now);
-                                 break;
-                             case MaintenanceResult::Unknown:
-                                 break;  // the planner repeats the request; a repeated request has no second effect
-                             }
-                             runPlanners();
-                         }));
+        const auto *maintenance = std::get_if<MaintenanceRequest>(&order.request);
+        const auto *move = std::get_if<MoveRequest>(&order.request);
+        auto done = guarded(
+            [this, order, sentAt = bootNow()](MaintenanceResult result) { orderAnswered(order, result, sentAt); });
+        if (maintenance != nullptr) {
+            logEvent(LogLevel::Info, "maintenance-ordered",
+                     {{"instance", maintenance->instance},
+                      {"executor", maintenance->executor},
+                      {"wave", std::to_string(maintenance->wave)},
+                      {"list_revision", std::to_string(m_planner.publishedRevision())}});
+            m_hooks.maintain(*maintenance, fencingToken(), std::move(done));
+        } else {
+            logEvent(LogLevel::Info, "move-ordered",
+                     {{"instance", move->instance},
+                      {"executor", move->executor},
+                      {"pool", move->pool},
+                      {"from", move->sourcePool},
+                      {"why", std::string(toString(move->reason))}});
+            m_hooks.move(*move, fencingToken(), std::move(done));
+        }
     }
 
-    void move(const MoveRequest &request)
+    void orderAnswered(const FleetOrder &order, MaintenanceResult result, TimePoint sentAt)
     {
-        logEvent(LogLevel::Info, "move-ordered",
-                 {{"instance", request.instance},
-                  {"executor", request.executor},
-                  {"pool", request.pool},
-                  {"from", request.sourcePool},
-                  {"why", std::string(toString(request.reason))}});
-        ++m_counts.requested;
-        ++m_openRequests;
-        m_hooks.move(request, fencingToken(), guarded([this, request, sentAt = bootNow()](MaintenanceResult result) {
-                         countAnswer(request.instance, request.executor, sentAt, result);
-                         const TimePoint now = bootNow();
-                         if (result == MaintenanceResult::Fenced) {
-                             reportOwnershipLost("fenced");
-                         } else if (result == MaintenanceResult::Begun) {
-                             m_poolPlanner.moveAccepted(request.instance, now);
-                         } else if (result != MaintenanceResult::Unknown) {
-                             m_poolPlanner.moveRefused(request.instance, result == MaintenanceResult::Impossible, now);
-                         }
-                         runPlanners();
-                     }));
+        const TimePoint now = bootNow();
+        switch (result) {
+        case MaintenanceResult::Fenced:
+            reportOwnershipLost("fenced");
+            return;
+        case MaintenanceResult::Begun:
+            ++m_counts.begun;
+            logEvent(LogLevel::Info, "instance-order-accepted",
+                     {{"instance", order.instance()},
+                      {"executor", order.executor()},
+                      {"after_ms", std::to_string((now - sentAt).count() / 1000)}});
+            break;
+        case MaintenanceResult::Refused:
+        case MaintenanceResult::Impossible:
+            ++m_counts.refused;
+            break;
+        case MaintenanceResult::Unknown:
+            ++m_counts.unanswered;
+            break;
+        }
+        m_planner.answered(order, result, now);
+        sendOrders();
+        schedulePlanning();
     }
 
     /// Writes the list of vacating executors, the instances whose maintenance has begun, and the status of the waves,
@@ -348,19 +337,18 @@
             return;
         }
         boost::json::array vacatingList;
-        std::set<std::string> vacating = m_wavePlanner.vacating();
-        vacating.merge(m_poolPlanner.vacating());
+        const std::set<std::string> vacating = m_planner.vacating(bootNow());
         for (const std::string &executor : vacating) {
             vacatingList.push_back(boost::json::string(executor));
         }
         boost::json::object begun;
-        for (const auto &[wave, instances] : m_wavePlanner.begunInstances()) {
+        for (const auto &[wave, instances] : m_planner.waves().begunInstances()) {
             begun[std::to_string(wave)] = boost::json::value_from(instances);
         }
-        const bool vacatingChanged = vacating != m_publishedVacating || m_vacatingRevision == 0;
+        const bool vacatingChanged = vacating != m_planner.publishedVacating() || m_planner.publishedRevision() == 0;
         const std::string vacatingText = boost::json::serialize(vacatingList);
         const std::string begunText = boost::json::serialize(begun);
-        const std::vector<std::int64_t> started = m_wavePlanner.unpublishedStarts();
+        const std::vector<std::int64_t> started = m_planner.waves().unpublishedStarts();
         std::vector<std::int64_t> completed;
         StoreTxn txn;
         if (vacatingChanged) {
@@ -370,7 +358,7 @@
             txn.writes.push_back({keys::FleetMaintenanceBegun, begunText, 0});
         } else {
             // A wave is reported as completed only once the record of its begun instances is stored.
-            completed = m_wavePlanner.unpublishedCompletions();
+            completed = m_planner.waves().unpublishedCompletions();
         }
         for (const std::int64_t wave : started) {
             txn.writes.push_back(m_hooks.status(wave, false));
@@ -382,6 +370,9 @@
             return;
         }
         m_publishing = true;
+        if (vacatingChanged) {
+            m_planner.publishing();
+        }
         m_writer.commit(std::move(txn), m_settings.storeTimeout,
                         guarded([this, vacating, vacatingChanged, begunText, started,
                                  completed](const StoreReply &reply, bool deposed) {
@@ -392,27 +383,27 @@
                             }
                             if (reply.outcome != StoreOutcome::Done) {
                                 // The write may or may not have taken effect, so the stored list is not known.
-                                m_publishedVacating.clear();
-                                m_vacatingRevision = 0;
-                                later(m_settings.retryPause, [this] { runPlanners(); });
+                                if (vacatingChanged) {
+                                    m_planner.published({}, 0);
+                                }
+                                later(m_settings.retryPause, [this] { schedulePlanning(); });
                                 return;
                             }
                             if (vacatingChanged) {
-                                m_publishedVacating = vacating;
-                                m_vacatingRevision = reply.revision;
+                                m_planner.published(vacating, reply.revision);
                                 logEvent(LogLevel::Info, "vacating-published",
                                          {{"executors", std::to_string(vacating.size())},
                                           {"revision", std::to_string(reply.revision)}});
                             }
                             m_storedBegun = begunText;
                             for (const std::int64_t wave : started) {
-                                m_wavePlanner.runningPublished(wave);
+                                m_planner.waves().runningPublished(wave);
                             }
                             for (const std::int64_t wave : completed) {
-                                m_wavePlanner.completionPublished(wave);
+                                m_planner.waves().completionPublished(wave);
                                 logEvent(LogLevel::Info, "wave-completed", {{"wave", std::to_string(wave)}});
                             }
-                            runPlanners();
+                            schedulePlanning();
                         }));
     }
 
@@ -420,23 +411,15 @@
     FencedWriter<S> m_writer;
     FleetOwnerSettings m_settings;
     FleetOwnerHooks m_hooks;
-    WavePlanner m_wavePlanner;
-    PoolPlanner m_poolPlanner;
-    TimePoint m_requestsAllowedFrom;
-    TimePoint m_confirmedAt;
-    TimePoint m_listedAt;       // send time of the request for the last list of instances
+    Timers &m_timers;
+    FleetPlanner m_planner;
     FleetOwnerCounts m_counts;  // since the last log line
-    int m_openRequests = 0;     // requests for maintenance and moves without an answer yet
+    Timers::Key m_planTimer{};
     std::map<std::int64_t, MaintenanceWave> m_waves;
     std::map<std::int64_t, std::set<std::string>> m_begunInstances;
-    std::set<std::string> m_sparePools;
-    std::set<std::string> m_publishedVacating;  // stored list of vacating executors
-    std::uint64_t m_vacatingRevision = 0;       // store revision of the list of vacating executors; 0: not known
     std::string m_storedBegun;
     bool m_loaded = false;
-    bool m_hasInstances = false;
     bool m_publishing = false;
-    bool m_planScheduled = false;
     bool m_ownershipLost = false;
 };
 
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -373,6 +373,8 @@
     if (partition == keys::FleetPartition) {
         FleetOwnerSettings settings;
         settings.takeoverDelay = m_settings.fleetOwnerPause + std::chrono::milliseconds(300);
+        settings.orderTimeout = platform::MachineClient::Timeout;
+        settings.orderSettings.maxOpen = platform::MachineClient::OrderConnections;
         m_fleet = std::make_unique<FleetOwner<Client>>(
             m_store, m_timers, fencingToken, predecessor != keys::Predecessor::None, settings, fleetHooks(), now);
         std::set<std::string> spare;
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -610,7 +610,7 @@
     }
 }
 
-std::vector<MoveRequest> PoolPlanner::tick(TimePoint now)
+std::vector<MoveRequest> PoolPlanner::tick(TimePoint now, std::size_t limit)
 {
     planScaleDown(now);
     planScaleUp(now);
@@ -618,7 +618,7 @@
     for (auto &[id, move] : m_moves) {
         const auto present = m_instances.find(id);
         const bool isDue = !move.accepted && now - move.requestedAt > m_settings.retryInterval;
-        if (isDue && isVacated(move) && present != m_instances.end()
+        if (requests.size() < limit && isDue && isVacated(move) && present != m_instances.end()
             && present->second.state == InstanceAvailability::Up) {
             move.requestedAt = now;
             requests.push_back({id, move.targetPool, move.sourcePool, move.reason, move.executor});
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -21,6 +21,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <set>
 #include <tuple>
 
@@ -138,8 +139,8 @@
     /// `permanent`: the target pool takes no instances of this kind, that is, with the same first label.
     void moveRefused(const std::string &instanceId, bool permanent, TimePoint now);
 
-    /// Returns the moves that are to be requested now.
-    std::vector<MoveRequest> tick(TimePoint now);
+    /// Returns the moves that are to be requested now, at most `limit`.
+    std::vector<MoveRequest> tick(TimePoint now, std::size_t limit = std::numeric_limits<std::size_t>::max());
     std::set<std::string> vacating() const;         // executors that must get no new work
     std::set<std::string> movingInstances() const;  // instances with a planned, requested or accepted move
     bool hasMoves() const;
--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -146,7 +146,7 @@
     return disrupted;
 }
 
-std::vector<MaintenanceRequest> WavePlanner::tick(TimePoint now)
+std::vector<MaintenanceRequest> WavePlanner::tick(TimePoint now, std::size_t limit)
 {
     std::vector<MaintenanceRequest> requests;
     std::map<std::string, int> disrupted = disruptedPerPool();
@@ -181,7 +181,7 @@
             const bool isDue = member.phase == MaintenancePhase::Vacating
                 && now - member.requestedAt > m_settings.retryInterval && present->state == InstanceAvailability::Up
                 && isVacated(*present) && downCount < progress.wave.maxConcurrent;
-            if (isRepetition || isDue) {
+            if ((isRepetition || isDue) && requests.size() < limit) {
                 downCount += isDue ? 1 : 0;
                 member.executor = present->executor;
                 member.phase = MaintenancePhase::Requested;
--- a/src/wave_planner.h
+++ b/src/wave_planner.h
@@ -9,6 +9,7 @@
 
 #include "deployment.h"
 
+#include <limits>
 #include <set>
 
 namespace briarvane
@@ -81,9 +82,9 @@
     /// `permanent`: the instance will never accept; the wave continues without it.
     void maintenanceRefused(std::int64_t wave, const std::string &id, bool permanent, TimePoint now);
 
-    /// Returns the requests that are due now. Each is answered by maintenanceBegun() or maintenanceRefused(), or
-    /// repeated while no answer comes.
-    std::vector<MaintenanceRequest> tick(TimePoint now);
+    /// Returns the requests that are due now, at most `limit`. Each is answered by maintenanceBegun() or
+    /// maintenanceRefused(), or repeated while no answer comes.
+    std::vector<MaintenanceRequest> tick(TimePoint now, std::size_t limit = std::numeric_limits<std::size_t>::max());
     std::set<std::string> vacating() const;  // executors that must get no new work
     /// Instances whose maintenance has begun or that are finished, by wave.
     std::map<std::int64_t, std::set<std::string>> begunInstances() const;
--- a/tests/run_fleet_owner.cpp
+++ b/tests/run_fleet_owner.cpp
@@ -108,7 +108,7 @@
 
 }
 
-TEST_CASE("A new owner of the fleet gives no executor work that an order of its predecessor may end", "[.known-red]")
+TEST_CASE("A new owner of the fleet gives no executor work that an order of its predecessor may end")
 {
     FleetFixture fixture;
     fixture.settings.takeoverDelay = 1h;
@@ -118,7 +118,7 @@
     CHECK(fixture.vacating() == std::set<std::string>{"i-m0", "i-m4"});
 }
 
-TEST_CASE("No executor is given work while an order that ends it is open", "[.known-red]")
+TEST_CASE("No executor is given work while an order that ends it is open")
 {
     FleetFixture fixture;
     fixture.start(false);
