--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -19,6 +19,7 @@
 
 struct FleetOwnerSettings : FleetPlannerSettings
 {
+    PlanPace pace;
     Duration planPeriod{250'000};  // longest time between two planning passes
     /// Time between two requests for the list of instances while a wave or a move is in progress. All entries share the
     /// rate limit of the list.
@@ -230,10 +231,11 @@
 
     // Planning
 
-    /// Schedules one pass for all events that arrive until it runs.
+    /// Schedules one pass for all events that arrive until it runs. Events change state only, so the cost of planning
+    /// does not grow with their number.
     void schedulePlanning()
     {
-        schedulePlanningAt(steadyNow());
+        schedulePlanningAt(std::max(steadyNow(), m_nextPlanAt));
     }
 
     void schedulePlanningAt(TimePoint time)
@@ -265,7 +267,8 @@
         const TimePoint endedAt = steadyNow();
         ++m_counts.passes;
         m_counts.longestPass = std::max(m_counts.longestPass, endedAt - startedAt);
-        schedulePlanningAt(startedAt + m_settings.planPeriod);
+        m_nextPlanAt = m_settings.pace.next(startedAt, endedAt);
+        schedulePlanningAt(std::max(startedAt + m_settings.planPeriod, m_nextPlanAt));
     }
 
     // Orders
@@ -415,6 +418,7 @@
     FleetPlanner m_planner;
     FleetOwnerCounts m_counts;  // since the last log line
     Timers::Key m_planTimer{};
+    TimePoint m_nextPlanAt;  // earliest time of the next planning pass
     std::map<std::int64_t, MaintenanceWave> m_waves;
     std::map<std::int64_t, std::set<std::string>> m_begunInstances;
     std::string m_storedBegun;
--- a/src/fleet_planner.h
+++ b/src/fleet_planner.h
@@ -9,7 +9,8 @@
 //
 // Index
 // [1] Settings
-// [2] The planner
+// [2] Pace of the planning passes
+// [3] The planner
 
 #include "order_book.h"
 
@@ -32,7 +33,25 @@
     Duration orderMargin{300'000};     // time in which an order that was given up may still be carried out
 };
 
-// [2] The planner -----------------------------------------------------------------------------------------------------
+// [2] Pace of the planning passes -------------------------------------------------------------------------------------
+
+/// Bounds the share of the processor that planning takes. A pass looks at all instances, so its cost grows with the
+/// fleet, while answers and reports come at hundreds a second.
+struct PlanPace
+{
+    Duration minGap{50'000};  // shortest time between two passes
+    double maxShare = 0.1;    // share of the time that passes may take
+
+    /// Time from which on the next pass may run.
+    TimePoint next(TimePoint startedAt, TimePoint endedAt) const
+    {
+        const auto pause
+            = Duration(static_cast<std::int64_t>(static_cast<double>((endedAt - startedAt).count()) / maxShare));
+        return startedAt + std::max(minGap, pause);
+    }
+};
+
+// [3] The planner -----------------------------------------------------------------------------------------------------
 
 class FleetPlanner
 {
--- a/tests/core_fleet_planner.cpp
+++ b/tests/core_fleet_planner.cpp
@@ -357,3 +357,11 @@
         }
     }
 }
+
+TEST_CASE("Planning takes a bounded share of the time, however long a pass is")
+{
+    const PlanPace pace;
+    const TimePoint now{1h};
+    CHECK(pace.next(now, now + 100us) == now + pace.minGap);
+    CHECK(pace.next(now, now + 20ms) == now + 200ms);
+}
