Scheduler: a reservation on an executor that was idle for longer than a lease is kept

Cause: an executor without runs is not polled, so its last report and its last lease are old.

Change: busySince is set when an executor gets its first run, reserved or started.

--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -199,7 +199,7 @@
     TimePoint vacatingSince;
     TimePoint lastReport;
     TimePoint reportSentAt;  // send time of the poll that the last report answers: the report is no older than that
-    TimePoint busySince;     // time of the last start that was sent while the executor had no other runs
+    TimePoint busySince;     // time at which the executor last got a run or a reservation while it had none
     TimePoint adoptedAt;
     TimePoint listedSince;
     ExecutorHealth health;
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -517,6 +517,9 @@
     executor.used += run.allocated;
     --executor.startsAllowed;
     ++job.runs;
+    if (executor.runs.empty()) {
+        executor.busySince = now;
+    }
     const std::string text = formatTaskName(name);
     if (const auto former = executor.runs.find(text); former != executor.runs.end()) {
         m_quotaLedger.ended(former->second.workspace, former->second.quotaUse);
@@ -547,9 +550,6 @@
     }
     command.leaseUntilMs = leaseUntil(executor, now);
     extendLease(executor, command.leaseUntilMs);
-    if (executor.runs.size() == 1 && run.sends == 1) {
-        executor.busySince = now;
-    }
     executor.nextReportPoll = std::min(executor.nextReportPoll, now + m_settings.reportBatchDelay);
     ++(run.sends == 1 ? m_counts.starts : m_counts.repeatedStarts);
     m_commands.push_back(std::move(command));
--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -514,6 +514,17 @@
     }
 }
 
+TEST_CASE("A long-running task keeps its place on an executor that had no runs for longer than a lease")
+{
+    Simulation simulation(faultFreeSettings());
+    simulation.takeOver(true);
+    simulation.run(10s);
+    simulation.submit(makeJob("a", {longRunningStep(3)}));
+    simulation.run(1s);
+    CHECK(simulation.servingTasks("a") == 3);
+    CHECK(simulation.scheduler()->counts().requeued == 0);
+}
+
 TEST_CASE("A long-running job keeps its tasks running")
 {
     Simulation simulation(faultFreeSettings());
