Fleet's owner: maintenance begins only on a report about a list that names the executor

After the executor left the list of vacating executors and took new work, for example at a change of the fleet's owner, a report from before then let its maintenance begin as soon as it was to be vacated again. The pool planner compared revisions already.

Change: both planners use VacatedReports, which compares the revision of the report with the one from which on the list names the executor without a gap.

The tests of the wave planner state the revision of each report now and check older ones in addition; the one on a new owner asks for a list and a report before the request.

--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -36,11 +36,7 @@
 
 void FleetPlanner::setVacated(const std::map<std::string, std::uint64_t> &executors)
 {
-    std::set<std::string> ids;
-    for (const auto &[id, revision] : executors) {
-        ids.insert(id);
-    }
-    m_waves.setVacated(std::move(ids));
+    m_waves.setVacated(executors);
     m_pools.setVacated(executors);
 }
 
@@ -67,14 +63,15 @@
     if (!mayOrder(now)) {
         return;
     }
+    if (!m_isPublishing) {
+        m_waves.setPublishedVacating(m_published, m_publishedRevision);
+        m_pools.setPublishedVacating(m_published, m_publishedRevision);
+    }
     m_waves.setMoving(m_pools.movingInstances());
     for (MaintenanceRequest &request : m_waves.tick(now, m_orders.room())) {
         m_orders.add({std::move(request)});
     }
     m_pools.setInMaintenance(m_waves.instancesInMaintenance());
-    if (!m_isPublishing) {
-        m_pools.setPublishedVacating(m_published, m_publishedRevision);
-    }
     for (MoveRequest &request : m_pools.tick(now, m_orders.room())) {
         m_orders.add({std::move(request)});
     }
--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -141,18 +141,12 @@
 
 void PoolPlanner::setVacated(std::map<std::string, std::uint64_t> executors)
 {
-    m_vacated = std::move(executors);
+    m_vacated.setReports(std::move(executors));
 }
 
 void PoolPlanner::setPublishedVacating(const std::set<std::string> &executors, std::uint64_t revision)
 {
-    for (auto &[id, move] : m_moves) {
-        if (!executors.contains(move.executor)) {
-            move.vacatingRevision = 0;
-        } else if (move.vacatingRevision == 0) {
-            move.vacatingRevision = revision;
-        }
-    }
+    m_vacated.setPublished(executors, revision);
 }
 
 void PoolPlanner::setInMaintenance(std::set<std::string> instances)
@@ -383,11 +377,7 @@
 
 bool PoolPlanner::isVacated(const Move &move) const
 {
-    if (move.executor.empty()) {
-        return true;
-    }
-    const auto vacated = m_vacated.find(move.executor);
-    return move.vacatingRevision != 0 && vacated != m_vacated.end() && vacated->second >= move.vacatingRevision;
+    return move.executor.empty() || m_vacated.isVacated(move.executor);
 }
 
 bool PoolPlanner::isRequested(const Move &move) const
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -18,6 +18,7 @@
 
 #include "demand_forecast.h"
 #include "deployment.h"
+#include "vacated_reports.h"
 
 #include <deque>
 #include <functional>
@@ -129,9 +130,7 @@
     void setLoad(const std::string &pool, PoolLoad load);
     /// Vacated executors, each with the revision of the list of vacating executors that its owner reported on.
     void setVacated(std::map<std::string, std::uint64_t> executors);
-    /// The stored list of vacating executors and its revision. A report that an executor is vacated is valid only if
-    /// the executor has been in the list without a gap since the revision that the report refers to: an executor that
-    /// left the list in between may have taken new work.
+    /// The stored list of vacating executors and its revision, see VacatedReports.
     void setPublishedVacating(const std::set<std::string> &executors, std::uint64_t revision);
     /// Instances that a maintenance wave is emptying or has taken down; the planner leaves these alone.
     void setInMaintenance(std::set<std::string> instances);
@@ -154,9 +153,6 @@
         TimePoint requestedAt;
         MoveReason reason = MoveReason::Excess;
         bool accepted = false;
-        /// Revision of the first stored list of vacating executors that named the executor; 0: the stored list does not
-        /// name the executor.
-        std::uint64_t vacatingRevision = 0;
     };
 
     /// What a pool keeps while others need instances.
@@ -233,7 +229,7 @@
     std::map<std::string, PoolLoad> m_loads;
     std::map<std::string, std::deque<DemandSample>> m_demandHistory;  // by pool, latest last
     DemandForecast m_forecast;
-    std::map<std::string, std::uint64_t> m_vacated;
+    VacatedReports m_vacated;
     std::set<std::string> m_inMaintenance;
     std::map<std::string, Move> m_moves;                           // by instance
     std::map<std::string, TimePoint> m_backoffUntil;               // by instance whose move was refused
--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -52,9 +52,14 @@
     }
 }
 
-void WavePlanner::setVacated(std::set<std::string> executors)
+void WavePlanner::setVacated(std::map<std::string, std::uint64_t> executors)
 {
-    m_vacated = std::move(executors);
+    m_vacated.setReports(std::move(executors));
+}
+
+void WavePlanner::setPublishedVacating(const std::set<std::string> &executors, std::uint64_t revision)
+{
+    m_vacated.setPublished(executors, revision);
 }
 
 void WavePlanner::setMoving(std::set<std::string> instances)
@@ -128,7 +133,7 @@
 
 bool WavePlanner::isVacated(const PooledInstance &instance) const
 {
-    return instance.executor.empty() || m_sparePools.contains(instance.pool) || m_vacated.contains(instance.executor);
+    return instance.executor.empty() || m_sparePools.contains(instance.pool) || m_vacated.isVacated(instance.executor);
 }
 
 std::map<std::string, int> WavePlanner::disruptedPerPool() const
--- a/src/wave_planner.h
+++ b/src/wave_planner.h
@@ -8,6 +8,7 @@
 // [2] The planner
 
 #include "deployment.h"
+#include "vacated_reports.h"
 
 #include <limits>
 #include <set>
@@ -72,7 +73,10 @@
     /// `begunInstances`: instances whose maintenance has begun under an earlier owner.
     void addWave(const MaintenanceWave &wave, const std::set<std::string> &begunInstances, TimePoint now);
     void setInstances(std::vector<PooledInstance> instances, const std::set<std::string> &sparePools, TimePoint now);
-    void setVacated(std::set<std::string> executors);  // executors that partition owners report as vacated
+    /// Vacated executors, each with the revision of the list of vacating executors that its owner reported on.
+    void setVacated(std::map<std::string, std::uint64_t> executors);
+    /// The stored list of vacating executors and its revision, see VacatedReports.
+    void setPublishedVacating(const std::set<std::string> &executors, std::uint64_t revision);
     /// Sets the instances that are moving between pools. Waves do not start to vacate them during the move.
     void setMoving(std::set<std::string> instances);
     /// Milli-cores that the pool's jobs demand. Instances of pools that use little of their room are vacated first.
@@ -110,7 +114,7 @@
     std::map<std::string, double> m_poolRoom;  // milli-cores
     std::map<std::string, double> m_demand;    // milli-cores by pool
     std::set<std::string> m_sparePools;
-    std::set<std::string> m_vacated;
+    VacatedReports m_vacated;
     std::set<std::string> m_moving;
 };
 
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -53,13 +53,13 @@
     return wave;
 }
 
-std::set<std::string> allVacated()
+std::map<std::string, std::uint64_t> allVacated(std::uint64_t listRevision)
 {
-    std::set<std::string> ids;
+    std::map<std::string, std::uint64_t> reports;
     for (int i = 0; i < 12; ++i) {
-        ids.insert("i-m" + std::to_string(i));
+        reports["i-m" + std::to_string(i)] = listRevision;
     }
-    return ids;
+    return reports;
 }
 
 PoolLoad makeLoad(int cores, TimePoint now, std::set<std::string> idle = {})
@@ -85,10 +85,24 @@
         CHECK(planner.tick(now).empty());
         CHECK(planner.vacating().size() == 3);  // the limit is a quarter of the 12 instances of the pool
     }
+    SECTION("a report that refers to an older list, which did not name the executor, is ignored")
+    {
+        planner.tick(now);
+        planner.setPublishedVacating(planner.vacating(), 20);
+        planner.setVacated(allVacated(19));
+        CHECK(planner.tick(now + 1s).empty());
+        planner.setPublishedVacating({}, 21);
+        planner.setPublishedVacating(planner.vacating(), 22);
+        planner.setVacated(allVacated(21));
+        CHECK(planner.tick(now + 2s).empty());
+        planner.setVacated(allVacated(22));
+        CHECK(planner.tick(now + 3s).size() == 2);
+    }
     SECTION("no more instances are down at once than the wave allows, also while answers are missing")
     {
         planner.tick(now);
-        planner.setVacated(allVacated());
+        planner.setPublishedVacating(planner.vacating(), 20);
+        planner.setVacated(allVacated(20));
         const auto requests = planner.tick(now + 1s);
         REQUIRE(requests.size() == 2);
 
@@ -142,8 +156,10 @@
         WavePlanner next({});
         next.addWave(makeWave(2, 2), {"m0"}, now);
         next.setInstances(makeFleet(12, 0), SparePools, now + 20s);
-        next.setVacated(allVacated());
-        const auto requests = next.tick(now + 20s);
+        CHECK(next.tick(now + 20s).empty());
+        next.setPublishedVacating(next.vacating(), 20);
+        next.setVacated(allVacated(20));
+        const auto requests = next.tick(now + 21s);
         REQUIRE(requests.size() == 1);
         CHECK(requests[0].instance == "m1");
     }
--- a/tests/run_fleet_owner.cpp
+++ b/tests/run_fleet_owner.cpp
@@ -141,3 +141,22 @@
         CHECK(vacating.contains(order.executor));
     }
 }
+
+TEST_CASE("Maintenance does not begin on a report from before the executor was to be vacated")
+{
+    FleetFixture fixture;
+    fixture.start(false);
+    MaintenanceWave wave;
+    wave.id = 7;
+    wave.maxConcurrent = 1;
+    wave.instances = {"m0"};
+    fixture.owner->addWave(wave);
+    fixture.runUntil([&] { return fixture.store.value(keys::FleetVacating) == R"(["i-m0"])"; });
+    const std::uint64_t listRevision = fixture.store.item(keys::FleetVacating).revision;
+    fixture.owner->setVacated({{"i-m0", listRevision - 1}});
+    fixture.runForLists(50);
+    CHECK(fixture.orders.empty());
+    fixture.owner->setVacated({{"i-m0", listRevision}});
+    fixture.runUntil([&] { return !fixture.orders.empty(); });
+    CHECK(fixture.orders.front().executor == "i-m0");
+}
