Wave planner: vacate the present executor of an instance

Cause: an instance whose executor restarted under another id while it was being vacated stayed in that phase for ever: the list of vacating executors named the former id, and no report names an executor that is gone. The wave then never ended.

Test: the new section of core_fleet_plans failed before (no request).

--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -42,6 +42,8 @@
             const PooledInstance *present = findInstance(id);
             if (present == nullptr) {
                 member.phase = MaintenancePhase::Finished;  // no longer part of the fleet
+            } else if (member.phase == MaintenancePhase::Vacating) {
+                member.executor = present->executor;  // a restart gives the instance another one
             } else if (member.phase == MaintenancePhase::Down) {
                 const bool isUp = present->state == InstanceAvailability::Up
                     && (present->executor != member.executor || m_sparePools.contains(present->pool));
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -130,6 +130,19 @@
             CHECK(planner.tick(now + 1100ms).size() == 1);
         }
     }
+    SECTION("an instance whose executor restarts while it is vacated is vacated anew")
+    {
+        planner.tick(now);
+        auto listed = makeFleet(12, 0);
+        for (PooledInstance &instance : listed) {
+            instance.executor += "-new";
+        }
+        planner.setInstances(listed, SparePools, now + 1s);
+        CHECK(planner.vacating() == std::set<std::string>{"i-m0-new", "i-m1-new", "i-m10-new"});
+        planner.setPublishedVacating(planner.vacating(), 20);
+        planner.setVacated({{"i-m0-new", 20}});
+        REQUIRE(planner.tick(now + 1s).size() == 1);
+    }
     SECTION("a wave is completed when the maintenance of each instance has begun, and not before")
     {
         CHECK(planner.unpublishedCompletions().empty());
