--- a/bench/fleet_plan_bench.cpp
+++ b/bench/fleet_plan_bench.cpp
@@ -2,9 +2,9 @@
 // one pool in its demand peak, and the others lending. Network and store are not included.
 // Usage: fleet_plan_bench
 
-#include "pool_planner.h"
-#include "wave_planner.h"
+#include "fleet_planner.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 
@@ -17,6 +17,7 @@
 constexpr int Pools = 4;  // and a spare pool
 constexpr int MilliCores = 16'000;
 constexpr Duration PassInterval{250'000};
+constexpr Duration PeakTime{4'500'000};  // the pools have their peaks in turns
 
 std::vector<PooledInstance> fleetOf(int instances)
 {
@@ -28,6 +29,7 @@
         instance.pool = i % (Pools + 1) == Pools ? "spare" : "pool-" + std::to_string(i % (Pools + 1));
         instance.executor = "executor-" + std::to_string(i);
         instance.labels = {"a", "rack-" + std::to_string(i / 8)};
+        instance.state = InstanceAvailability::Up;
         instance.capacity = {MilliCores, 32'768, 0};
         fleet.push_back(std::move(instance));
     }
@@ -53,50 +55,74 @@
     return load;
 }
 
+/// Carries out the orders at once, as the machines API does.
+void carryOut(FleetPlanner &planner, std::vector<PooledInstance> &fleet, std::size_t &orders, TimePoint now)
+{
+    for (auto due = planner.takeOrders(now); !due.empty(); due = planner.takeOrders(now)) {
+        for (const FleetOrder &order : due) {
+            const auto instance = std::find_if(fleet.begin(), fleet.end(), [&order](const PooledInstance &candidate) {
+                return candidate.id == order.instance();
+            });
+            if (const auto *move = std::get_if<MoveRequest>(&order.request)) {
+                instance->pool = move->pool;
+            }
+            instance->executor += '+';
+            planner.answered(order, MaintenanceResult::Begun, now);
+            ++orders;
+        }
+    }
+}
+
 void measure(int instances)
 {
-    const std::vector<PooledInstance> fleet = fleetOf(instances);
-    const std::set<std::string> spare{"spare"};
+    std::vector<PooledInstance> fleet = fleetOf(instances);
     TimePoint now{1h};
     MaintenanceWave wave;
     wave.id = 1;
     wave.maxConcurrent = instances / 6;
+    wave.instances.reserve(fleet.size());
     for (const PooledInstance &instance : fleet) {
         if (wave.instances.size() * 5 < fleet.size() * 2) {
             wave.instances.push_back(instance.id);
         }
     }
-    WavePlanner waves({});
-    PoolPlanner pools({});
-    waves.addWave(wave, {}, now);
-    constexpr int passes = 20;
-    std::chrono::duration<double, std::micro> waveTime{0};
-    std::chrono::duration<double, std::micro> poolTime{0};
-    std::size_t requests = 0;
+    FleetPlanner planner({}, false, now);
+    planner.setSparePools({"spare"});
+    planner.waves().addWave(wave, {}, now);
+    constexpr int passes = 100;
+    std::chrono::duration<double, std::micro> total{0};
+    std::chrono::duration<double, std::micro> longest{0};
+    std::size_t orders = 0;
+    std::uint64_t revision = 1;
     for (int pass = 0; pass < passes; ++pass, now += PassInterval) {
-        waves.setInstances(fleet, spare, now);
-        pools.setInstances(fleet, spare, now);
+        planner.confirmed(now);
+        planner.setInstances(fleet, now, now);
         for (int pool = 0; pool < Pools; ++pool) {
             const std::string name = "pool-" + std::to_string(pool);
-            pools.setLoad(name, loadOf(fleet, name, pool == 0, now));
+            planner.setLoad(name, loadOf(fleet, name, (now.time_since_epoch() / PeakTime) % Pools == pool, now));
         }
         const auto startedAt = std::chrono::steady_clock::now();
-        waves.setMoving(pools.movingInstances());
-        requests += waves.tick(now).size();
-        const auto wavesDoneAt = std::chrono::steady_clock::now();
-        pools.setInMaintenance(waves.instancesInMaintenance());
-        requests += pools.tick(now).size();
-        waveTime += wavesDoneAt - startedAt;
-        poolTime += std::chrono::steady_clock::now() - wavesDoneAt;
+        planner.plan(now);
+        const std::set<std::string> vacating = planner.vacating(now);
+        const std::chrono::duration<double, std::micro> time = std::chrono::steady_clock::now() - startedAt;
+        total += time;
+        longest = std::max(longest, time);
+        carryOut(planner, fleet, orders, now);
+        std::map<std::string, std::uint64_t> reports;
+        planner.published(vacating, ++revision);
+        for (const std::string &executor : vacating) {
+            reports[executor] = revision;
+        }
+        planner.setVacated(reports);
     }
-    std::printf("%9d %14.0f %14.0f %9zu\n", instances, waveTime.count() / passes, poolTime.count() / passes, requests);
+    std::printf("%9d %13.0f %16.0f %7zu\n", instances, total.count() / passes, longest.count(), orders);
 }
 
 }
 
 int main()
 {
-    std::printf("instances  wave pass, us  pool pass, us  requests\n");
+    std::printf("instances  mean pass, us  longest pass, us  orders\n");
     for (const int instances : {100, 300, 1'100, 3'200}) {
         measure(instances);
     }
--- a/tests/core_fleet_planner.cpp
+++ b/tests/core_fleet_planner.cpp
@@ -36,6 +36,7 @@
     MaintenanceWave wave;
     wave.id = 7;
     wave.maxConcurrent = maxConcurrent;
+    wave.instances.reserve(static_cast<std::size_t>(instances));
     for (int i = 0; i < instances; ++i) {
         wave.instances.push_back("m" + std::to_string(i));
     }
@@ -270,6 +271,7 @@
     planner.setSparePools(SparePools);
     planner.inheritVacating({"i-m0", "i-m1"}, 20);
     std::vector<PooledInstance> instances;
+    instances.reserve(8);
     for (int i = 0; i < 8; ++i) {
         instances.push_back(makeInstance("m" + std::to_string(i), "spare"));
     }
