Pool planner: count the kinds of a pool once for all its candidates

Cause: isRequiredByPool looked for another instance of the same kind among all instances, for each candidate of a pass.

--- a/src/pool_planner.cpp
+++ b/src/pool_planner.cpp
@@ -243,17 +243,30 @@
     return milliCores;
 }
 
-bool PoolPlanner::isRequiredByPool(const PooledInstance &instance) const
-{
-    const bool hasSameKind
-        = instance.labels.empty() || std::any_of(m_instances.begin(), m_instances.end(), [&](const auto &entry) {
-              const auto &[id, other] = entry;
-              return id != instance.id && other.state != InstanceAvailability::Down && !other.labels.empty()
-                  && other.labels.front() == instance.labels.front() && plannedPool(other) == instance.pool;
-          });
+std::map<std::string, int> PoolPlanner::kindsAfterMoves(const std::string &pool) const
+{
+    std::map<std::string, int> kinds;
+    for (const auto &[id, instance] : m_instances) {
+        if (instance.state != InstanceAvailability::Down && !instance.labels.empty() && plannedPool(instance) == pool) {
+            ++kinds[instance.labels.front()];
+        }
+    }
+    return kinds;
+}
+
+bool PoolPlanner::isRequiredByPool(const PooledInstance &instance, const std::map<std::string, int> &kinds) const
+{
+    if (!instance.labels.empty()) {
+        const auto kind = kinds.find(instance.labels.front());
+        const int itself
+            = instance.state != InstanceAvailability::Down && plannedPool(instance) == instance.pool ? 1 : 0;
+        if (kind == kinds.end() || kind->second <= itself) {
+            return true;
+        }
+    }
     const auto load = m_loads.find(instance.pool);
-    if (!hasSameKind || load == m_loads.end()) {
-        return !hasSameKind;
+    if (load == m_loads.end()) {
+        return false;
     }
     const auto &demand = load->second.demandByLabel;
     return std::any_of(demand.begin(), demand.end(), [&](const auto &entry) {
@@ -403,6 +416,7 @@
                                    const std::function<bool(const PooledInstance &)> &release)
 {
     const PoolLoad &load = m_loads.at(pool);
+    std::map<std::string, int> kinds = kindsAfterMoves(pool);
     for (const std::set<std::string> *executors : {&load.idle, &load.emptySoon, &load.withoutLongRunning}) {
         for (const auto &[id, instance] : m_instances) {
             if (count <= 0 || (busy == BusyInstances::Stay && executors == &load.withoutLongRunning)) {
@@ -410,8 +424,11 @@
             }
             if (instance.pool == pool && instance.state == InstanceAvailability::Up && !m_moves.contains(id)
                 && !m_inMaintenance.contains(id) && executors->contains(instance.executor)
-                && !isRequiredByPool(instance) && release(instance)) {
+                && !isRequiredByPool(instance, kinds) && release(instance)) {
                 --count;
+                if (!instance.labels.empty()) {
+                    --kinds[instance.labels.front()];
+                }
             }
         }
     }
@@ -493,7 +510,8 @@
                         || source->second.withoutLongRunning.contains(instance.executor));
                 if (milliCores < demand && instance.pool != pool && isReleasable
                     && instance.state == InstanceAvailability::Up && instance.hasLabel(label) && !m_moves.contains(id)
-                    && !m_inMaintenance.contains(id) && mayMove(instance, pool, now) && !isRequiredByPool(instance)) {
+                    && !m_inMaintenance.contains(id) && mayMove(instance, pool, now)
+                    && !isRequiredByPool(instance, kindsAfterMoves(instance.pool))) {
                     m_moves[id] = {pool, instance.pool, instance.executor, {}, MoveReason::Label};
                     milliCores += instance.capacity.milliCores;
                 }
--- a/src/pool_planner.h
+++ b/src/pool_planner.h
@@ -190,7 +190,10 @@
     int milliCoresWithLabel(const std::string &pool, const std::string &label) const;
     /// Whether the pool needs the instance: the instance is the last one in its pool with its first label (its kind),
     /// or the pool's jobs require a label of the instance and the other instances with the label have too few cores.
-    bool isRequiredByPool(const PooledInstance &instance) const;
+    /// `kinds`: kindsAfterMoves() of its pool.
+    bool isRequiredByPool(const PooledInstance &instance, const std::map<std::string, int> &kinds) const;
+    /// Numbers of instances of each kind that the pool has after all planned moves, without instances that are down.
+    std::map<std::string, int> kindsAfterMoves(const std::string &pool) const;
     int instancesForDemand(const std::string &pool, int milliCores) const;
     /// Number of instances that a pool requires for the given demand; none while the pool has reported no load.
     std::optional<int> requiredInstances(const std::string &pool, int milliCores, Floor floor, TimePoint now) const;
