Wave planner: an older list does not end the maintenance of a spare instance

Cause: a list that was requested before an order took effect, and handled after its answer, shows a spare instance as up. The list takes several pages, and orders are answered meanwhile.

Test: the new section of core_fleet_plans failed before (one request too many).

--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -30,7 +30,7 @@
 {
     m_listedAt = askedAt;
     m_orders.setInstances(instances);
-    m_waves.setInstances(instances, m_sparePools, now);
+    m_waves.setInstances(instances, m_sparePools, askedAt);
     m_pools.setInstances(instances, m_sparePools, now);
 }
 
--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -25,7 +25,7 @@
 }
 
 void WavePlanner::setInstances(std::vector<PooledInstance> instances, const std::set<std::string> &sparePools,
-                               TimePoint now)
+                               TimePoint askedAt)
 {
     m_instances.clear();
     m_poolSizes.clear();
@@ -45,9 +45,9 @@
             } else if (member.phase == MaintenancePhase::Vacating) {
                 member.executor = present->executor;  // a restart gives the instance another one
             } else if (member.phase == MaintenancePhase::Down) {
-                const bool isUp = present->state == InstanceAvailability::Up
+                const bool isUp = present->state == InstanceAvailability::Up && askedAt >= member.phaseSince
                     && (present->executor != member.executor || m_sparePools.contains(present->pool));
-                const bool isOverdue = now - member.phaseSince > m_settings.returnTimeout;
+                const bool isOverdue = askedAt - member.phaseSince > m_settings.returnTimeout;
                 member.phase = isUp || isOverdue ? MaintenancePhase::Finished : MaintenancePhase::Down;
             }
         }
--- a/src/wave_planner.h
+++ b/src/wave_planner.h
@@ -72,7 +72,9 @@
 
     /// `begunInstances`: instances whose maintenance has begun under an earlier owner.
     void addWave(const MaintenanceWave &wave, const std::set<std::string> &begunInstances, TimePoint now);
-    void setInstances(std::vector<PooledInstance> instances, const std::set<std::string> &sparePools, TimePoint now);
+    /// All instances, as listed by a call that was sent at `askedAt`.
+    void setInstances(std::vector<PooledInstance> instances, const std::set<std::string> &sparePools,
+                      TimePoint askedAt);
     /// Vacated executors, each with the revision of the list of vacating executors that its owner reported on.
     void setVacated(std::map<std::string, std::uint64_t> executors);
     /// The stored list of vacating executors and its revision, see VacatedReports.
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -204,6 +204,21 @@
             CHECK(ordered.vacating().contains("i-m0"));
         }
     }
+    SECTION("a spare instance counts as down until a list that was requested after its maintenance began shows it up")
+    {
+        WavePlanner spares({});
+        MaintenanceWave wave = makeWave(0, 1);
+        wave.instances = {"s0", "s1"};
+        spares.addWave(wave, {}, now);
+        spares.setInstances(makeFleet(12, 2), SparePools, now);
+        const auto requests = spares.tick(now);
+        REQUIRE(requests.size() == 1);
+        spares.maintenanceBegun(7, requests[0].instance, now + 1s);
+        spares.setInstances(makeFleet(12, 2), SparePools, now + 900ms);
+        CHECK(spares.tick(now + 1s).empty());
+        spares.setInstances(makeFleet(12, 2), SparePools, now + 3s);
+        CHECK(spares.tick(now + 3s).size() == 1);
+    }
     SECTION("an instance that is moving between pools is not vacated for a wave")
     {
         planner.setMoving({"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9", "m10", "m11"});
