Wave planner: instances that the list shows in maintenance count as down

Cause: an owner that ends between the acceptance of an order and the record of it leaves instances in maintenance that its successor does not know of. The successor took down as many as the wave allows beside them (LIMIT). Planning at a bounded rate had made that time longer: the record is written once in a pass.

Test: the new section of core_fleet_plans failed before (two requests beside two instances in maintenance).

--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -161,7 +161,12 @@
         int downCount = 0;
         int vacatingCount = 0;
         for (const auto &[id, member] : progress.instances) {
-            downCount += member.phase == MaintenancePhase::Requested || member.phase == MaintenancePhase::Down ? 1 : 0;
+            const PooledInstance *present = findInstance(id);
+            const bool isCountedByPhase
+                = member.phase == MaintenancePhase::Requested || member.phase == MaintenancePhase::Down;
+            const bool isListedDown = present != nullptr && present->state == InstanceAvailability::Maintenance
+                && member.phase != MaintenancePhase::Finished;
+            downCount += isCountedByPhase || isListedDown ? 1 : 0;
             vacatingCount += member.phase == MaintenancePhase::Vacating ? 1 : 0;
         }
         for (const std::string &id : vacatingOrder(progress)) {
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -219,6 +219,20 @@
         spares.setInstances(makeFleet(12, 2), SparePools, now + 3s);
         CHECK(spares.tick(now + 3s).size() == 1);
     }
+    SECTION("instances that the list shows in maintenance count, also without a record of it")
+    {
+        // An owner that ends between the acceptance of an order and the record of it leaves such instances.
+        auto listed = makeFleet(12, 0);
+        listed[3].state = InstanceAvailability::Maintenance;
+        listed[4].state = InstanceAvailability::Maintenance;
+        planner.setInstances(listed, SparePools, now);
+        planner.tick(now);
+        planner.setPublishedVacating(planner.vacating(), 20);
+        planner.setVacated(allVacated(20));
+        CHECK(planner.tick(now + 1s).empty());
+        planner.setInstances(makeFleet(12, 0), SparePools, now + 2s);
+        CHECK(planner.tick(now + 2s).size() == 2);
+    }
     SECTION("an instance that is moving between pools is not vacated for a wave")
     {
         planner.setMoving({"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9", "m10", "m11"});
