--- a/tests/core_fleet_planner.cpp
+++ b/tests/core_fleet_planner.cpp
@@ -1,5 +1,6 @@
 // Tests of the decisions of the fleet's owner: which orders are sent, and which executors stay vacating meanwhile.
 
+#include "fleet_fixtures.h"
 #include "fleet_planner.h"
 
 #include <catch2/catch.hpp>
@@ -13,36 +14,11 @@
 namespace
 {
 
-const std::set<std::string> SparePools{"spare"};
-
-PooledInstance makeInstance(const std::string &id, const std::string &pool)
-{
-    PooledInstance instance;
-    instance.id = id;
-    instance.pool = pool;
-    instance.state = InstanceAvailability::Up;
-    instance.executor = "i-" + id;
-    instance.capacity = {16'000, 32'768, 0};
-    return instance;
-}
-
 FleetOrder moveOf(const std::string &id)
 {
     return {MoveRequest{id, "bills", "orders", MoveReason::Demand, "i-" + id}};
 }
 
-MaintenanceWave makeWave(int instances, int maxConcurrent)
-{
-    MaintenanceWave wave;
-    wave.id = 7;
-    wave.maxConcurrent = maxConcurrent;
-    wave.instances.reserve(static_cast<std::size_t>(instances));
-    for (int i = 0; i < instances; ++i) {
-        wave.instances.push_back("m" + std::to_string(i));
-    }
-    return wave;
-}
-
 /// A fleet whose owner is deposed again and again without noticing. Its orders take up to the time-out, are refused,
 /// get lost, or are carried out without an answer. The owners of partitions use each executor that is not vacating.
 class FleetModel
--- a/tests/core_fleet_plans.cpp
+++ b/tests/core_fleet_plans.cpp
@@ -1,5 +1,6 @@
 // Tests of the planners of maintenance waves and of moves between pools, with time passed in as a value.
 
+#include "fleet_fixtures.h"
 #include "pool_planner.h"
 #include "wave_planner.h"
 
@@ -14,17 +15,6 @@
 namespace
 {
 
-PooledInstance makeInstance(const std::string &id, const std::string &pool)
-{
-    PooledInstance instance;
-    instance.id = id;
-    instance.pool = pool;
-    instance.state = InstanceAvailability::Up;
-    instance.executor = "i-" + id;
-    instance.capacity = {16'000, 32'768, 0};
-    return instance;
-}
-
 std::vector<PooledInstance> makeFleet(int orders, int spare)
 {
     std::vector<PooledInstance> instances;
@@ -38,21 +28,6 @@
     return instances;
 }
 
-const std::set<std::string> SparePools{"spare"};
-
-MaintenanceWave makeWave(int instances, int maxConcurrent)
-{
-    MaintenanceWave wave;
-    wave.instances.reserve(static_cast<std::size_t>(instances));
-    wave.id = 7;
-    wave.maxConcurrent = maxConcurrent;
-    wave.dueWithin = 24s;
-    for (int i = 0; i < instances; ++i) {
-        wave.instances.push_back("m" + std::to_string(i));
-    }
-    return wave;
-}
-
 std::map<std::string, std::uint64_t> allVacated(std::uint64_t listRevision)
 {
     std::map<std::string, std::uint64_t> reports;
--- a/tests/run_fleet_owner.cpp
+++ b/tests/run_fleet_owner.cpp
@@ -1,5 +1,6 @@
 // Tests FleetOwner against a store in memory and a machines API that answers when the test says so.
 
+#include "fleet_fixtures.h"
 #include "fleet_owner.h"
 #include "unreliable_store.h"
 
@@ -27,13 +28,7 @@
         : token(store.put(keys::owner(keys::FleetPartition), "e1"))
     {
         for (int i = 0; i < 6; ++i) {
-            PooledInstance instance;
-            instance.id = "m" + std::to_string(i);
-            instance.pool = "orders";
-            instance.state = InstanceAvailability::Up;
-            instance.executor = "i-m" + std::to_string(i);
-            instance.capacity = {16'000, 32'768, 0};
-            instances.push_back(instance);
+            instances.push_back(makeInstance("m" + std::to_string(i), "orders"));
         }
         settings.listPeriod = 5ms;
         settings.idleListPeriod = 5ms;
@@ -62,7 +57,7 @@
         };
         hooks.ownershipLost = [this](std::string_view) { ownershipLost = true; };
         owner.emplace(store, timers, token, hadOwner, settings, std::move(hooks), bootNow());
-        owner->setSparePools({"spare"});
+        owner->setSparePools(SparePools);
         owner->start();
     }
 
@@ -146,11 +141,7 @@
 {
     FleetFixture fixture;
     fixture.start(false);
-    MaintenanceWave wave;
-    wave.id = 7;
-    wave.maxConcurrent = 1;
-    wave.instances = {"m0"};
-    fixture.owner->addWave(wave);
+    fixture.owner->addWave(makeWave(1, 1));
     fixture.runUntil([&] { return fixture.store.value(keys::FleetVacating) == R"(["i-m0"])"; });
     const std::uint64_t listRevision = fixture.store.item(keys::FleetVacating).revision;
     fixture.owner->setVacated({{"i-m0", listRevision - 1}});
