Entry: a job that is refused before its configuration is known has a log line

What operators saw: a caller's refused job (503) had no line in any log. job_demo, beside load, reported it once.

Cause: an entry listens before its configuration has arrived, and refused jobs in that time without a line that names them; so did two other refusals, while the age of the configuration is unknown and after a standstill.

Change: refuseUnprocessed() logs job-submitted with the id and the reason for each of them.

Test: job_demo submits a job to an entry before the configuration is stored; without the change it says 'no log line says why a job was refused before the configuration was known', with it every guarantee holds, also with three partitions.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -247,7 +247,7 @@
 {
     const HttpRequest &request = exchange->request();
     if (m_config.version < 0) {
-        reply(exchange, 503, platform::encodeError("no configuration yet"));
+        refuseUnprocessed(exchange, {}, "no configuration yet");
         return;
     }
     const std::string *hostField = request.fields.find("Host");
@@ -259,7 +259,8 @@
     if (outdated && (queue == nullptr || !m_config.workspaces.empty())) {
         logRepeated(LogLevel::Warn, "configuration-age-unknown", "callers",
                     {{"config_version", std::to_string(m_config.version)}});
-        reply(exchange, 503, platform::encodeError("the configuration in force is not known"));
+        refuseUnprocessed(exchange, queue == nullptr ? std::string() : queue->name,
+                          "the configuration in force is not known");
         return;
     }
     if (queue == nullptr) {
@@ -274,6 +275,24 @@
     serveCaller(exchange, *queue, access.scope);
 }
 
+/// Answers 503 to a request that this entry cannot process now. If it submits a job, the log names the job and the
+/// reason. `queue` is empty while the queue is not known.
+void JobEntry::refuseUnprocessed(const std::shared_ptr<HttpExchange> &exchange, const std::string &queue,
+                                 std::string_view why)
+{
+    const HttpRequest &request = exchange->request();
+    const std::string id(request.path().substr(request.path().rfind('/') + 1));
+    if (request.method == "POST" && platform::isJobId(id)) {
+        logEvent(LogLevel::Info, "job-submitted",
+                 {{"job", id},
+                  {"queue", queue},
+                  {"config_version", std::to_string(m_config.version)},
+                  {"outcome", "refused"},
+                  {"why", std::string(why)}});
+    }
+    reply(exchange, 503, platform::encodeError(why));
+}
+
 /// Answers a caller without a valid access key. The key itself must appear nowhere.
 void JobEntry::refuseCaller(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, AccessOutcome outcome)
 {
@@ -305,16 +324,7 @@
     }
     const std::optional<std::string> partition = partitionOfJob(queue.service, id);
     if (!partition) {
-        constexpr std::string_view why = "the service of the queue has no partitions yet";
-        if (request.method == "POST") {
-            logEvent(LogLevel::Info, "job-submitted",
-                     {{"job", id},
-                      {"queue", queue.name},
-                      {"config_version", std::to_string(m_config.version)},
-                      {"outcome", "refused"},
-                      {"why", std::string(why)}});
-        }
-        reply(exchange, 503, platform::encodeError(why));
+        refuseUnprocessed(exchange, queue.name, "the service of the queue has no partitions yet");
         return;
     }
     const auto answered = [this, exchange](const JobApiReply &result) {
@@ -347,7 +357,7 @@
     const TimePoint arrived = bootNow();
     m_standstill.alive(arrived);
     if (m_standstill.mayReadLate(arrived)) {
-        reply(exchange, 503, platform::encodeError("this entry stood still; the request may be an old one"));
+        refuseUnprocessed(exchange, queue.name, "this entry stood still; the request may be an old one");
         return;
     }
     auto spec = platform::decodeJob(id, queue, exchange->request().body, wallNowMs());
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -151,6 +151,8 @@
 
     // Callers
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
+    void refuseUnprocessed(const std::shared_ptr<HttpExchange> &exchange, const std::string &queue,
+                           std::string_view why);
     void refuseCaller(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, AccessOutcome outcome);
     void serveCaller(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const CallerScope &scope);
     void submit(const std::shared_ptr<HttpExchange> &exchange, const Queue &queue, const CallerScope &scope,
--- a/tests/job_demo.cpp
+++ b/tests/job_demo.cpp
@@ -124,6 +124,10 @@
              ip + std::to_string(machinesPort()), "--metrics", ip + std::to_string(metricsPort(index))},
             {}, logFile(index, ++m_starts[index]));
     }
+    bool waitListening(int index) const
+    {
+        return waitStatus(readinessPort(index), "/ready", 503);
+    }
     bool waitReady(int index) const
     {
         return waitStatus(readinessPort(index), "/ready", 200);
@@ -251,6 +255,12 @@
     return text.str();
 }
 
+bool anyContains(const std::vector<std::string> &lines, const std::string &text)
+{
+    return std::any_of(lines.begin(), lines.end(),
+                       [&text](const std::string &line) { return line.find(text) != std::string::npos; });
+}
+
 /// Sends a job to an entry. Until the job is accepted or refused, the request is repeated with the same id through the
 /// next entry, up to 5 requests in all. A refusal counts only if no earlier request may have been accepted. The request
 /// is then not repeated, so that the demonstration can check that refused jobs never run.
@@ -332,12 +342,6 @@
     return false;
 }
 
-bool anyContains(const std::vector<std::string> &lines, const std::string &text)
-{
-    return std::any_of(lines.begin(), lines.end(),
-                       [&text](const std::string &line) { return line.find(text) != std::string::npos; });
-}
-
 struct QueueSummary
 {
     int accepted = 0;
@@ -371,6 +375,17 @@
     bool m_held = true;
 };
 
+/// An entry that has started before it has a configuration refuses jobs. Callers can reach it in that time after each
+/// restart, and its log must name the job and the reason.
+void checkRefusalWithoutConfiguration(const Deployment &deployment, GuaranteeChecks &checks)
+{
+    const std::string id = "00000000000000c0";
+    const Response response = deployment.call(0, "POST", JobKinds[0], id, "{}");
+    checks.require(response.status == 503, "an entry without a configuration does not answer 503");
+    checks.require(anyContains(deployment.logLinesOf(id), "outcome=refused"),
+                   "no log line says why a job was refused before the configuration was known");
+}
+
 /// Withdraws a key while its holder goes on sending to all entries. Once the version must be in force, no entry may
 /// serve the key, and the workspace's other key must hold all the time. Entries that cannot tell may answer 503.
 void checkWithdrawnKey(const Deployment &deployment, GuaranteeChecks &checks)
@@ -544,9 +559,9 @@
         return 1;
     }
     GuaranteeChecks checks;
-    checks.require(
-        deployment.control("PUT", "/test/put?key=op/config", configuration(1, {MillsKey, WithdrawnKey})).status == 200,
-        "the configuration was not stored");
+    deployment.startEntry(0);
+    checks.require(deployment.waitListening(0), "entry 0 does not listen");
+    checkRefusalWithoutConfiguration(deployment, checks);
     for (const std::string service : {"vendors", "supplies"}) {
         if (partitions > 1) {
             checks.require(
@@ -554,7 +569,10 @@
                 "the number of partitions was not stored");
         }
     }
-    for (int index = 0; index < Entries; ++index) {
+    checks.require(
+        deployment.control("PUT", "/test/put?key=op/config", configuration(1, {MillsKey, WithdrawnKey})).status == 200,
+        "the configuration was not stored");
+    for (int index = 1; index < Entries; ++index) {
         deployment.startEntry(index);
     }
     for (int index = 0; index < Entries; ++index) {
