Tests: orders of the fleet beside a partition's stops, and leases under a late owner

Related ways of the incident that had no test. The histories of vacating executors now end vacated executors by orders up to 1.6 s after the report, and start short tasks beside them; starts of long-running tasks count by themselves, so the expectation on them stays as strict. A second test lets the owner's passes be late by 1.6 s, the longest delay in the incident's logs.

--- a/tests/core_scheduler.cpp
+++ b/tests/core_scheduler.cpp
@@ -139,8 +139,9 @@
 
 constexpr int VacatingTasks = 11;  // long-running tasks of simulateVacating()
 
-/// Simulates two jobs of long-running tasks while executors are vacated, owners are deposed with and without noticing,
-/// executors restart or are cut off, the store is down, and commands are carried out late. Stops at a violation.
+/// Simulates two jobs of long-running tasks, and others of short ones, while executors are vacated and ended by orders
+/// of the fleet's owner, owners are deposed with and without noticing, executors restart or are cut off, the store is
+/// down, and commands are carried out late. Stops at a violation.
 Simulation simulateVacating(unsigned seed)
 {
     SimulationSettings settings = faultFreeSettings();
@@ -154,14 +155,34 @@
     simulation.submit(makeJob("job-a", {longRunningStep(6, 2)}));
     simulation.submit(makeJob("job-b", {longRunningStep(VacatingTasks - 6, 1)}));
     simulation.run(3s);
+    std::unordered_set<std::string> vacating;
+    std::map<std::string, int> orders;  // vacated executors that an order will end, and rounds until then
     for (int round = 0; round < 60 && simulation.violations().empty(); ++round) {
         if (draw(3) == 0) {
-            std::unordered_set<std::string> vacating;
+            vacating.clear();
             for (int i = draw(5); i > 0; --i) {
                 vacating.insert("i-" + std::to_string(draw(8)));
             }
-            simulation.vacate(std::move(vacating));
         }
+        if (draw(3) == 0) {
+            simulation.submit(makeJob("job-" + std::to_string(round), {oneCoreStep(1 + draw(6))}));
+        }
+        for (const std::string &id : simulation.scheduler()->vacated()) {
+            if (vacating.contains(id) && draw(2) == 0) {
+                orders.try_emplace(id, draw(4));
+            }
+        }
+        for (auto order = orders.begin(); order != orders.end();) {
+            if (order->second-- > 0) {
+                vacating.insert(order->first);
+                ++order;
+                continue;
+            }
+            simulation.endVacated(std::stoi(order->first.substr(2)));
+            vacating.erase(order->first);
+            order = orders.erase(order);
+        }
+        simulation.vacate(vacating);
         switch (draw(12)) {
         case 0:
             simulation.depose(draw(4) == 0);
@@ -738,12 +759,15 @@
 {
     constexpr unsigned seeds = 60;
     int starts = 0;
+    int orders = 0;
     for (unsigned seed = 1; seed <= seeds; ++seed) {
         const Simulation simulation = simulateVacating(seed);
         INFO("seed " << seed << ": " << violationsOf(simulation));
         CHECK(violationsOf(simulation).empty());
-        starts += simulation.starts();
+        starts += simulation.longRunningStarts();
+        orders += simulation.endedByOrders();
     }
+    CHECK(orders > static_cast<int>(seeds));
     CHECK(starts > 2 * static_cast<int>(seeds) * VacatingTasks);  // each task was moved, in the mean
 }
 
@@ -761,6 +785,24 @@
     }
 }
 
+TEST_CASE("An owner whose passes are late by up to 1.6 s lets no lease lapse")
+{
+    for (const Duration period : {Duration{10ms}, Duration{800ms}, Duration{1600ms}}) {
+        CAPTURE(period.count());
+        Simulation simulation(faultFreeSettings());
+        simulation.setPassPeriod(period);
+        simulation.takeOver(true);
+        simulation.submit(makeJob("a", {longRunningStep(6, 2)}));
+        for (int round = 0; round < 20; ++round) {
+            simulation.submit(makeJob("b" + std::to_string(round), {oneCoreStep(4, 2s)}));
+            simulation.run(2s);
+        }
+        CHECK(simulation.lapsedRuns() == 0);
+        CHECK(simulation.servingTasks("a") == 6);
+        CHECK(violationsOf(simulation).empty());
+    }
+}
+
 TEST_CASE("Random faults violate no guarantee while reports list at most two ends")
 {
     for (unsigned seed = 1; seed <= 30; ++seed) {
--- a/tests/fleet_model.h
+++ b/tests/fleet_model.h
@@ -266,7 +266,8 @@
             m_now = tick;
             advanceExecutors();
             observeServing();
-            if (m_owner) {
+            if (m_owner && m_now - m_lastPass >= m_passPeriod) {
+                m_lastPass = m_now;
                 listExecutors(*m_owner);
                 stepOwner(*m_owner);
             }
@@ -441,6 +442,32 @@
         }
         return paces;
     }
+    /// Ends a vacated executor, as maintenance or a move of its instance does, and starts a new incarnation.
+    void endVacated(int index)
+    {
+        if (!executor(index).runs.empty()) {
+            recordViolation("an order of the fleet ends the runs of " + executor(index).record.id);
+        }
+        ++m_endedByOrders;
+        crashAndRestart(index);
+    }
+    int endedByOrders() const
+    {
+        return m_endedByOrders;
+    }
+    int longRunningStarts() const
+    {
+        return m_longRunningStarts;
+    }
+    /// Sets the time between two passes of the owner, which is late if it is long.
+    void setPassPeriod(Duration period)
+    {
+        m_passPeriod = period;
+    }
+    int lapsedRuns() const
+    {
+        return m_lapsedRuns;
+    }
     void vacate(std::unordered_set<std::string> ids)
     {
         m_vacating = std::move(ids);
@@ -504,6 +531,7 @@
             if (!modelExecutor.up) {
                 continue;
             }
+            const std::uint64_t firstEnd = modelExecutor.nextEndNumber;
             modelExecutor.advance(
                 m_now, m_settings.disabled, [&](const std::string &task, const ModelRun &run, RunEnd how) {
                     std::string what = "ended " + task;
@@ -514,6 +542,10 @@
                         m_successfulEnds[task].insert({modelExecutor.record.id, modelExecutor.nextEndNumber - 1});
                     }
                 });
+            m_lapsedRuns += static_cast<int>(
+                std::count_if(modelExecutor.ended.begin(), modelExecutor.ended.end(), [firstEnd](const EndReport &end) {
+                    return end.number >= firstEnd && end.how == RunEnd::Lapsed;
+                }));
         }
     }
 
@@ -607,6 +639,7 @@
         addTrace("started " + command.task + " run " + std::to_string(command.run) + " on " + modelExecutor.record.id
                  + " token " + std::to_string(command.fencingToken));
         ++m_starts;
+        m_longRunningStarts += step.longRunning ? 1 : 0;
         return run;
     }
 
@@ -1033,6 +1066,11 @@
     int m_refusedTickets = 0;
     bool m_adviceDown = false;
     int m_starts = 0;
+    int m_longRunningStarts = 0;
+    int m_endedByOrders = 0;
+    int m_lapsedRuns = 0;
+    Duration m_passPeriod{0};
+    TimePoint m_lastPass;
     std::map<std::pair<std::string, int>, Resources> m_partsAtStart;  // by task and run, when the start was sent
     bool m_deliveringLate = false;  // a command that was not answered is being carried out late
 };
