--- a/bench/fleet_plan_bench.cpp
+++ b/bench/fleet_plan_bench.cpp
@@ -67,7 +67,7 @@
                 instance->pool = move->pool;
             }
             instance->executor += '+';
-            planner.answered(order, MaintenanceResult::Begun, now);
+            planner.answered(order, OrderResult::Begun, now);
             ++orders;
         }
     }
--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -36,7 +36,7 @@
 {
     int passes = 0;  // planning passes
     Duration longestPass{0};
-    int requested = 0;  // requests for maintenance and moves
+    int requested = 0;  // orders for maintenance and moves
     int begun = 0;
     int refused = 0;
     int unanswered = 0;
@@ -48,9 +48,9 @@
 {
     using Listed = std::function<void(const Result<std::vector<PooledInstance>> &)>;
     std::function<void(Listed)> list;
-    std::function<void(const MaintenanceRequest &, std::uint64_t fencingToken, std::function<void(MaintenanceResult)>)>
+    std::function<void(const MaintenanceRequest &, std::uint64_t fencingToken, std::function<void(OrderResult)>)>
         maintain;
-    std::function<void(const MoveRequest &, std::uint64_t fencingToken, std::function<void(MaintenanceResult)>)> move;
+    std::function<void(const MoveRequest &, std::uint64_t fencingToken, std::function<void(OrderResult)>)> move;
     std::function<StoreWrite(std::int64_t wave, bool completed)> status;  // write of the wave's status for operators
     /// The entry must destroy the owner after the hook has returned, since the owner is the caller.
     std::function<void(std::string_view why)> ownershipLost;
@@ -285,8 +285,8 @@
         ++m_counts.requested;
         const auto *maintenance = std::get_if<MaintenanceRequest>(&order.request);
         const auto *move = std::get_if<MoveRequest>(&order.request);
-        auto done = guarded(
-            [this, order, sentAt = bootNow()](MaintenanceResult result) { orderAnswered(order, result, sentAt); });
+        auto done
+            = guarded([this, order, sentAt = bootNow()](OrderResult result) { orderAnswered(order, result, sentAt); });
         if (maintenance != nullptr) {
             logEvent(LogLevel::Info, "maintenance-ordered",
                      {{"instance", maintenance->instance},
@@ -305,25 +305,25 @@
         }
     }
 
-    void orderAnswered(const FleetOrder &order, MaintenanceResult result, TimePoint sentAt)
+    void orderAnswered(const FleetOrder &order, OrderResult result, TimePoint sentAt)
     {
         const TimePoint now = bootNow();
         switch (result) {
-        case MaintenanceResult::Fenced:
+        case OrderResult::Fenced:
             reportOwnershipLost("fenced");
             return;
-        case MaintenanceResult::Begun:
+        case OrderResult::Begun:
             ++m_counts.begun;
             logEvent(LogLevel::Info, "instance-order-accepted",
                      {{"instance", order.instance()},
                       {"executor", order.executor()},
                       {"after_ms", std::to_string((now - sentAt).count() / 1000)}});
             break;
-        case MaintenanceResult::Refused:
-        case MaintenanceResult::Impossible:
+        case OrderResult::Refused:
+        case OrderResult::Impossible:
             ++m_counts.refused;
             break;
-        case MaintenanceResult::Unknown:
+        case OrderResult::Unknown:
             ++m_counts.unanswered;
             break;
         }
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -82,20 +82,20 @@
     return mayOrder(now) ? m_orders.takeDue() : std::vector<FleetOrder>();
 }
 
-void FleetPlanner::answered(const FleetOrder &order, MaintenanceResult result, TimePoint now)
+void FleetPlanner::answered(const FleetOrder &order, OrderResult result, TimePoint now)
 {
-    const MaintenanceResult outcome = m_orders.answered(order, result);
-    const bool refused = outcome == MaintenanceResult::Refused || outcome == MaintenanceResult::Impossible;
-    const bool isPermanent = outcome == MaintenanceResult::Impossible;
+    const OrderResult outcome = m_orders.answered(order, result);
+    const bool refused = outcome == OrderResult::Refused || outcome == OrderResult::Impossible;
+    const bool isPermanent = outcome == OrderResult::Impossible;
     if (const auto *maintenance = std::get_if<MaintenanceRequest>(&order.request)) {
-        if (outcome == MaintenanceResult::Begun) {
+        if (outcome == OrderResult::Begun) {
             m_waves.maintenanceBegun(maintenance->wave, maintenance->instance, now);
         } else if (refused) {
             m_waves.maintenanceRefused(maintenance->wave, maintenance->instance, isPermanent, now);
         }
         return;
     }
-    if (outcome == MaintenanceResult::Begun) {
+    if (outcome == OrderResult::Begun) {
         m_pools.moveAccepted(order.instance(), now);
     } else if (refused) {
         m_pools.moveRefused(order.instance(), isPermanent, now);
--- a/src/fleet_planner.h
+++ b/src/fleet_planner.h
@@ -72,7 +72,7 @@
     void plan(TimePoint now);
     /// Orders that are to be sent now. Each is answered by answered().
     std::vector<FleetOrder> takeOrders(TimePoint now);
-    void answered(const FleetOrder &order, MaintenanceResult result, TimePoint now);
+    void answered(const FleetOrder &order, OrderResult result, TimePoint now);
 
     std::set<std::string> vacating(TimePoint now) const;  // executors that must get no new work
     void publishing();                                    // a write of the list of vacating executors was sent
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -621,7 +621,7 @@
     }
 }
 
-MaintenanceResult JobEntry::toMaintenanceResult(const std::string &instance, platform::InstanceRequestResult result)
+OrderResult JobEntry::toOrderResult(const std::string &instance, platform::InstanceRequestResult result)
 {
     using Outcome = platform::InstanceRequestResult;
     if (result != Outcome::Done) {
@@ -630,39 +630,38 @@
     }
     switch (result) {
     case Outcome::Done:
-        return MaintenanceResult::Begun;
+        return OrderResult::Begun;
     case Outcome::Fenced:
-        return MaintenanceResult::Fenced;
+        return OrderResult::Fenced;
     case Outcome::WrongWave:
     case Outcome::Invalid:
-        return MaintenanceResult::Impossible;
+        return OrderResult::Impossible;
     case Outcome::Busy:
     case Outcome::Refused:
-        return MaintenanceResult::Refused;
+        return OrderResult::Refused;
     case Outcome::Unknown:
         break;
     }
-    return MaintenanceResult::Unknown;
+    return OrderResult::Unknown;
 }
 
 FleetOwnerHooks JobEntry::fleetHooks()
 {
     FleetOwnerHooks hooks;
     hooks.list = [this](FleetOwnerHooks::Listed done) { m_machines.list(std::move(done)); };
-    hooks.maintain = [this](const MaintenanceRequest &request, std::uint64_t fencingToken,
-                            std::function<void(MaintenanceResult)> done) {
-        m_machines.maintain(request.instance, request.wave, fencingToken,
-                            [request, done = std::move(done)](platform::InstanceRequestResult result) {
-                                done(toMaintenanceResult(request.instance, result));
-                            });
-    };
-    hooks.move = [this](const MoveRequest &request, std::uint64_t fencingToken,
-                        std::function<void(MaintenanceResult)> done) {
+    hooks.maintain
+        = [this](const MaintenanceRequest &request, std::uint64_t fencingToken, std::function<void(OrderResult)> done) {
+              m_machines.maintain(request.instance, request.wave, fencingToken,
+                                  [request, done = std::move(done)](platform::InstanceRequestResult result) {
+                                      done(toOrderResult(request.instance, result));
+                                  });
+          };
+    hooks.move = [this](const MoveRequest &request, std::uint64_t fencingToken, std::function<void(OrderResult)> done) {
         m_machines.move(
             request.instance, request.pool, fencingToken,
             [this, request, done = std::move(done)](platform::InstanceRequestResult result) {
-                const MaintenanceResult outcome = toMaintenanceResult(request.instance, result);
-                if (outcome == MaintenanceResult::Begun) {
+                const OrderResult outcome = toOrderResult(request.instance, result);
+                if (outcome == OrderResult::Begun) {
                     m_metrics.add("briarvane_moves_total", {}, {{"reason", std::string(toString(request.reason))}});
                 }
                 done(outcome);
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -139,7 +139,7 @@
     Quotas quotas() const;
     std::vector<std::string> quotaPartitions() const;
     void updateQuotas();
-    static MaintenanceResult toMaintenanceResult(const std::string &instance, platform::InstanceRequestResult result);
+    static OrderResult toOrderResult(const std::string &instance, platform::InstanceRequestResult result);
     FleetOwnerHooks fleetHooks();
     PartitionOwnerHooks partitionHooks();
     int maxConnectionsTo(const std::string &service) const;
--- a/src/order_book.cpp
+++ b/src/order_book.cpp
@@ -41,16 +41,16 @@
     return due;
 }
 
-MaintenanceResult OrderBook::answered(const FleetOrder &order, MaintenanceResult result)
+OrderResult OrderBook::answered(const FleetOrder &order, OrderResult result)
 {
     m_open.erase(order.instance());
     m_pending.erase(order.instance());
-    if (result == MaintenanceResult::Unknown) {
+    if (result == OrderResult::Unknown) {
         m_unsettled[order.instance()] = order.executor();
-    } else if (result != MaintenanceResult::Refused) {
+    } else if (result != OrderResult::Refused) {
         m_unsettled.erase(order.instance());
     } else if (m_unsettled.contains(order.instance())) {
-        return MaintenanceResult::Unknown;
+        return OrderResult::Unknown;
     }
     return result;
 }
--- a/src/order_book.h
+++ b/src/order_book.h
@@ -21,7 +21,7 @@
 // [1] Orders and their results ----------------------------------------------------------------------------------------
 
 /// Result of an order to the machines API.
-enum class MaintenanceResult {
+enum class OrderResult {
     Begun,
     Refused,     // refused for now; may be accepted later
     Impossible,  // will never be accepted
@@ -59,7 +59,7 @@
     /// Orders that are to be sent now. Each is answered by answered().
     std::vector<FleetOrder> takeDue();
     /// The result to act on: a refusal is Unknown while an earlier order for the instance may still be carried out.
-    MaintenanceResult answered(const FleetOrder &order, MaintenanceResult result);
+    OrderResult answered(const FleetOrder &order, OrderResult result);
     /// Settles the orders without an answer whose executor is no longer the one that the instance is listed with.
     void setInstances(const std::vector<PooledInstance> &instances);
     /// Executors that orders may end. They must get no work.
--- a/tests/core_fleet_planner.cpp
+++ b/tests/core_fleet_planner.cpp
@@ -79,7 +79,7 @@
         bool refused = false;
         bool arrived = false;
         bool over = false;  // answered or given up by its owner
-        MaintenanceResult result = MaintenanceResult::Unknown;
+        OrderResult result = OrderResult::Unknown;
     };
 
     int draw(int end)
@@ -157,27 +157,26 @@
             const bool isAnswered = order.arrived && order.answered && !isTimedOut;
             if (!order.over && (isAnswered || isTimedOut)) {
                 order.over = true;
-                order.owner->planner.answered(order.order, isAnswered ? order.result : MaintenanceResult::Unknown,
-                                              m_now);
+                order.owner->planner.answered(order.order, isAnswered ? order.result : OrderResult::Unknown, m_now);
             }
         }
         std::erase_if(m_orders, [](const Order &order) { return order.over && (order.lost || order.arrived); });
     }
 
-    MaintenanceResult carryOut(const Order &order)
+    OrderResult carryOut(const Order &order)
     {
         const auto instance
             = std::find_if(m_instances.begin(), m_instances.end(),
                            [&](const PooledInstance &candidate) { return candidate.id == order.order.instance(); });
         std::uint64_t &fence = m_fences[instance->id];
         if (order.owner->token < fence) {
-            return MaintenanceResult::Refused;
+            return OrderResult::Refused;
         }
         fence = order.owner->token;
         const auto *move = std::get_if<MoveRequest>(&order.order.request);
         const bool isDone = move != nullptr ? instance->pool == move->pool : m_maintained.contains(instance->id);
         if (isDone || order.refused) {
-            return isDone ? MaintenanceResult::Begun : MaintenanceResult::Refused;
+            return isDone ? OrderResult::Begun : OrderResult::Refused;
         }
         ++ended;
         endedInUse += m_inUse.contains(instance->executor) ? 1 : 0;
@@ -189,7 +188,7 @@
         } else {
             m_maintained.insert(instance->id);
         }
-        return MaintenanceResult::Begun;
+        return OrderResult::Begun;
     }
 
     void usePartitions()
@@ -304,24 +303,24 @@
     }
     SECTION("an answer makes room for the next order, and settles its executor")
     {
-        CHECK(book.answered(due[0], MaintenanceResult::Refused) == MaintenanceResult::Refused);
+        CHECK(book.answered(due[0], OrderResult::Refused) == OrderResult::Refused);
         CHECK(book.executors() == std::set<std::string>{"i-b", "i-c"});
         CHECK(book.takeDue().size() == 1);
     }
     SECTION("an order without an answer may be carried out late")
     {
-        CHECK(book.answered(due[0], MaintenanceResult::Unknown) == MaintenanceResult::Unknown);
+        CHECK(book.answered(due[0], OrderResult::Unknown) == OrderResult::Unknown);
         CHECK(book.executors().contains("i-a"));
         SECTION("a refusal of its repetition does not rule that out")
         {
             book.add(moveOf("a"));
-            CHECK(book.answered(moveOf("a"), MaintenanceResult::Refused) == MaintenanceResult::Unknown);
+            CHECK(book.answered(moveOf("a"), OrderResult::Refused) == OrderResult::Unknown);
             CHECK(book.executors().contains("i-a"));
         }
         SECTION("a repetition that is accepted settles it")
         {
             book.add(moveOf("a"));
-            CHECK(book.answered(moveOf("a"), MaintenanceResult::Begun) == MaintenanceResult::Begun);
+            CHECK(book.answered(moveOf("a"), OrderResult::Begun) == OrderResult::Begun);
             CHECK_FALSE(book.executors().contains("i-a"));
         }
         SECTION("a list with another executor settles it, one with the same executor does not")
--- a/tests/run_fleet_owner.cpp
+++ b/tests/run_fleet_owner.cpp
@@ -18,7 +18,7 @@
 struct OpenOrder
 {
     std::string executor;
-    std::function<void(MaintenanceResult)> answer;
+    std::function<void(OrderResult)> answer;
 };
 
 /// An owner of the fleet with six instances of the pool "orders". The list of instances is answered at once.
@@ -46,10 +46,10 @@
             timers.at(steadyNow(), [this, done] { done(instances); });
         };
         hooks.maintain
-            = [this](const MaintenanceRequest &request, std::uint64_t, std::function<void(MaintenanceResult)> done) {
+            = [this](const MaintenanceRequest &request, std::uint64_t, std::function<void(OrderResult)> done) {
                   orders.push_back({request.executor, std::move(done)});
               };
-        hooks.move = [this](const MoveRequest &request, std::uint64_t, std::function<void(MaintenanceResult)> done) {
+        hooks.move = [this](const MoveRequest &request, std::uint64_t, std::function<void(OrderResult)> done) {
             orders.push_back({request.executor, std::move(done)});
         };
         hooks.status = [](std::int64_t wave, bool completed) {
@@ -129,7 +129,7 @@
     fixture.runForLists(30);  // long enough for the repetition of an order that is not answered
     const auto first = fixture.orders.front();
     fixture.orders.erase(fixture.orders.begin());
-    first.answer(MaintenanceResult::Refused);
+    first.answer(OrderResult::Refused);
     fixture.runForLists(30);
     const std::set<std::string> vacating = fixture.vacating();
     for (const OpenOrder &order : fixture.orders) {
