--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -785,9 +785,13 @@
         finally:
             platform.close()
 
+    def stop(number, frame):
+        raise SystemExit(f"signal {number}")
+
+    signal.signal(signal.SIGTERM, stop)  # asyncio.run() then cancels run(), which ends the processes
     try:
         code = asyncio.run(run())
-    except Exception as error:  # the case could not run
+    except (Exception, SystemExit, KeyboardInterrupt) as error:  # the case could not run
         record(f"the case could not run: {error!r}")
         code = 2
     record(f"exit {code} ({'held' if code == 0 else 'broken' if code == 1 else 'could not run'})")
