--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -47,9 +48,12 @@
 
     def free_port(self):
         while True:
+            port = random.randint(12_000, 32_000)  # below the ports that outgoing connections take
             with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                port = probe.getsockname()[1]
+                try:
+                    probe.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
             if port not in self.ports:
                 self.ports.add(port)
                 return port
@@ -181,6 +185,7 @@
 def main(folder, scenario):
     case = Case(folder)
     code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes that the case started as well
 
     async def run():
         await case.open_platform()
--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -132,6 +132,7 @@
         self.last_lease = 0
         self.watches = []
         self.refused_values = 0
+        self.refused_sizes = 0
         self.server = Server(self.handle)
 
     # Keys
@@ -223,7 +224,11 @@
         writes = body.get("writes", [])
         removed = body.get("remove", [])
         if len(expected) + len(writes) + len(removed) > 32:
-            self.log("store", f"400 for a transaction with more than 32 entries")
+            self.refused_sizes += 1
+            if self.refused_sizes in (1, 10, 100, 1000):
+                self.log("store", f"400 number {self.refused_sizes}: a transaction of "
+                                  f"{len(expected) + len(writes) + len(removed)} entries, at most 32 are accepted; it "
+                                  f"writes {sorted({write['key'] for write in writes})}")
             return 400, {"error": "more than 32 entries"}
         values = []
         for write in writes:
@@ -473,3 +478,98 @@
                  "id": executor.name if executor.up else ""} for executor in self.executors], "next_token": ""}
         self.log("machines", f"409 busy for {request.path} {request.raw.decode()}")
         return 409, {"reason": "busy"}
+
+
+class Machine:
+    def __init__(self, name, pool, port, rack):
+        self.name, self.pool, self.port, self.rack = name, pool, port, rack
+        self.state = "up"
+        self.lives = 0
+        self.executor = None
+        self.fence = 0
+        self.waves = set()  # waves whose upkeep of this machine has begun
+
+
+class Fleet:
+    """The machines API with moves and upkeep. Machines of a spare pool are off and have no executor."""
+
+    MOVE_S = 1.5
+    UPKEEP_S = 2.0
+
+    def __init__(self, store, log, executors, spare, describe):
+        self.store, self.log, self.executors, self.spare, self.describe = store, log, executors, spare, describe
+        self.machines = {}
+        self.server = Server(self.handle)
+        self.tasks = set()
+
+    async def add(self, name, pool, port, rack):
+        self.machines[name] = Machine(name, pool, port, rack)
+        await self.turn_on(self.machines[name])
+
+    async def turn_on(self, machine):
+        machine.state = "up"
+        if machine.pool == self.spare:
+            return
+        machine.lives += 1
+        executor = Executor(self.store, self.log, f"x-{machine.name}-{machine.lives}", machine.port, machine.pool,
+                            machine.rack, self.describe)
+        machine.executor = executor
+        self.executors.append(executor)
+        await executor.start()
+
+    def turn_off(self, machine, state):
+        machine.state = state
+        executor, machine.executor = machine.executor, None
+        if executor is not None:
+            if executor.runs:
+                self.log(executor.name, f"ends with {len(executor.runs)} runs")
+            executor.up = False
+            executor.server.close()
+            self.executors.remove(executor)
+            self.store.remove(f"servers/{executor.name}")
+
+    def handle(self, request):
+        if request.path == "/machines":
+            return 200, {"machines": [
+                {"machine": machine.name, "pool": machine.pool, "state": machine.state, "zone": "z1",
+                 "labels": ["a", machine.rack], "capacity": {"cpu": 16000, "mem_mb": 65536, "gpu": 0},
+                 "id": machine.executor.name if machine.executor else ""} for machine in self.machines.values()],
+                "next_token": ""}
+        body = request.json()
+        machine = self.machines.get(body.get("machine"))
+        if machine is None:
+            return 400, {}
+        token = int(request.headers["x-fencing-token"])
+        if token < machine.fence:
+            return 409, {"reason": "fence"}
+        machine.fence = token
+        if request.path == "/machine-upkeep":
+            wave = json.loads(self.store.value(f"op/wave/{body['wave']}") or '{"machines":[]}')
+            if machine.name not in wave["machines"]:
+                return 409, {"reason": "wave"}
+            if body["wave"] in machine.waves:
+                return 200, {}
+            if machine.state != "up":
+                return 409, {"reason": "busy"}
+            machine.waves.add(body["wave"])
+            self.begin(machine, "upkeep", self.UPKEEP_S, machine.pool)
+            return 200, {}
+        if machine.pool == body["pool"]:
+            return 200, {}
+        if machine.state != "up":
+            return 409, {"reason": "busy"}
+        self.begin(machine, "moving", self.MOVE_S, body["pool"])
+        return 200, {}
+
+    def begin(self, machine, state, seconds, pool):
+        self.log("machines", f"{machine.name} begins {state}, pool {machine.pool} -> {pool}")
+        self.turn_off(machine, state)
+        machine.pool = pool
+
+        async def later():
+            await asyncio.sleep(seconds)
+            await self.turn_on(machine)
+
+        task = asyncio.create_task(later())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
