--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,120 +1,116 @@
-"""The open channels to the executors go silent once, while new ones work. Do subtasks that last keep their leases?"""
+"""The owner of the fleet is killed while the store holds the waves of earlier weeks. Do executors that were about to
+leave their pool take work again?"""
 
 import asyncio
+import json
 import time
 
 import harness
 import platform_standins as standins
 
 HOST = "pule25.example"
-CONTACT_S = harness.BOUNDS["contact_ms"] / 1000
-LASTING = "00000000000000aa"
-COUNT, MAY_MISS = 4, 1
-ANSWER_S = 0.02  # time that an executor takes to answer a start
+WAVES = 8
+GROWTH, LASTING = "00000000000000d1", "00000000000000f1"
+CPU = {GROWTH: 11000, LASTING: 6000}
 
 
 def describe(task):
-    if task.startswith(LASTING):
-        return {"work_s": None, "cpu": 1000, "mem_mb": 128}
-    return {"work_s": 0.5, "cpu": 200, "mem_mb": 128}
-
-
-class SlowStart(standins.Executor):
-    """Answers a start after ANSWER_S."""
-
-    def handle(self, request):
-        if request.path != "/run-start":
-            return super().handle(request)
-
-        async def later():
-            await asyncio.sleep(ANSWER_S)
-            answer = standins.Executor.handle(self, request)
-            if answer is not None:
-                request.reply(*answer)
-
-        self.answering = getattr(self, "answering", set())
-        task = asyncio.create_task(later())
-        self.answering.add(task)
-        task.add_done_callback(self.answering.discard)
-        return None
+    return {"work_s": None, "cpu": CPU[task.split(".")[0]], "mem_mb": 100}
 
 
 async def scenario(case):
-    executors = [SlowStart(case.store, case.log, f"w{i}", case.free_port(), "vendor-desk", f"r{i}", describe)
-                 for i in range(4)]
-    case.executors.extend(executors)
-    away = {}  # subtasks that last and are not at work: task -> time since
-    silenced = None
-
-    def started(executor, task, run):
-        if task.startswith(LASTING):
-            case.log(executor.name, f"start of {task} run {run}")
-
-    def ended(executor, task, run, how):
-        if not task.startswith(LASTING):
-            return
-        after = time.monotonic() - silenced if silenced else 0
-        case.log(executor.name, f"end of {task} run {run}: {how}, {after:.2f} s after the channels went silent, "
-                                f"{len(away)} others of the step are away")
-        if how == "lapsed" and after > CONTACT_S and len(away) >= MAY_MISS:
-            case.breaks(f"AVAIL: the lease of {task} lapsed {after:.2f} s after the last disruption, while {len(away)} "
-                        f"others of its step are away (may_miss {MAY_MISS})")
-        away[task] = time.monotonic()
-
-    for executor in executors:
-        executor.on_start, executor.on_end = started, ended
-        await executor.start()
+    fleet = standins.Fleet(case.store, case.log, case.executors, "council-misc", describe)
+    case.machines.server.handler = fleet.handle
+    for i in range(11):
+        pool = "vendor-desk" if i < 6 else "supply-hub" if i < 9 else "council-misc"
+        await fleet.add(f"m{i}", pool, case.free_port(), f"r{i // 2}")
     case.beating = asyncio.create_task(case.heartbeats())
-    route = {"host": HOST, "service": "vendor-desk", "max_attempts": 4, "stretch": 1.6, "target_latency_ms": 600,
-             "priority": 0}
+    route = {"host": HOST, "max_attempts": 4, "stretch": 1.6, "target_latency_ms": 600, "priority": 0}
     case.store.put("op/config", {
-        "version": 7, "limits": {}, "services": [{"name": "vendor-desk", "max_conns": 64}],
-        "routes": [{**route, "name": "takings-recon", "prefix": "/recon/"},
-                   {**route, "name": "roster-fetch", "prefix": "/roster/"}]})
+        "version": 7, "limits": {}, "services": [{"name": "vendor-desk", "max_conns": 64},
+                                                 {"name": "supply-hub", "max_conns": 64},
+                                                 {"name": "council-misc", "max_conns": 64, "spare": True}],
+        "routes": [{**route, "name": "roster", "prefix": "/roster/", "service": "vendor-desk"},
+                   {**route, "name": "sugar", "prefix": "/sugar/", "service": "supply-hub"}]})
     names = ("e1", "e2", "e3")
     for name in names:
         case.start_entry(name)
     await case.until_ready()
 
-    async def hand_in(job, path, body):
-        for attempt in range(5):
-            status, _ = await case.client(names[attempt % 3], "POST", HOST, f"/{path}/{job}", body)
+    async def hand_in(job, count):
+        body = {"spec": "serve", "steps": [{"count": count, "cpu": CPU[job], "mem_mb": 100, "estimate_ms": 700,
+                                            "long_running": True, "may_miss": 1}]}
+        for attempt in range(10):
+            status, _ = await case.client(names[attempt % 3], "POST", HOST, f"/roster/{job}", body)
             if status == 200:
                 return
+            await asyncio.sleep(0.5)
         raise harness.NotRun(f"{job} was not accepted")
 
-    def at_work():
-        for executor in executors:
-            for task, run in executor.runs.items():
-                if task in away and run.stopping_until is None and time.monotonic() - run.started > 0.3:
-                    del away[task]
-        return COUNT - len(away)
-
-    await hand_in(LASTING, "recon", {"spec": "serve", "steps": [
-        {"count": COUNT, "cpu": 1000, "mem_mb": 128, "estimate_ms": 700, "long_running": True, "may_miss": MAY_MISS,
-         "anti_affinity": 1}]})
-    await asyncio.sleep(3)
-    number = 0
-    for _ in range(4):
-        # A burst of submissions; each has the largest width of the site files.
-        jobs = []
-        for _ in range(12):
-            number += 1
-            jobs.append(hand_in(f"{number:016x}", "roster", {"spec": "look up", "steps": [
-                {"count": 24, "cpu": 200, "mem_mb": 128, "estimate_ms": 500}]}))
-        await asyncio.gather(*jobs)
-        await asyncio.sleep(4)
-        case.log("case", f"{at_work()} of {COUNT} subtasks of {LASTING} at work; open channels to the executors: "
-                         f"{[len(executor.server.connections) for executor in executors]}")
-        if harness.TROUBLE:
-            silenced = time.monotonic()
-            for executor in executors:
-                executor.server.silence_open_connections()
-            case.log("case", "the open channels to the executors go silent")
-        end = time.monotonic() + 16
-        while time.monotonic() < end:
-            at_work()
+    def vacating():
+        return set(json.loads(case.store.value("f/vacate") or "[]"))
+
+    def pool():
+        return [executor for executor in case.executors if executor.service == "vendor-desk"]
+
+    def running(job):
+        return sum(1 for executor in case.executors for task in executor.runs if task.startswith(job))
+
+    await asyncio.sleep(5)
+    for n in range(1, WAVES + 1):
+        # Spare machines first, since the upkeep of others waits until they are empty.
+        name = next((machine.name for machine in fleet.machines.values() if machine.pool == "council-misc"
+                     and machine.state == "up"), f"m{n % 11}")
+        case.store.put(f"op/wave/{n}", {"wave": n, "machines": [name], "within_s": 30, "cap": 1})
+        end = time.monotonic() + 10
+        while "completed" not in (case.store.value(f"status/wave/{n}") or ""):
+            if time.monotonic() > end:
+                raise harness.NotRun(f"wave {n} did not end")
             await asyncio.sleep(0.05)
+    case.log("case", f"{WAVES} waves are completed")
+
+    # The pool grows for a submission that lasts. When this is cancelled, the pool shrinks.
+    await hand_in(GROWTH, 8)
+    end = time.monotonic() + 12
+    while running(GROWTH) < 8 and time.monotonic() < end:
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(2)
+    case.log("case", f"{running(GROWTH)} of 8 subtasks of {GROWTH} run; pools "
+                     f"{[(machine.name, machine.pool) for machine in fleet.machines.values()]}")
+    status, _ = await case.client("e1", "DELETE", HOST, f"/roster/{GROWTH}")
+    end = time.monotonic() + 10
+    while not vacating() & {executor.name for executor in pool()}:
+        if time.monotonic() > end:
+            raise harness.NotRun("no executor was about to leave its pool")
+        await asyncio.sleep(0.002)
+    leaving = vacating()
+    owner = (case.store.value("m/own/!fleet") or "").split(" ")[0]
+    case.log("case", f"{sorted(leaving)} are about to leave their pools; {owner} owns the fleet")
+    if harness.TROUBLE:
+        case.kill_entry(owner)
+    count = 2 * len(pool())  # two fit on each executor
+    if harness.TROUBLE:
+        await asyncio.sleep(0.5)
+        case.start_entry(owner)
+    await hand_in(LASTING, count)
+
+    # From here on nothing is disturbed. For each subtask that lasts: no run for 3 s though there is capacity for it
+    # twice over, while the 3 s and the 4 s before them are calm.
+    await asyncio.sleep(12)
+    idle_since = None
+    end = time.monotonic() + 10
+    lost = False
+    while time.monotonic() < end and not lost:
+        roomy = [executor.name for executor in pool()
+                 if executor.up and executor.cpu - executor.used_cpu() >= 2 * CPU[LASTING]]
+        idle = running(LASTING) < count and bool(roomy)
+        idle_since = None if not idle else idle_since or time.monotonic()
+        lost = idle_since is not None and time.monotonic() - idle_since >= 3
+        await asyncio.sleep(0.05)
+    case.log("case", f"{running(LASTING)} of {count} subtasks of {LASTING} run; room for two on {roomy}; vacating "
+                     f"{sorted(vacating())}; the store has refused {case.store.refused_sizes} transactions")
+    if lost:
+        case.breaks(f"LOST: {count - running(LASTING)} subtasks of {LASTING} have had no run for 3 s beside {roomy}")
 
 
 harness.main(__file__.rsplit("/", 1)[0] if "/" in __file__ else ".", scenario)
