--- a/review/12/case.py
+++ b/review/12/case.py
@@ -19,11 +19,13 @@
     for service in range(PARTITIONS):
         for index in range(2):
             executors.append(case.add_executor(f"w{service:02}-{index}", f"service-{service}", f"r{index}", describe))
-    without_run = {}  # subtask that lasts and has no run -> time since
+    without_run = {}  # subtask that lasts and has no run -> time since its last run, or since its acceptance
+    has_run = set()
 
     def started(executor, task, run):
         case.log(executor.name, f"start of {task} run {run}")
         without_run.pop(task, None)
+        has_run.add(task)
 
     def ended(executor, task, run, how):
         case.log(executor.name, f"end of {task} run {run}: {how}")
@@ -80,9 +82,13 @@
             accepted += 1 if await hand_in(1) else 0
         now = time.monotonic()
         for task, since in without_run.items():
-            # From 6 s after its last run (here also: after its acceptance), 3 s on end. Each executor has room.
-            if now - since > 9 and now - calm_since > CALM_S and task not in reported:
-                reported.add(task)
+            # From 6 s after its last run, 3 s on end. Each executor has room. Subtasks that have never run are only logged.
+            if now - since <= 9 or now - calm_since <= CALM_S + 9 or task in reported:
+                continue
+            reported.add(task)
+            if task not in has_run:
+                case.log("case", f"{task} was accepted {now - since:.1f} s ago and has never run")
+            else:
                 case.breaks(f"LOST: {task} has had no run for {now - since:.1f} s, {now - calm_since:.0f} s after the last "
                             "disruption")
         await asyncio.sleep(0.05)
