fleet owner: write only what the store lacks, within its limit of rows

Callers: after a kill of the fleet's owner a long-running job got no task on idle executors that had been about to leave their pool, for good.

The refusal (400) was repeated unchanged at the rate of the passes and held up everything beside it. Ruled out: the takeover, since 15 new waves fail without a kill; the planner, whose list was right.

Change: a new owner reads the stored status; the list of vacating executors has its own transaction; rows are counted where preconditions are added; a write rejected as invalid is repeated after 5 s. f/done leaves out completed waves once all entries read the status.

--- a/src/deployment.h
+++ b/src/deployment.h
@@ -132,4 +132,11 @@
     int maxConcurrent = 1;  // maximum number of instances that are down at once
 };
 
+/// Status of a wave as stored for operators.
+struct WaveStatus
+{
+    std::int64_t wave = 0;
+    bool completed = false;  // the maintenance of every instance has begun; otherwise the wave is running
+};
+
 }
--- a/src/fleet_owner.h
+++ b/src/fleet_owner.h
@@ -26,8 +26,10 @@
     Duration listPeriod{1'000'000};
     /// Time between two requests for the list while no wave and no move is in progress.
     Duration idleListPeriod{2'000'000};
-    Duration storeTimeout{700'000};   // timeout of one call to the store
-    Duration retryPause{150'000};     // pause after a failed call to the store
+    Duration storeTimeout{700'000};  // timeout of one call to the store
+    Duration retryPause{150'000};    // pause after a failed call to the store
+    /// Pause after a write that the store rejected as invalid, which the same write cannot change.
+    Duration rejectedPause{5'000'000};
     Duration statePeriod{1'000'000};  // time between log lines with the state of the owner
 };
 
@@ -51,7 +53,9 @@
     std::function<void(const MaintenanceRequest &, std::uint64_t fencingToken, std::function<void(OrderResult)>)>
         maintain;
     std::function<void(const MoveRequest &, std::uint64_t fencingToken, std::function<void(OrderResult)>)> move;
+    std::string statusPrefix;                                             // of the keys with the status of the waves
     std::function<StoreWrite(std::int64_t wave, bool completed)> status;  // write of the wave's status for operators
+    std::function<Result<WaveStatus>(const StoreItem &)> parseStatus;     // item under `statusPrefix`
     /// The entry must destroy the owner after the hook has returned, since the owner is the caller.
     std::function<void(std::string_view why)> ownershipLost;
 };
@@ -83,15 +87,22 @@
                              later(m_settings.retryPause, [this] { start(); });
                              return;
                          }
-                         loadVacating();
+                         loadStatuses({});
                      }));
     }
 
+    /// Whether the record of begun instances leaves out the waves whose stored status is "completed". Every entry that
+    /// may own the fleet must read the status then.
+    void setStatusTrusted(bool trusted)
+    {
+        m_statusTrusted = trusted;
+    }
+
     void addWave(const MaintenanceWave &wave)
     {
         m_waves[wave.id] = wave;
         if (m_loaded) {
-            guarded([&] { m_planner.waves().addWave(wave, m_begunInstances[wave.id], bootNow()); })();
+            guarded([&] { planWave(wave); })();
             schedulePlanning();
         }
     }
@@ -145,6 +156,48 @@
         m_storedBegun = text;
     }
 
+    /// Reads the status of the waves that earlier owners have stored.
+    void loadStatuses(const std::string &after)
+    {
+        m_store.range(m_hooks.statusPrefix, after, false, m_settings.storeTimeout,
+                      guarded([this, after](const StoreReply &reply) {
+                          if (reply.outcome != StoreOutcome::Done) {
+                              later(m_settings.retryPause, [this, after] { loadStatuses(after); });
+                              return;
+                          }
+                          for (const StoreItem &item : reply.items) {
+                              m_writer.recordRevision(item.key, item.revision);
+                              const Result<WaveStatus> status = m_hooks.parseStatus(item);
+                              if (status) {
+                                  m_storedStatuses[status.value().wave] = status.value();
+                              } else {
+                                  logEvent(LogLevel::Error, "wave-status-unreadable",
+                                           {{"key", item.key}, {"why", status.error().message}});
+                              }
+                          }
+                          if (reply.truncated && !reply.items.empty()) {
+                              loadStatuses(reply.items.back().key);
+                          } else {
+                              loadVacating();
+                          }
+                      }));
+    }
+
+    /// Passes the wave to the planner with the progress that earlier owners have stored.
+    void planWave(const MaintenanceWave &wave)
+    {
+        const auto stored = m_storedStatuses.find(wave.id);
+        const bool isCompleted = stored != m_storedStatuses.end() && stored->second.completed;
+        m_planner.waves().addWave(
+            wave, isCompleted ? std::set(wave.instances.begin(), wave.instances.end()) : m_begunInstances[wave.id],
+            bootNow());
+        if (isCompleted) {
+            m_planner.waves().completionPublished(wave.id);
+        } else if (stored != m_storedStatuses.end()) {
+            m_planner.waves().runningPublished(wave.id);
+        }
+    }
+
     /// Reads the list of vacating executors that the predecessor has stored.
     void loadVacating()
     {
@@ -157,7 +210,7 @@
                          }
                          m_loaded = true;
                          for (const auto &[id, wave] : m_waves) {
-                             m_planner.waves().addWave(wave, m_begunInstances[id], bootNow());
+                             planWave(wave);
                          }
                          listInstances();
                          confirmOwnership();
@@ -336,82 +389,128 @@
         schedulePlanning();
     }
 
-    /// Writes the list of vacating executors, the instances whose maintenance has begun, and the status of the waves,
-    /// as far as they have changed. Only one write is in progress at a time.
+    // Publishing
+
+    /// A write that is repeated until the store has its content. Writes that do not depend on each other are sent in
+    /// transactions of their own, so that one that is refused does not hold up the others.
+    struct Publication
+    {
+        bool inFlight = false;
+        TimePoint notBefore;  // time of the steady clock; set after a failed attempt
+    };
+
     void publish()
     {
-        if (m_publishing) {
+        publishVacating();
+        publishWaves();
+    }
+
+    static bool maySend(const Publication &publication)
+    {
+        return !publication.inFlight && steadyNow() >= publication.notBefore;
+    }
+
+    /// `done` is called with the reply unless another owner has the partition.
+    template<class F>
+    void sendWrite(Publication &publication, StoreTxn txn, F done)
+    {
+        publication.inFlight = true;
+        m_writer.commit(std::move(txn), m_settings.storeTimeout,
+                        guarded([this, &publication, done](const StoreReply &reply, bool deposed) {
+                            publication.inFlight = false;
+                            if (deposed) {
+                                reportOwnershipLost("precondition");
+                                return;
+                            }
+                            if (reply.outcome != StoreOutcome::Done) {
+                                const bool rejected = reply.outcome == StoreOutcome::Malformed;
+                                const Duration pause = rejected ? m_settings.rejectedPause : m_settings.retryPause;
+                                publication.notBefore = steadyNow() + pause;
+                                later(pause, [this] { schedulePlanning(); });
+                            }
+                            done(reply);
+                        }));
+    }
+
+    /// Writes the list of vacating executors if it has changed.
+    void publishVacating()
+    {
+        const std::set<std::string> vacating = m_planner.vacating(bootNow());
+        const bool changed = vacating != m_planner.publishedVacating() || m_planner.publishedRevision() == 0;
+        if (!changed || !maySend(m_vacatingPublication)) {
             return;
         }
-        boost::json::array vacatingList;
-        const std::set<std::string> vacating = m_planner.vacating(bootNow());
+        boost::json::array list;
         for (const std::string &executor : vacating) {
-            vacatingList.push_back(boost::json::string(executor));
+            list.push_back(boost::json::string(executor));
+        }
+        StoreTxn txn;
+        txn.writes.push_back({keys::FleetVacating, boost::json::serialize(list), 0});
+        m_planner.publishing();
+        sendWrite(m_vacatingPublication, std::move(txn), [this, vacating](const StoreReply &reply) {
+            if (reply.outcome != StoreOutcome::Done) {
+                m_planner.published({}, 0);  // the write may or may not have taken effect
+                return;
+            }
+            m_planner.published(vacating, reply.revision);
+            logEvent(LogLevel::Info, "vacating-published",
+                     {{"executors", std::to_string(vacating.size())}, {"revision", std::to_string(reply.revision)}});
+            schedulePlanning();
+        });
+    }
+
+    /// Writes the instances whose maintenance has begun and the status of the waves, as far as they have changed and as
+    /// many as one transaction holds.
+    void publishWaves()
+    {
+        if (!maySend(m_wavesPublication)) {
+            return;
         }
         boost::json::object begun;
-        for (const auto &[wave, instances] : m_planner.waves().begunInstances()) {
+        for (const auto &[wave, instances] : m_planner.waves().begunInstances(!m_statusTrusted)) {
             begun[std::to_string(wave)] = boost::json::value_from(instances);
         }
-        const bool vacatingChanged = vacating != m_planner.publishedVacating() || m_planner.publishedRevision() == 0;
-        const std::string vacatingText = boost::json::serialize(vacatingList);
         const std::string begunText = boost::json::serialize(begun);
-        const std::vector<std::int64_t> started = m_planner.waves().unpublishedStarts();
-        std::vector<std::int64_t> completed;
-        StoreTxn txn;
-        if (vacatingChanged) {
-            txn.writes.push_back({keys::FleetVacating, vacatingText, 0});
+        std::map<std::int64_t, bool> statuses;  // whether the wave is completed, by wave
+        for (const std::int64_t wave : m_planner.waves().unpublishedStarts()) {
+            statuses[wave] = false;
         }
+        StoreTxn txn;
         if (begunText != m_storedBegun) {
             txn.writes.push_back({keys::FleetMaintenanceBegun, begunText, 0});
         } else {
             // A wave is reported as completed only once the record of its begun instances is stored.
-            completed = m_planner.waves().unpublishedCompletions();
-        }
-        for (const std::int64_t wave : started) {
-            txn.writes.push_back(m_hooks.status(wave, false));
+            for (const std::int64_t wave : m_planner.waves().unpublishedCompletions()) {
+                statuses[wave] = true;
+            }
         }
-        for (const std::int64_t wave : completed) {
-            txn.writes.push_back(m_hooks.status(wave, true));
+        std::vector<WaveStatus> sent;
+        for (const auto &[wave, completed] : statuses) {
+            StoreTxn row;
+            row.writes.push_back(m_hooks.status(wave, completed));
+            if (!FencedWriter<S>::appendIfAccepted(txn, row)) {
+                break;  // sent once this transaction is done
+            }
+            sent.push_back({wave, completed});
         }
         if (txn.writes.empty()) {
             return;
         }
-        m_publishing = true;
-        if (vacatingChanged) {
-            m_planner.publishing();
-        }
-        m_writer.commit(std::move(txn), m_settings.storeTimeout,
-                        guarded([this, vacating, vacatingChanged, begunText, started,
-                                 completed](const StoreReply &reply, bool deposed) {
-                            m_publishing = false;
-                            if (deposed) {
-                                reportOwnershipLost("precondition");
-                                return;
-                            }
-                            if (reply.outcome != StoreOutcome::Done) {
-                                // The write may or may not have taken effect, so the stored list is not known.
-                                if (vacatingChanged) {
-                                    m_planner.published({}, 0);
-                                }
-                                later(m_settings.retryPause, [this] { schedulePlanning(); });
-                                return;
-                            }
-                            if (vacatingChanged) {
-                                m_planner.published(vacating, reply.revision);
-                                logEvent(LogLevel::Info, "vacating-published",
-                                         {{"executors", std::to_string(vacating.size())},
-                                          {"revision", std::to_string(reply.revision)}});
-                            }
-                            m_storedBegun = begunText;
-                            for (const std::int64_t wave : started) {
-                                m_planner.waves().runningPublished(wave);
-                            }
-                            for (const std::int64_t wave : completed) {
-                                m_planner.waves().completionPublished(wave);
-                                logEvent(LogLevel::Info, "wave-completed", {{"wave", std::to_string(wave)}});
-                            }
-                            schedulePlanning();
-                        }));
+        sendWrite(m_wavesPublication, std::move(txn), [this, begunText, sent](const StoreReply &reply) {
+            if (reply.outcome != StoreOutcome::Done) {
+                return;
+            }
+            m_storedBegun = begunText;
+            for (const WaveStatus &status : sent) {
+                if (status.completed) {
+                    m_planner.waves().completionPublished(status.wave);
+                    logEvent(LogLevel::Info, "wave-completed", {{"wave", std::to_string(status.wave)}});
+                } else {
+                    m_planner.waves().runningPublished(status.wave);
+                }
+            }
+            schedulePlanning();
+        });
     }
 
     S &m_store;
@@ -425,9 +524,12 @@
     TimePoint m_nextPlanAt;  // earliest time of the next planning pass
     std::map<std::int64_t, MaintenanceWave> m_waves;
     std::map<std::int64_t, std::set<std::string>> m_begunInstances;
+    std::map<std::int64_t, WaveStatus> m_storedStatuses;  // by wave, as read at the start
     std::string m_storedBegun;
+    Publication m_vacatingPublication;
+    Publication m_wavesPublication;
+    bool m_statusTrusted = false;
     bool m_loaded = false;
-    bool m_publishing = false;
     bool m_ownershipLost = false;
 };
 
--- a/src/job_entry_ownership.cpp
+++ b/src/job_entry_ownership.cpp
@@ -52,6 +52,7 @@
     std::string state = std::string(ServingState) + std::to_string(m_settings.cpuShare);
     state += PartitionsCapability;
     state += TransfersCapability;
+    state += WaveStatusCapability;
     if (m_settings.metrics && m_advice) {
         state += ' ' + formatEndpoint(*m_settings.metrics);
     }
@@ -83,7 +84,7 @@
             m_entries[name] = item.value;
         }
         updateAdviceRoutes();
-        updateTransfers();
+        updateCapabilities();
         return;
     }
     if (item.key.starts_with(keys::PartitionCounts)) {
@@ -115,9 +116,13 @@
     m_ownership.keyChanged(item.key.substr(keys::Owners.size()), item, steadyNow());
 }
 
-/// Lets the owners of this entry move jobs to other partitions while every serving entry knows such jobs.
-void JobEntry::updateTransfers()
+/// Lets the owners of this entry do what every serving entry must know: move jobs to other partitions, and drop the
+/// records of completed waves.
+void JobEntry::updateCapabilities()
 {
+    if (m_fleet) {
+        m_fleet->setStatusTrusted(allServingEntriesHave(WaveStatusCapability));
+    }
     for (const auto &[partition, owner] : m_partitions) {
         owner->setTransfersAllowed(allServingEntriesHave(TransfersCapability));
     }
@@ -415,6 +420,7 @@
             }
         }
         m_fleet->setSparePools(std::move(spare));
+        m_fleet->setStatusTrusted(allServingEntriesHave(WaveStatusCapability));
         for (const auto &[id, wave] : m_waves) {
             m_fleet->addWave(wave);
         }
@@ -704,6 +710,8 @@
                 done(outcome);
             });
     };
+    hooks.statusPrefix = platform::WaveStatusPrefix;
+    hooks.parseStatus = [](const StoreItem &item) { return platform::decodeWaveStatus(item.key, item.value); };
     hooks.status = [](std::int64_t wave, bool completed) {
         return StoreWrite{std::string(platform::WaveStatusPrefix) + std::to_string(wave),
                           platform::encodeWaveStatus(completed), 0};
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -54,6 +54,9 @@
 /// Word in the published state of an entry whose build knows jobs that came from another partition. Such a job has
 /// progress that an older build would not read.
 constexpr std::string_view TransfersCapability = " transfers";
+/// Word in the published state of an entry whose build reads the status of the waves when it takes the fleet. An older
+/// build repeats a wave that the record of begun instances leaves out.
+constexpr std::string_view WaveStatusCapability = " wave-status";
 /// A service gets one partition if the instances of its pool could not be listed within this time.
 constexpr Duration PartitionDecisionTimeout{3'000'000};
 constexpr Duration StoreTimeout{700'000};
@@ -119,7 +122,7 @@
     std::optional<std::string> partitionOfJob(const std::string &service, const std::string &id) const;
     std::string partitionForNewJob(const JobSpec &spec, const std::string &partition);
     bool allServingEntriesHave(std::string_view capability) const;
-    void updateTransfers();
+    void updateCapabilities();
     struct Candidate
     {
         double cpuShare = 1;
--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -743,28 +743,31 @@
         }
         StoreTxn txn;
         auto transactionWrites = std::make_shared<std::vector<JobWrite>>();
-        // A job takes up to four rows: its record and its progress, each with a precondition. The ownership key takes
-        // one row of the transaction.
-        constexpr std::size_t rowsPerJob = 4;
-        while (!commit->remaining.empty() && (transactionWrites->size() + 1) * rowsPerJob < StoreTxn::MaxRows) {
-            JobWrite next = std::move(commit->remaining.front());
+        while (!commit->remaining.empty()
+               && FencedWriter<S>::appendIfAccepted(txn, rowsFor(commit->remaining.front()))) {
+            transactionWrites->push_back(std::move(commit->remaining.front()));
             commit->remaining.pop_front();
-            if (!next.finalRecord.empty()) {
-                txn.expected.emplace_back(keys::job(m_partition, next.job), next.revision);
-                txn.writes.push_back({keys::job(m_partition, next.job), next.finalRecord, 0});
-            }
-            if (next.progress.empty()) {
-                txn.removed.push_back(keys::progress(m_partition, next.job));
-            } else {
-                txn.writes.push_back({keys::progress(m_partition, next.job), next.progress, 0});
-            }
-            transactionWrites->push_back(std::move(next));
         }
         write(std::move(txn), [this, commit, transactionWrites](const StoreReply &reply) {
             transactionFinished(commit, *transactionWrites, reply);
         });
     }
 
+    StoreTxn rowsFor(const JobWrite &write) const
+    {
+        StoreTxn rows;
+        if (!write.finalRecord.empty()) {
+            rows.expected.emplace_back(keys::job(m_partition, write.job), write.revision);
+            rows.writes.push_back({keys::job(m_partition, write.job), write.finalRecord, 0});
+        }
+        if (write.progress.empty()) {
+            rows.removed.push_back(keys::progress(m_partition, write.job));
+        } else {
+            rows.writes.push_back({keys::progress(m_partition, write.job), write.progress, 0});
+        }
+        return rows;
+    }
+
     void transactionFinished(const std::shared_ptr<PendingCommit> &commit, std::vector<JobWrite> &transactionWrites,
                              const StoreReply &reply)
     {
--- a/src/partition_ownership.h
+++ b/src/partition_ownership.h
@@ -40,19 +40,41 @@
         (*m_revisions)[key] = revision;
     }
 
+    /// Number of rows that commit() sends for the transaction, with the preconditions that it adds.
+    static std::size_t sentRows(const StoreTxn &txn)
+    {
+        std::size_t rows = txn.rows() + 1;  // the ownership key
+        const auto addPrecondition = [&](const std::string &key) { rows += expects(txn, key) ? 0 : 1; };
+        for (const StoreWrite &write : txn.writes) {
+            addPrecondition(write.key);
+        }
+        std::for_each(txn.removed.begin(), txn.removed.end(), addPrecondition);
+        return rows;
+    }
+
+    /// Appends `part` to the transaction if the store accepts both as one. Returns false and changes nothing otherwise.
+    static bool appendIfAccepted(StoreTxn &txn, const StoreTxn &part)
+    {
+        if (sentRows(txn) + sentRows(part) - 1 > StoreTxn::MaxRows) {  // both counts include the ownership key
+            return false;
+        }
+        txn.expected.insert(txn.expected.end(), part.expected.begin(), part.expected.end());
+        txn.writes.insert(txn.writes.end(), part.writes.begin(), part.writes.end());
+        txn.removed.insert(txn.removed.end(), part.removed.begin(), part.removed.end());
+        return true;
+    }
+
     /// `deposed`: another owner has the partition. A conflict with `deposed` false has one of two causes: a
     /// precondition of the caller does not hold, or the recorded revision of a key was out of date. The reply updates
     /// the recorded revisions, so the second cause does not recur.
     using CommitDone = std::function<void(const StoreReply &, bool deposed)>;
     void commit(StoreTxn txn, Duration timeout, CommitDone done)
     {
-        const std::size_t callerRows = txn.expected.size();
-        txn.expected.emplace_back(m_ownershipKey, m_fencingToken);
+        std::vector<std::pair<std::string, std::uint64_t>> added{{m_ownershipKey, m_fencingToken}};
         const auto expectOwnRevision = [&](const std::string &key) {
-            const auto end = txn.expected.begin() + static_cast<std::ptrdiff_t>(callerRows);
-            if (std::none_of(txn.expected.begin(), end, [&key](const auto &row) { return row.first == key; })) {
+            if (!expects(txn, key)) {
                 const auto known = m_revisions->find(key);
-                txn.expected.emplace_back(key, known == m_revisions->end() ? 0 : known->second);
+                added.emplace_back(key, known == m_revisions->end() ? 0 : known->second);
             }
         };
         for (const StoreWrite &write : txn.writes) {
@@ -61,6 +83,7 @@
         for (const std::string &key : txn.removed) {
             expectOwnRevision(key);
         }
+        txn.expected.insert(txn.expected.end(), added.begin(), added.end());
         m_store.commit(txn, timeout,
                        [revisions = m_revisions, txn, ownershipKey = m_ownershipKey, token = m_fencingToken,
                         done = std::move(done)](const StoreReply &reply) {
@@ -72,6 +95,12 @@
 private:
     using Revisions = std::map<std::string, std::uint64_t>;
 
+    static bool expects(const StoreTxn &txn, const std::string &key)
+    {
+        return std::any_of(txn.expected.begin(), txn.expected.end(),
+                           [&key](const auto &row) { return row.first == key; });
+    }
+
     static std::uint64_t presentRevision(const StoreReply &reply, const std::string &key)
     {
         const auto item = std::find_if(reply.items.begin(), reply.items.end(),
--- a/src/wave_planner.cpp
+++ b/src/wave_planner.cpp
@@ -239,10 +239,13 @@
     return executors;
 }
 
-std::map<std::int64_t, std::set<std::string>> WavePlanner::begunInstances() const
+std::map<std::int64_t, std::set<std::string>> WavePlanner::begunInstances(bool withCompleted) const
 {
     std::map<std::int64_t, std::set<std::string>> begun;
     for (const auto &[waveId, progress] : m_waves) {
+        if (progress.isCompletionPublished && !withCompleted) {
+            continue;
+        }
         for (const auto &[id, member] : progress.instances) {
             if (member.phase == MaintenancePhase::Down || member.phase == MaintenancePhase::Finished) {
                 begun[waveId].insert(id);
@@ -284,6 +287,7 @@
 
 void WavePlanner::completionPublished(std::int64_t wave)
 {
+    m_waves[wave].isRunningPublished = true;
     m_waves[wave].isCompletionPublished = true;
 }
 
--- a/src/wave_planner.h
+++ b/src/wave_planner.h
@@ -100,8 +100,9 @@
     /// maintenanceRefused(), or repeated while no answer comes.
     std::vector<MaintenanceRequest> tick(TimePoint now, std::size_t limit = std::numeric_limits<std::size_t>::max());
     std::set<std::string> vacating() const;  // executors that must get no new work
-    /// Instances whose maintenance has begun or that are finished, by wave.
-    std::map<std::int64_t, std::set<std::string>> begunInstances() const;
+    /// Instances whose maintenance has begun or that are finished, by wave; `withCompleted`: also of waves whose
+    /// completion is published.
+    std::map<std::int64_t, std::set<std::string>> begunInstances(bool withCompleted) const;
     /// Waves in which the maintenance of every instance has begun, and whose status in the store does not say so yet.
     std::vector<std::int64_t> unpublishedCompletions() const;
     /// Waves whose status in the store does not say yet that they are running.
--- a/tests/run_fleet_owner.cpp
+++ b/tests/run_fleet_owner.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr std::chrono::seconds ConditionTimeout{60};
+const std::string StatusPrefix = "status/wave/";
 
 struct OpenOrder
 {
@@ -52,8 +53,12 @@
         hooks.move = [this](const MoveRequest &request, std::uint64_t, std::function<void(OrderResult)> done) {
             orders.push_back({request.executor, std::move(done)});
         };
+        hooks.statusPrefix = StatusPrefix;
         hooks.status = [](std::int64_t wave, bool completed) {
-            return StoreWrite{"status/wave/" + std::to_string(wave), completed ? "completed" : "running", 0};
+            return StoreWrite{statusKey(wave), completed ? "completed" : "running", 0};
+        };
+        hooks.parseStatus = [](const StoreItem &item) -> Result<WaveStatus> {
+            return WaveStatus{std::stoll(item.key.substr(StatusPrefix.size())), item.value == "completed"};
         };
         hooks.ownershipLost = [this](std::string_view) { ownershipLost = true; };
         owner.emplace(store, timers, token, hadOwner, settings, std::move(hooks), bootNow());
@@ -73,6 +78,19 @@
     {
         runUntil([this, end = lists + count] { return lists >= end; });
     }
+    static std::string statusKey(std::int64_t wave)
+    {
+        return StatusPrefix + std::to_string(wave);
+    }
+    /// Adds the waves 1 to `count`, each of the instance m0.
+    void addWaves(int count)
+    {
+        for (int wave = 1; wave <= count; ++wave) {
+            MaintenanceWave added = makeWave(1, 1);
+            added.id = wave;
+            owner->addWave(added);
+        }
+    }
     std::set<std::string> vacating() const
     {
         const auto parsed = boost::json::parse(store.value(keys::FleetVacating));
@@ -151,3 +169,70 @@
     fixture.runUntil([&] { return !fixture.orders.empty(); });
     CHECK(fixture.orders.front().executor == "i-m0");
 }
+
+// Guards against a transaction that grows with the number of waves until the store rejects it, and then for ever.
+TEST_CASE("The owner of the fleet publishes beside any number of waves")
+{
+    constexpr int waves = 40;  // the status of 16 takes more rows than a transaction has
+    FleetFixture fixture;
+    fixture.settings.orderTimeout = fixture.settings.orderMargin = 0ms;
+    fixture.settings.takeoverDelay = 0ms;
+    fixture.settings.maxProofAge = 50ms;  // orders of the predecessor, and this owner without a proof, end after this
+    fixture.store.put(keys::FleetVacating, R"(["i-m0"])");
+
+    SECTION("that earlier owners have completed: it writes no status again, and closes no executor that is not leaving")
+    {
+        std::vector<std::uint64_t> revisions;
+        for (int wave = 1; wave <= waves; ++wave) {
+            revisions.push_back(fixture.store.put(FleetFixture::statusKey(wave), "completed"));
+        }
+        fixture.start(true);
+        fixture.addWaves(waves);
+        fixture.runUntil([&] { return fixture.vacating().empty(); });
+        fixture.runForLists(50);
+        for (int wave = 1; wave <= waves; ++wave) {
+            CHECK(fixture.store.item(FleetFixture::statusKey(wave)).revision
+                  == revisions[static_cast<std::size_t>(wave - 1)]);
+        }
+        CHECK(fixture.orders.empty());
+    }
+    SECTION("that are new: each of them is shown as running")
+    {
+        fixture.start(false);
+        fixture.addWaves(waves);
+        const auto isShown = [&](int wave) { return fixture.store.value(FleetFixture::statusKey(wave)) == "running"; };
+        for (int wave = 1; wave <= waves; ++wave) {
+            fixture.runUntil([&] { return isShown(wave); });
+        }
+    }
+}
+
+// Guards against a write that the store rejects holding up the others, and being repeated at the rate of the passes.
+TEST_CASE("A status that the store rejects holds up no list of vacating executors")
+{
+    FleetFixture fixture;
+    fixture.settings.rejectedPause = 1h;
+    fixture.store.rejectWrites(StatusPrefix);
+    fixture.start(false);
+    fixture.owner->addWave(makeWave(2, 2));
+    fixture.runUntil([&] { return fixture.store.value(keys::FleetVacating) == R"(["i-m0"])"; });
+    fixture.runUntil([&] { return fixture.store.rejectedWrites() > 0; });
+    fixture.runForLists(50);
+    CHECK(fixture.store.rejectedWrites() == 1);
+}
+
+// Guards against a record that grows with all waves of the past, and against one that an older build misreads.
+TEST_CASE("The record of begun instances leaves out completed waves once all entries read their status")
+{
+    FleetFixture fixture;
+    fixture.store.put(FleetFixture::statusKey(7), "completed");
+    fixture.store.put(keys::FleetMaintenanceBegun, R"({"7":["m0","m1"]})");
+    fixture.start(false);
+    fixture.owner->addWave(makeWave(2, 2));
+    fixture.runForLists(10);
+    CHECK(fixture.store.value(keys::FleetMaintenanceBegun) == R"({"7":["m0","m1"]})");
+    fixture.owner->setStatusTrusted(true);
+    fixture.runUntil([&] { return fixture.store.value(keys::FleetMaintenanceBegun) == "{}"; });
+    fixture.owner->setStatusTrusted(false);
+    fixture.runUntil([&] { return fixture.store.value(keys::FleetMaintenanceBegun) == R"({"7":["m0","m1"]})"; });
+}
--- a/tests/run_platform_wire.cpp
+++ b/tests/run_platform_wire.cpp
@@ -370,4 +370,15 @@
     REQUIRE(wave);
     CHECK(wave.value().dueWithin == 20500ms);
     CHECK(wave.value().maxConcurrent == 3);
+    const auto completed = decodeWaveStatus("status/wave/12", encodeWaveStatus(true));
+    REQUIRE(completed);
+    CHECK(completed.value().wave == 12);
+    CHECK(completed.value().completed);
+    const auto running = decodeWaveStatus("status/wave/13", encodeWaveStatus(false));
+    REQUIRE(running);
+    CHECK_FALSE(running.value().completed);
+    CHECK_FALSE(decodeWaveStatus("status/wave/1x", encodeWaveStatus(true)));
+    CHECK_FALSE(decodeWaveStatus("status/wave/", encodeWaveStatus(true)));
+    CHECK_FALSE(decodeWaveStatus("status/wave/1", R"({"state":"paused"})"));
+    CHECK_FALSE(decodeWaveStatus("status/wave/1", "[]"));
 }
--- a/tests/unreliable_store.h
+++ b/tests/unreliable_store.h
@@ -37,6 +37,15 @@
         const auto found = m_items.find(key);
         return found == m_items.end() ? std::string() : found->second.value;
     }
+    /// Rejects all writes of keys with the prefix as invalid; empty: none.
+    void rejectWrites(const std::string &prefix)
+    {
+        m_rejectPrefix = prefix;
+    }
+    int rejectedWrites() const
+    {
+        return m_rejectedWrites;
+    }
     void loseNextWrite(const std::string &prefix)
     {
         m_losePrefix = prefix;
@@ -125,10 +134,19 @@
     }
     void commit(const StoreTxn &txn, Duration /*timeout*/, const StoreDone &done)
     {
-        const bool writeIsLost = !m_losePrefix.empty()
-            && std::any_of(txn.writes.begin(), txn.writes.end(),
-                           [this](const StoreWrite &write) { return write.key.starts_with(m_losePrefix); });
-        if (writeIsLost) {
+        const auto writes = [&txn](const std::string &prefix) {
+            return !prefix.empty()
+                && std::any_of(txn.writes.begin(), txn.writes.end(),
+                               [&prefix](const StoreWrite &write) { return write.key.starts_with(prefix); });
+        };
+        if (writes(m_rejectPrefix)) {
+            ++m_rejectedWrites;
+            StoreReply reply;
+            reply.outcome = StoreOutcome::Malformed;
+            answer(done, std::move(reply));
+            return;
+        }
+        if (writes(m_losePrefix)) {
             m_losePrefix.clear();
             m_lostWrites.push_back(txn);
             StoreReply reply;
@@ -197,6 +215,8 @@
     boost::asio::io_context &m_io;
     std::map<std::string, StoreItem> m_items;
     std::uint64_t m_revision = 100;
+    std::string m_rejectPrefix;
+    int m_rejectedWrites = 0;
     std::string m_losePrefix;
     std::vector<StoreTxn> m_lostWrites;
     std::map<std::string, StoreDone> m_watches;  // open watch by prefix
