store client: no call waits behind calls of another kind

Callers: with 15 partitions at the one entry that is left, about two thirds of the submissions got 503 and long-running tasks had no run for 9 s and longer, for good; with 40 partitions on three entries the same without a disruption.

Cause: watches, lists, callers' requests, proofs of ownership and renewals of the lease shared 12 connections in order of arrival, and each owner keeps a watch open. Renewals waited beyond their time-out and the lease lapsed. Ruled out: store, network and event loop (late_ms=0); more connections only move the number at which it fails.

Callers' requests have a client of their own.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -34,9 +34,10 @@
     , m_settings(settings)
     , m_timers(io)
     , m_store(io, settings.store.address, settings.store.port)
+    , m_callerStore(io, settings.store.address, settings.store.port)
     , m_executors(io)
     , m_machines(io, settings.machines.address, settings.machines.port, settings.name)
-    , m_jobApi(m_store, m_timers, {})
+    , m_jobApi(m_callerStore, m_timers, {})
     , m_operatorView(
           m_store, m_timers, std::string(platform::OperatorPrefix), {.watchWait = ConfigWatchWait},
           [this](const StoreItem &item) { operatorItemChanged(item); }, [] {})
@@ -505,9 +506,16 @@
     });
 }
 
+/// Calls of all clients of the store.
+platform::StoreCounts JobEntry::storeCounts() const
+{
+    platform::StoreCounts counts = m_store.counts();
+    return counts += m_callerStore.counts();
+}
+
 std::string JobEntry::exposition()
 {
-    const platform::StoreCounts &calls = m_store.counts();
+    const platform::StoreCounts calls = storeCounts();
     m_metrics.set("briarvane_store_calls_total", {{"kind", "read"}}, static_cast<double>(calls.reads));
     m_metrics.set("briarvane_store_calls_total", {{"kind", "range"}}, static_cast<double>(calls.ranges));
     m_metrics.set("briarvane_store_calls_total", {{"kind", "watch"}}, static_cast<double>(calls.watches));
@@ -515,6 +523,7 @@
     m_metrics.set("briarvane_store_calls_total", {{"kind", "renewal"}}, static_cast<double>(calls.renewals));
     m_metrics.set("briarvane_store_refused_total", {}, static_cast<double>(calls.refused));
     m_metrics.set("briarvane_store_unanswered_total", {}, static_cast<double>(calls.unanswered));
+    m_metrics.set("briarvane_store_unsent_total", {}, static_cast<double>(calls.unsent));
     m_metrics.set("briarvane_config_version", {}, static_cast<double>(m_config.version));
     m_metrics.set("briarvane_unexpected_errors_total", {}, static_cast<double>(stoppedExceptions()));
     const UpstreamCounts &connections = m_executors.connectionCounts();
@@ -562,7 +571,7 @@
 void JobEntry::logSummary()
 {
     m_standstill.alive(bootNow());
-    const platform::StoreCounts &calls = m_store.counts();
+    const platform::StoreCounts calls = storeCounts();
     const LogDrops drops = logDrops();
     const UpstreamCounts &executorConnections = m_executors.connectionCounts();
     logEvent(LogLevel::Info, "entry-state",
@@ -573,6 +582,7 @@
               {"renewals", std::to_string(calls.renewals)},
               {"refused", std::to_string(calls.refused)},
               {"unanswered", std::to_string(calls.unanswered)},
+              {"unsent", std::to_string(calls.unsent)},
               {"shares", std::to_string(ownedCount())},
               {"late_ms", std::to_string(std::exchange(m_longestDelay, Duration{0}).count() / 1000)},
               {"log_dropped", std::to_string(drops.overRateLimit + drops.outputBlocked)},
--- a/src/job_entry_parts.h
+++ b/src/job_entry_parts.h
@@ -174,6 +174,7 @@
     bool canAcceptJobs();
     void handleReadiness(const std::shared_ptr<HttpExchange> &exchange);
     void handleMetricsPort(const std::shared_ptr<HttpExchange> &exchange);
+    platform::StoreCounts storeCounts() const;
     std::string exposition();
     void logSummary();
     void recordDelay(Duration delay);
@@ -194,6 +195,7 @@
     std::string m_startId = newStartId();
     Timers m_timers;
     Client m_store;
+    Client m_callerStore;  // for callers' requests, which must not delay proofs of ownership
     platform::ExecutorClient m_executors;
     platform::MachineClient m_machines;
     std::optional<platform::AdviceClient> m_advice;
--- a/tests/run_deployment.cpp
+++ b/tests/run_deployment.cpp
@@ -211,6 +211,28 @@
         fixture.store.faults.down = true;
         CHECK(fixture.read("k").outcome == StoreOutcome::Refused);
     }
+    // Guards against renewals and proofs of ownership that wait behind the watches of an entry with many partitions.
+    SECTION("leases are renewed and keys are read beside any number of watches and lists")
+    {
+        const StoreReply lease = fixture.wait<StoreReply>([&](auto done) { fixture.client.grantLease(2s, done); });
+        REQUIRE(lease.outcome == StoreOutcome::Done);
+        const std::uint64_t revision = fixture.commit({{}, {{"k", "v", 0}}, {}}).revision;
+        int watchesAnswered = 0;
+        for (int i = 0; i < 300; ++i) {
+            fixture.client.watch("s/" + std::to_string(i) + "/", revision, 1h,
+                                 [&watchesAnswered](const StoreReply &) { ++watchesAnswered; });
+        }
+        const StoreReply renewed
+            = fixture.wait<StoreReply>([&](auto done) { fixture.client.renewLease(lease.lease, done); });
+        CHECK(renewed.outcome == StoreOutcome::Done);
+        CHECK(fixture.read("k").outcome == StoreOutcome::Done);
+        CHECK(fixture.commit({{{"k", revision}}, {{"k", "w", 0}}, {}}).outcome == StoreOutcome::Done);
+        const StoreReply listed
+            = fixture.wait<StoreReply>([&](auto done) { fixture.client.range("k", "", false, 1h, done); });
+        CHECK(listed.outcome == StoreOutcome::Done);
+        CHECK(watchesAnswered == 0);
+        CHECK(fixture.client.counts().unsent == 0);
+    }
     SECTION("writes to operators' keys and transactions with too many rows are rejected")
     {
         CHECK(fixture.commit({{}, {{"op/config", "x", 0}}, {}}).outcome == StoreOutcome::Malformed);
