upstream client: a call without an answer closes the connections idle since before it

Callers: the open connections to the executors went silent once; 5 to 6 s later all tasks of a long-running step that may miss one were away on sound executors.

Cause: only the connection of the call that timed out was closed. About ten idle ones of the same age were tried one after another, at up to 1.8 s each, within a lease of 6 s. Ruled out: the executors, which answer new connections at once.

Change: a call that had 0.5 s or more and got no byte of a response closes the connections to the instance that have been idle since before it was sent. Shorter deadlines also end calls to slow instances and close nothing else.

--- a/src/job_entry.cpp
+++ b/src/job_entry.cpp
@@ -531,6 +531,7 @@
                   static_cast<double>(connections.opened - connections.further));
     m_metrics.set("briarvane_executor_connections_opened_total", {{"reason", "calls-waited"}},
                   static_cast<double>(connections.further));
+    m_metrics.set("briarvane_executor_connections_unproven_total", {}, static_cast<double>(connections.unproven));
     m_metrics.set("briarvane_executor_calls_unsent_total", {}, static_cast<double>(connections.unserved));
     const LogDrops drops = logDrops();
     m_metrics.set("briarvane_log_lines_dropped_total", {{"reason", "over-budget"}},
@@ -589,6 +590,7 @@
               {"connections", std::to_string(m_callers.load().connections)},
               {"executor_connections_opened", std::to_string(executorConnections.opened)},
               {"opened_for_waiting_calls", std::to_string(executorConnections.further)},
+              {"closed_as_unproven", std::to_string(executorConnections.unproven)},
               {"unsent_calls", std::to_string(executorConnections.unserved)}});
     later(SummaryPeriod, [this] { logSummary(); });
 }
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -55,6 +55,7 @@
     void fail(UpstreamResult result);
     void close();
     bool stillUsable();
+    void closeUnproven(const Call &silentCall);
 
     std::shared_ptr<UpstreamClient::Impl> impl;
     std::shared_ptr<struct Instance> instance;
@@ -139,6 +140,8 @@
     std::shared_ptr<const std::string> body;
     std::size_t written = 0;
     TimePoint waitingSince;  // time since which the call has waited for a connection
+    TimePoint sentAt;        // time of the first byte sent
+    TimePoint deadline;
     bool isHeadRequest = false;
     bool sent = false;
     bool ended = false;
@@ -280,6 +283,7 @@
         error_code error;
         const std::size_t size = socket.write_some(pieces, error);
         if (size > 0) {
+            call->sentAt = call->sent ? call->sentAt : steadyNow();
             call->sent = true;
             call->written += size;
         }
@@ -487,6 +491,9 @@
         failedCall->detach();
     }
     close();
+    if (failedCall != nullptr && result == UpstreamResult::TimedOut && !anyReceived) {
+        closeUnproven(*failedCall);
+    }
     if (failedCall != nullptr) {
         failedCall->end(result);
     }
@@ -507,6 +514,22 @@
     impl->serveWaiting(*instance);
 }
 
+/// Closes the connections to the same instance that have been idle since before the call was sent. They may have gone
+/// silent together with this one, and each would cost another call its time-out.
+void Connection::closeUnproven(const Call &silentCall)
+{
+    if (silentCall.deadline - silentCall.sentAt < impl->settings.silenceEvidence) {
+        return;
+    }
+    const auto idle = instance->idle;
+    for (const auto &connection : idle) {
+        if (connection->idleSince < silentCall.sentAt) {
+            ++impl->counts.unproven;
+            connection->close();
+        }
+    }
+}
+
 /// Whether the idle connection is open and has no unread bytes.
 bool Connection::stillUsable()
 {
@@ -728,6 +751,7 @@
         call->end(UpstreamResult::NotSent);
     } else {
         call->instance = found->second;
+        call->deadline = deadline;
         call->timer = m_impl->timers.at(deadline, [weak = std::weak_ptr<Call>(call)] {
             const auto expired = weak.lock();
             if (expired == nullptr || expired->ended) {
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -24,7 +24,11 @@
 struct UpstreamSettings
 {
     Duration connectTimeout{1'000'000};
-    Duration idleTimeout{30'000'000};       // idle connections are closed after this time
+    Duration idleTimeout{30'000'000};  // idle connections are closed after this time
+    /// A call that was given at least this time and got no byte of a response shows that connections may have gone
+    /// silent: those that have been idle since before it was sent are closed. Shorter deadlines also end calls to
+    /// instances that are only slow.
+    Duration silenceEvidence{500'000};
     std::size_t headerLimit = 64UL << 10U;  // largest header section of a response, in bytes
     GrowthLimits growth;
 };
@@ -100,6 +104,7 @@
     std::uint64_t opened = 0;    // connections that were opened, including those that could not be established
     std::uint64_t further = 0;   // of these, connections above UpstreamEndpoint::connections
     std::uint64_t unserved = 0;  // calls that got no connection before their deadline
+    std::uint64_t unproven = 0;  // idle connections that were closed after a call that got no answer
 };
 
 class UpstreamClient
@@ -116,9 +121,11 @@
     /// Whether the instance has a configured endpoint.
     bool hasEndpoint(const InstanceId &instance) const;
 
-    /// Sends the request once. If a reused connection fails before a byte was sent, another connection is tried; after
-    /// the first byte the request is never sent again. A response without a declared end fails as Truncated before its
-    /// head is passed on, because its completeness cannot be checked.
+    /// Sends the request once. A connection that carried a response after a call without an answer was sent is known to
+    /// work; the idle ones that did not are closed, so at most two calls in a row are lost to connections that went
+    /// silent at the same moment, however many are idle. If a reused connection fails before a byte was sent, another
+    /// connection is tried; after the first byte the request is never sent again. A response without a declared end
+    /// fails as Truncated before its head is passed on, because its completeness cannot be checked.
     UpstreamCall send(const InstanceId &instance, const UpstreamRequest &request, TimePoint deadline,
                       UpstreamEvents events);
     std::map<InstanceId, UpstreamLoad> load() const;
--- a/tests/run_http.cpp
+++ b/tests/run_http.cpp
@@ -590,3 +590,57 @@
         record->call = {};
     }
 }
+
+// Guards against calls that are lost one after another to connections that went silent at the same moment.
+TEST_CASE("After a call without an answer, only connections that have answered since are used again", "[upstream]")
+{
+    ClientFixture fixture;
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    constexpr Duration longTime{1'000'000};
+    constexpr Duration shortTime{100'000};
+    constexpr int connections = 4;
+    fixture.client.configure({{fixture.instance, {"127.0.0.1", fixture.listener.port(), connections}}});
+    std::vector<std::shared_ptr<CallRecord>> calls;
+    std::vector<WirePeer> peers;
+    for (int i = 0; i < connections; ++i) {
+        calls.push_back(fixture.send());
+        peers.push_back(fixture.answer(""));
+    }
+    for (int i = 0; i < connections; ++i) {
+        peers[static_cast<std::size_t>(i)].discardReceived();
+        peers[static_cast<std::size_t>(i)].send(ok);
+        REQUIRE(fixture.ended(calls[static_cast<std::size_t>(i)], UpstreamResult::Completed));
+    }
+    REQUIRE(fixture.client.load()[fixture.instance].idle == connections);
+
+    SECTION("all of them are silent: the next call has a new connection")
+    {
+        CHECK(fixture.ended(fixture.send("POST", longTime), UpstreamResult::TimedOut));
+        CHECK(fixture.client.load()[fixture.instance].open == 0);
+        CHECK(fixture.client.counts().unproven == connections - 1);
+        const auto next = fixture.send();
+        const WirePeer fresh = fixture.answer(ok);
+        CHECK(fixture.ended(next, UpstreamResult::Completed));
+    }
+    SECTION("one has answered a later call: it is kept")
+    {
+        const auto silent = fixture.send("POST", longTime);
+        REQUIRE(peers[3].waitFor("\r\n\r\n"));  // the connection used last is the first to be used again
+        const auto answered = fixture.send();
+        REQUIRE(peers[2].waitFor("\r\n\r\n"));
+        peers[2].send(ok);
+        CHECK(fixture.ended(answered, UpstreamResult::Completed));
+        CHECK(fixture.ended(silent, UpstreamResult::TimedOut));
+        CHECK(fixture.client.load()[fixture.instance].idle == 1);
+        peers[2].discardReceived();
+        const auto next = fixture.send();
+        CHECK(peers[2].waitFor("\r\n\r\n"));
+        peers[2].send(ok);
+        CHECK(fixture.ended(next, UpstreamResult::Completed));
+    }
+    SECTION("the call had little time, so the instance may only be slow: the others are kept")
+    {
+        CHECK(fixture.ended(fixture.send("POST", shortTime), UpstreamResult::TimedOut));
+        CHECK(fixture.client.load()[fixture.instance].idle == connections - 1);
+    }
+}
