--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <unordered_set>
@@ -143,6 +144,7 @@
     TimePoint sentAt;        // time of the first byte sent
     TimePoint deadline;
     bool isHeadRequest = false;
+    bool urgent = false;
     bool sent = false;
     bool ended = false;
     bool starting = false;  // inside send(), where the end must be posted instead of called
@@ -558,7 +560,10 @@
     }
     if (static_cast<int>(instance.open.size()) >= std::max(1, instance.endpoint.connections)) {
         call->waitingSince = steadyNow();
-        instance.waiting.push_back(call);
+        const auto first = call->urgent ? std::find_if(instance.waiting.begin(), instance.waiting.end(),
+                                                       [](const auto &waiting) { return !waiting->urgent; })
+                                        : instance.waiting.end();
+        instance.waiting.insert(first, call);
         scheduleGrowth(call->instance);
         return;
     }
@@ -733,6 +738,7 @@
     call->impl = m_impl;
     call->events = std::move(events);
     call->isHeadRequest = request.method == "HEAD";
+    call->urgent = request.urgent;
     static const auto emptyBody = std::make_shared<const std::string>();
     call->body = request.body == nullptr ? emptyBody : request.body;
     call->head.reserve(512);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -53,6 +53,7 @@
     std::string_view target;
     const HttpFields &fields;                 // without Connection, Content-Length and Transfer-Encoding
     std::shared_ptr<const std::string> body;  // null: no body
+    bool urgent = false;                      // waits for a connection ahead of calls that are not urgent
 };
 
 /// Callbacks of a call. None of them is called from inside send(). `head` is called at most once, then `body` any
--- a/tests/run_http.cpp
+++ b/tests/run_http.cpp
@@ -338,11 +338,12 @@
     {
         client.configure({{instance, {"127.0.0.1", listener.port(), 2}}});
     }
-    std::shared_ptr<CallRecord> send(std::string_view method = "POST", Duration timeout = Duration{9'000'000})
+    std::shared_ptr<CallRecord> send(std::string_view method = "POST", Duration timeout = Duration{9'000'000},
+                                     bool urgent = false)
     {
         auto record = std::make_shared<CallRecord>();
         const HttpFields fields{{{"Host", "x"}}};
-        record->call = client.send(instance, {method, "/", fields, nullptr},
+        record->call = client.send(instance, {method, "/", fields, nullptr, urgent},
                                    std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()) + timeout,
                                    {[record](const HttpHead &head) { record->status = head.status; },
                                     [record](std::string_view piece) { record->body += piece; }, [] {},
@@ -575,6 +576,23 @@
         CHECK(fixture.client.counts().further == 1);
         CHECK(silent->ends.empty());
     }
+    // Guards against renewals of leases that wait behind many starts.
+    SECTION("an urgent call takes the next connection")
+    {
+        WirePeer further = fixture.answer("");
+        further.discardReceived();
+        const auto urgent = fixture.send("PUT", Duration{9'000'000}, true);
+        const auto laterUrgent = fixture.send("PATCH", Duration{9'000'000}, true);
+        further.send(ok);
+        CHECK(further.waitFor("PUT / HTTP/1.1"));
+        CHECK(fixture.ended(third, UpstreamResult::Completed));
+        further.send(ok);
+        CHECK(further.waitFor("PATCH / HTTP/1.1"));
+        CHECK(fixture.ended(urgent, UpstreamResult::Completed));
+        further.send(ok);
+        CHECK(fixture.ended(laterUrgent, UpstreamResult::Completed));
+        CHECK(fourth->ends.empty());
+    }
     SECTION("the limit for times of waiting calls holds, and a call that gets no connection is counted")
     {
         const WirePeer further = fixture.answer("");
