partition owner: a refused report of vacated executors is not repeated in every pass

Change: the report waits for the pause that other failed writes have; writes that the store rejects as invalid wait 5 s, as those of the fleet's owner.

--- a/src/partition_owner.h
+++ b/src/partition_owner.h
@@ -39,6 +39,8 @@
     Duration confirmPeriod{800'000};  // time between reads of the ownership key, which confirm the ownership
     Duration storeTimeout{700'000};   // timeout of one read or write; a slow store takes up to 250 ms
     Duration retryPause{120'000};     // pause after a failed call to the store
+    /// Pause after a write that the store rejected as invalid, which the same write cannot change.
+    Duration rejectedPause{5'000'000};
     /// Time between publications of the counts of waiting jobs. Callers accept counts that are up to 2 s old.
     Duration waitingCountsPeriod{700'000};
     /// Time between publications of the load that pool sizes follow. Bursts last some seconds.
@@ -590,7 +592,7 @@
                 m_recordedExecutors = *ids;
                 applyExecutors();
             } else {
-                later(m_settings.retryPause, [this] { recordExecutors(); });
+                later(pauseAfter(reply), [this] { recordExecutors(); });
             }
         });
     }
@@ -716,6 +718,12 @@
                         }));
     }
 
+    /// Pause before a failed write is repeated.
+    Duration pauseAfter(const StoreReply &reply) const
+    {
+        return reply.outcome == StoreOutcome::Malformed ? m_settings.rejectedPause : m_settings.retryPause;
+    }
+
     struct PendingCommit
     {
         std::uint64_t generation = 0;
@@ -799,7 +807,7 @@
             [[fallthrough]];
         default:
             requeueWrites();
-            later(m_settings.retryPause, [this, commit] { commitNext(commit); });
+            later(pauseAfter(reply), [this, commit] { commitNext(commit); });
         }
     }
 
@@ -950,7 +958,7 @@
         const bool isEmpty = report.executors.empty() && report.blocked.empty();
         const bool unchanged = m_vacated && report.executors == m_vacated->executors
             && report.blocked == m_vacated->blocked && (isEmpty || report.listRevision == m_vacated->listRevision);
-        if (m_publishingVacated || unchanged) {
+        if (m_publishingVacated || unchanged || steadyNow() < m_publishVacatedFrom) {
             return;
         }
         m_publishingVacated = true;
@@ -960,6 +968,8 @@
             m_publishingVacated = false;
             if (reply.outcome == StoreOutcome::Done) {
                 m_vacated = report;
+            } else {
+                m_publishVacatedFrom = steadyNow() + pauseAfter(reply);
             }
         });
     }
@@ -1061,6 +1071,7 @@
     bool m_executorListReceived = false;
     bool m_recordingExecutors = false;
     bool m_publishingVacated = false;
+    TimePoint m_publishVacatedFrom;  // steady clock; set after a failed attempt
     bool m_quotaPartsRequested = false;
     bool m_quotaPartsRead = false;
     bool m_passScheduled = false;
--- a/tests/run_partition_owner.cpp
+++ b/tests/run_partition_owner.cpp
@@ -21,7 +21,7 @@
 
 struct OwnerFixture
 {
-    OwnerFixture()
+    explicit OwnerFixture(const PartitionOwnerSettings &settings = {})
         : token(store.put(keys::owner("orders"), "e1"))
     {
         JobSpec spec;
@@ -67,8 +67,8 @@
             ownershipLost = true;
             whyLost = why;
         };
-        owner.emplace(store, timers, Partition{"orders"}, token, keys::Predecessor::None, PartitionOwnerSettings{},
-                      std::move(hooks), bootNow(), bootNow());
+        owner.emplace(store, timers, Partition{"orders"}, token, keys::Predecessor::None, settings, std::move(hooks),
+                      bootNow(), bootNow());
         ExecutorRecord executor;
         executor.id = "i-1";
         executor.service = "orders";
@@ -1011,3 +1011,24 @@
         CHECK(fixture.store.value(keys::quotaReport("supplies")).empty());
     }
 }
+
+// Guards against a report that is written again in every pass while the store refuses it.
+TEST_CASE("A report of vacated executors that the store refuses is not repeated in every pass")
+{
+    PartitionOwnerSettings settings;
+    settings.rejectedPause = 1h;
+    OwnerFixture fixture(settings);
+    fixture.store.rejectWrites(keys::FleetVacated);
+    fixture.owner->setVacating({"i-1"}, 5);
+    for (int index = 0; index < 3; ++index) {
+        fixture.endRun(index, RunEnd::Done);
+    }
+    fixture.runUntil([&] { return fixture.store.rejectedWrites() > 0; });
+    for (std::uint64_t revision = 6; revision < 26; ++revision) {  // each list causes a pass
+        fixture.owner->setVacating({"i-1"}, revision);
+        const auto passed = std::make_shared<bool>(false);
+        fixture.timers.at(steadyNow() + settings.passGap * 2, [passed] { *passed = true; });
+        fixture.runUntil([&] { return *passed; });
+    }
+    CHECK(fixture.store.rejectedWrites() == 1);
+}
